Thin path: submit, dispatch, answer over HTTP

Cause: an empty repository. Change: root types and interfaces, the micro-kernel, a decision core, the control goroutine, sender, receiver, configuration through the store, the stand-ins and a demo in one process.

--- /dev/null
+++ b/accessor/accessor.go
@@ -0,0 +1,164 @@
+// Package accessor reaches the platform's key-value service and list of hosts
+// over HTTP.
+//
+// A value travels as the body and its revision as a header, so that values are
+// never encoded twice.
+package accessor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// Bounds of one call.
+const (
+	maxValue    = 2 << 20 // Bytes.
+	callTimeout = 5 * time.Second
+	watchTime   = 30 * time.Second // Then the watch is asked for anew.
+)
+
+// headerRevision carries the revision of a value.
+const headerRevision = "Revision"
+
+// Accessor implements medlargw.Store and medlargw.Hosts.
+type Accessor struct {
+	base   string
+	client *http.Client
+}
+
+var (
+	_ medlargw.Store = (*Accessor)(nil)
+	_ medlargw.Hosts = (*Accessor)(nil)
+)
+
+// New returns an accessor of the platform at the address.
+func New(addr netip.AddrPort) *Accessor {
+	return &Accessor{base: "http://" + addr.String(), client: &http.Client{Transport: &http.Transport{}}}
+}
+
+// Close closes the idle connections.
+func (a *Accessor) Close() { a.client.CloseIdleConnections() }
+
+func keyPath(key string) string { return "/v1/keys/" + key }
+
+// Get returns the value of a key, or medlargw.ErrNotFound.
+func (a *Accessor) Get(ctx context.Context, key string) (medlargw.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.entry(ctx, key, keyPath(key))
+}
+
+// Watch waits until the key's revision differs from the given one. After a
+// while it returns the entry unchanged.
+func (a *Accessor) Watch(ctx context.Context, key string, revision uint64) (medlargw.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+callTimeout)
+	defer cancel()
+	query := "?after=" + strconv.FormatUint(revision, 10) + "&wait=" + watchTime.String()
+	return a.entry(ctx, key, "/v1/watch/"+key+query)
+}
+
+func (a *Accessor) entry(ctx context.Context, key, path string) (medlargw.Entry, error) {
+	body, revision, err := a.call(ctx, http.MethodGet, path, nil, "")
+	if err != nil {
+		return medlargw.Entry{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	return medlargw.Entry{Key: key, Value: body, Revision: revision}, nil
+}
+
+// Put writes a key whose revision is the given one; zero creates it.
+func (a *Accessor) Put(ctx context.Context, key string, value []byte, revision uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, written, err := a.call(ctx, http.MethodPut, keyPath(key), value, strconv.FormatUint(revision, 10))
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", key, err)
+	}
+	return written, nil
+}
+
+// Delete removes a key whose revision is the given one.
+func (a *Accessor) Delete(ctx context.Context, key string, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, err := a.call(ctx, http.MethodDelete, keyPath(key), nil, strconv.FormatUint(revision, 10))
+	if err != nil {
+		return fmt.Errorf("delete %s: %w", key, err)
+	}
+	return nil
+}
+
+type entryWire struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// List returns the entries whose key starts with the prefix.
+func (a *Accessor) List(ctx context.Context, prefix string) ([]medlargw.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, _, err := a.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, "")
+	if err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	var wire []entryWire
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	all := make([]medlargw.Entry, len(wire))
+	for i, w := range wire {
+		all[i] = medlargw.Entry{Key: w.Key, Value: w.Value, Revision: w.Revision}
+	}
+	return all, nil
+}
+
+// Hosts returns the platform's list of hosts.
+func (a *Accessor) Hosts(ctx context.Context) (medlargw.HostList, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, _, err := a.call(ctx, http.MethodGet, "/v1/hosts", nil, "")
+	if err != nil {
+		return medlargw.HostList{}, fmt.Errorf("list hosts: %w", err)
+	}
+	return DecodeHosts(body)
+}
+
+// call makes one request and returns the body and the revision.
+func (a *Accessor) call(ctx context.Context, method, path string, value []byte, match string) ([]byte, uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, method, a.base+path, bytes.NewReader(value))
+	if err != nil {
+		return nil, 0, fmt.Errorf("build request: %w", err)
+	}
+	if match != "" {
+		req.Header.Set(headerRevision, match)
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxValue))
+	if err != nil {
+		return nil, 0, fmt.Errorf("read answer: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		revision, _ := strconv.ParseUint(resp.Header.Get(headerRevision), 10, 64)
+		return body, revision, nil
+	case http.StatusNotFound:
+		return nil, 0, medlargw.ErrNotFound
+	case http.StatusConflict:
+		return nil, 0, medlargw.ErrConflict
+	}
+	return nil, 0, fmt.Errorf("got status %d, want 200", resp.StatusCode)
+}
--- /dev/null
+++ b/accessor/hosts.go
@@ -0,0 +1,89 @@
+package accessor
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+type hostListWire struct {
+	Version uint64       `json:"version"`
+	Taken   time.Time    `json:"taken"`
+	Targets []targetWire `json:"targets"`
+	Entries []entryHost  `json:"entries"`
+}
+
+type targetWire struct {
+	Name    string         `json:"name"`
+	Zone    string         `json:"zone"`
+	Addr    netip.AddrPort `json:"addr"`
+	Slots   int            `json:"slots"`
+	Memory  int64          `json:"memory"`
+	Leaving bool           `json:"leaving"`
+}
+
+type entryHost struct {
+	Name  string         `json:"name"`
+	Zone  string         `json:"zone"`
+	Addr  netip.AddrPort `json:"addr"`
+	Admin netip.AddrPort `json:"admin"`
+}
+
+// DecodeHosts reads a list of hosts.
+func DecodeHosts(body []byte) (medlargw.HostList, error) {
+	var wire hostListWire
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return medlargw.HostList{}, fmt.Errorf("decode list of hosts: %w", err)
+	}
+	list := medlargw.HostList{Version: wire.Version, Taken: wire.Taken}
+	for _, t := range wire.Targets {
+		list.Targets = append(list.Targets, medlargw.Target{
+			Name:    medlargw.TargetName(t.Name),
+			Zone:    medlargw.ZoneName(t.Zone),
+			Addr:    t.Addr,
+			Slots:   t.Slots,
+			Memory:  t.Memory,
+			Leaving: t.Leaving,
+		})
+	}
+	for _, e := range wire.Entries {
+		list.Entries = append(list.Entries, medlargw.EntryHost{
+			Name:  medlargw.HostName(e.Name),
+			Zone:  medlargw.ZoneName(e.Zone),
+			Addr:  e.Addr,
+			Admin: e.Admin,
+		})
+	}
+	return list, nil
+}
+
+// EncodeHosts writes a list of hosts.
+func EncodeHosts(list *medlargw.HostList) ([]byte, error) {
+	wire := hostListWire{Version: list.Version, Taken: list.Taken}
+	for _, t := range list.Targets {
+		wire.Targets = append(wire.Targets, targetWire{
+			Name:    string(t.Name),
+			Zone:    string(t.Zone),
+			Addr:    t.Addr,
+			Slots:   t.Slots,
+			Memory:  t.Memory,
+			Leaving: t.Leaving,
+		})
+	}
+	for _, e := range list.Entries {
+		wire.Entries = append(wire.Entries, entryHost{
+			Name:  string(e.Name),
+			Zone:  string(e.Zone),
+			Addr:  e.Addr,
+			Admin: e.Admin,
+		})
+	}
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return nil, fmt.Errorf("encode list of hosts: %w", err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/counts.go
@@ -0,0 +1,37 @@
+package medlargw
+
+// TargetCounts are what a stand-in target has counted.
+type TargetCounts struct {
+	Requests   int            // Attempts received.
+	Started    int            // Tasks started.
+	NotStarted int            // Attempts refused without a start.
+	Answered   int            // Results sent.
+	Stopped    int            // Tasks stopped before their end.
+	Starts     map[uint64]int // Starts by the number of the task.
+}
+
+// Add adds the counts of another target.
+func (c *TargetCounts) Add(other TargetCounts) {
+	c.Requests += other.Requests
+	c.Started += other.Started
+	c.NotStarted += other.NotStarted
+	c.Answered += other.Answered
+	c.Stopped += other.Stopped
+	if c.Starts == nil {
+		c.Starts = map[uint64]int{}
+	}
+	for n, k := range other.Starts {
+		c.Starts[n] += k
+	}
+}
+
+// Twice returns the number of tasks that were started more than once.
+func (c *TargetCounts) Twice() int {
+	n := 0
+	for _, starts := range c.Starts {
+		if starts > 1 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/dispatcher/loop.go
@@ -0,0 +1,109 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// maxTurn is the number of messages that are handled before the actions are
+// carried out.
+const maxTurn = 64
+
+// run is the control goroutine.
+func (d *Dispatcher) run() {
+	defer close(d.done)
+	stopping := d.stopping
+	for !d.drained || d.decider.Jobs() > 0 || len(d.cancels) > 0 {
+		select {
+		case e := <-d.ends:
+			e.apply(d, time.Now())
+		case m := <-d.messages:
+			m.apply(d, time.Now())
+		case <-d.timer.C:
+			d.decider.Tick(time.Now())
+		case <-stopping:
+			d.drained = true
+			stopping = nil
+		}
+		d.handleMore()
+		d.act()
+	}
+}
+
+// handleMore handles messages that already wait, the ends of attempts first.
+func (d *Dispatcher) handleMore() {
+	for range maxTurn {
+		select {
+		case e := <-d.ends:
+			e.apply(d, time.Now())
+			continue
+		default:
+		}
+		select {
+		case m := <-d.messages:
+			m.apply(d, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// act carries out what the decider decided.
+func (d *Dispatcher) act() {
+	actions := d.decider.Actions()
+	for i := range actions.Starts {
+		d.start(actions.Starts[i])
+	}
+	for _, tag := range actions.Stops {
+		if cancel := d.cancels[tag]; cancel != nil {
+			cancel()
+		}
+	}
+	for i := range actions.Finishes {
+		d.finish(&actions.Finishes[i])
+	}
+	if !actions.Wake.IsZero() {
+		d.timer.Reset(time.Until(actions.Wake))
+	}
+	actions.Reset()
+}
+
+// start has a traffic goroutine carry the attempt.
+func (d *Dispatcher) start(a medlargw.Attempt) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancels[a.Tag] = cancel
+	d.traffic.Go(func() {
+		end := d.sender.Send(ctx, &a)
+		cancel()
+		d.ends <- endMessage{attempt: &a, end: end}
+	})
+}
+
+func (d *Dispatcher) finish(f *medlargw.Finish) {
+	reply := d.waiters[f.Job.ID]
+	delete(d.waiters, f.Job.ID)
+	reply <- f.Outcome
+}
+
+func (m submitMessage) apply(d *Dispatcher, now time.Time) {
+	d.waiters[m.job.ID] = m.reply
+	if d.drained {
+		outcome := medlargw.Refusal(m.job, medlargw.CodeStopping, "the entry is stopping", time.Second)
+		d.finish(&medlargw.Finish{Job: m.job, Outcome: outcome})
+		return
+	}
+	d.decider.Submit(now, m.job)
+}
+
+func (m cancelMessage) apply(d *Dispatcher, now time.Time) { d.decider.Cancel(now, m.job) }
+
+func (m configMessage) apply(d *Dispatcher, now time.Time) { d.decider.Configure(now, m.cfg) }
+
+func (m capacityMessage) apply(d *Dispatcher, now time.Time) { d.decider.SetCapacity(now, m.all) }
+
+func (m endMessage) apply(d *Dispatcher, now time.Time) {
+	delete(d.cancels, m.attempt.Tag)
+	d.decider.Ended(now, m.attempt, &m.end)
+}
--- /dev/null
+++ b/driver/driver.go
@@ -0,0 +1,286 @@
+// Package driver is the load tool: it sends jobs at a steady rate, checks each
+// answer, and sums up what it saw.
+//
+// The sequence of jobs depends on the seed alone. Jobs are sent when they are
+// due, whether or not earlier ones have ended.
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
+
+	"medlargw.example/medlargw"
+)
+
+// maxConns is the number of connections kept to one entry.
+const maxConns = 512
+
+// Driver sends one load.
+type Driver struct {
+	load   medlargw.Load
+	client *http.Client
+	trip   time.Duration // One round trip to an entry.
+	next   atomic.Uint64 // Number of the last task.
+
+	mu     sync.Mutex
+	report medlargw.LoadReport
+	ratios map[string]*hdrhistogram.Histogram // Hundredths of the ideal, by class.
+	all    *hdrhistogram.Histogram
+}
+
+// New returns a driver of the load. Task numbers start after the given one.
+func New(load medlargw.Load, after uint64) *Driver {
+	d := &Driver{
+		load:   load,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConns}},
+		ratios: map[string]*hdrhistogram.Histogram{},
+		all:    newHistogram(),
+	}
+	d.next.Store(after)
+	return d
+}
+
+// maxRatio is the largest response that is told apart, in hundredths of the
+// ideal.
+const maxRatio = 100_000_000
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRatio, 3) }
+
+// Run sends the load until its time is over, waits for the last answer and
+// returns the report.
+func (d *Driver) Run(ctx context.Context) (medlargw.LoadReport, error) {
+	var err error
+	if d.trip, err = d.roundTrip(ctx); err != nil {
+		return medlargw.LoadReport{}, err
+	}
+	d.send(ctx)
+	d.client.CloseIdleConnections()
+	return d.summary(), nil
+}
+
+// send sends the jobs when they are due and waits for the last answer.
+func (d *Driver) send(ctx context.Context) {
+	random := rand.New(rand.NewPCG(d.load.Seed, d.load.Seed)) //nolint:gosec // Must repeat itself.
+	var running conc.WaitGroup
+	defer running.Wait()
+	began := time.Now()
+	var due time.Duration
+	for n := 0; ; n++ {
+		due += time.Duration(random.ExpFloat64() / d.load.Rate * float64(time.Second))
+		if due > d.load.Time {
+			return
+		}
+		j := d.draw(random, n)
+		select {
+		case <-time.After(time.Until(began.Add(due))):
+		case <-ctx.Done():
+			return
+		}
+		running.Go(func() { d.submit(ctx, j) })
+	}
+}
+
+// job is one job of the load, with what its answer must hold.
+type job struct {
+	kind    medlargw.LoadKind
+	entry   netip.AddrPort
+	numbers []uint64
+	runs    []time.Duration
+}
+
+func (d *Driver) draw(random *rand.Rand, n int) *job {
+	j := &job{
+		kind:  d.load.Kinds[random.IntN(len(d.load.Kinds))],
+		entry: d.load.Entries[n%len(d.load.Entries)],
+	}
+	for range 1 + random.IntN(2*j.kind.Tasks-1) {
+		j.numbers = append(j.numbers, d.next.Add(1))
+		j.runs = append(j.runs, j.kind.Run/2+time.Duration(random.Int64N(int64(j.kind.Run))))
+	}
+	return j
+}
+
+// ideal returns the response time when no task ever waits.
+func (j *job) ideal(trip time.Duration) time.Duration {
+	var longest time.Duration
+	for _, run := range j.runs {
+		longest = max(longest, run)
+	}
+	return longest + trip
+}
+
+func (d *Driver) submit(ctx context.Context, j *job) {
+	began := time.Now()
+	status, body, err := d.post(ctx, j)
+	took := time.Since(began)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report.Jobs++
+	d.report.Tasks += len(j.numbers)
+	switch {
+	case err != nil:
+		d.report.CutOff++
+		d.report.Failed++
+	case status == http.StatusOK && whole(j, body):
+		d.report.Whole++
+		d.record(j.kind.Class, took, j.ideal(d.trip))
+	case status == http.StatusOK:
+		d.report.Wrong++
+	case notRun(body):
+		d.report.Refused++
+	default:
+		d.report.Failed++
+	}
+}
+
+func (d *Driver) record(class string, took, ideal time.Duration) {
+	ratio := int64(math.Round(100 * float64(took) / float64(ideal)))
+	ratio = min(max(ratio, 1), maxRatio)
+	h := d.ratios[class]
+	if h == nil {
+		h = newHistogram()
+		d.ratios[class] = h
+	}
+	_ = h.RecordValue(ratio) // Within the histogram's bounds.
+	_ = d.all.RecordValue(ratio)
+}
+
+func (d *Driver) post(ctx context.Context, j *job) (int, []byte, error) {
+	body, err := encode(j)
+	if err != nil {
+		return 0, nil, err
+	}
+	url := "http://" + j.entry.String() + "/v1/jobs"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+j.kind.Token)
+	return d.do(req)
+}
+
+func (d *Driver) do(req *http.Request) (int, []byte, error) {
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
+}
+
+// trips is the number of requests from which the round trip is taken.
+const trips = 20
+
+// roundTrip returns the shortest round trip to the first entry.
+func (d *Driver) roundTrip(ctx context.Context) (time.Duration, error) {
+	shortest := time.Hour
+	for range trips {
+		url := "http://" + d.load.Entries[0].String() + "/healthz"
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return 0, fmt.Errorf("build request: %w", err)
+		}
+		began := time.Now()
+		if _, _, err := d.do(req); err != nil {
+			return 0, fmt.Errorf("reach entry: %w", err)
+		}
+		shortest = min(shortest, time.Since(began))
+	}
+	return shortest, nil
+}
+
+func (d *Driver) summary() medlargw.LoadReport {
+	r := d.report
+	r.Ratio = ratioOf(d.all)
+	r.Classes = map[string]medlargw.Ratio{}
+	for class, h := range d.ratios {
+		r.Classes[class] = ratioOf(h)
+	}
+	return r
+}
+
+func ratioOf(h *hdrhistogram.Histogram) medlargw.Ratio {
+	return medlargw.Ratio{Mean: h.Mean() / 100, P99: float64(h.ValueAtQuantile(99)) / 100}
+}
+
+type jobWire struct {
+	Service    string     `json:"service"`
+	Idempotent bool       `json:"idempotent"`
+	Deadline   string     `json:"deadline"`
+	Runtime    string     `json:"runtime"`
+	Tasks      []taskWire `json:"tasks"`
+}
+
+type taskWire struct {
+	ID      string      `json:"id"`
+	Payload payloadWire `json:"payload"`
+}
+
+type payloadWire struct {
+	Number uint64 `json:"number"`
+	Run    int64  `json:"run"` // Microseconds.
+}
+
+type answerWire struct {
+	NotRun bool         `json:"notrun"`
+	Tasks  []resultWire `json:"tasks"`
+}
+
+type resultWire struct {
+	ID     string `json:"id"`
+	Answer struct {
+		Number uint64 `json:"number"`
+	} `json:"answer"`
+}
+
+func encode(j *job) ([]byte, error) {
+	wire := jobWire{
+		Service:  j.kind.Service,
+		Deadline: j.kind.Deadline.String(),
+		Runtime:  j.kind.Run.String(),
+	}
+	for i, n := range j.numbers {
+		wire.Tasks = append(wire.Tasks, taskWire{
+			ID:      fmt.Sprintf("t%d", i),
+			Payload: payloadWire{Number: n, Run: j.runs[i].Microseconds()},
+		})
+	}
+	body, err := json.Marshal(wire)
+	if err != nil {
+		return nil, fmt.Errorf("encode job: %w", err)
+	}
+	return body, nil
+}
+
+// whole reports whether the answer holds each task's own result once.
+func whole(j *job, body []byte) bool {
+	var wire answerWire
+	if json.Unmarshal(body, &wire) != nil || len(wire.Tasks) != len(j.numbers) {
+		return false
+	}
+	for i, r := range wire.Tasks {
+		if r.ID != fmt.Sprintf("t%d", i) || r.Answer.Number != j.numbers[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func notRun(body []byte) bool {
+	var wire answerWire
+	return json.Unmarshal(body, &wire) == nil && wire.NotRun
+}
--- /dev/null
+++ b/finding.go
@@ -0,0 +1,61 @@
+package medlargw
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Place is a position in a file; lines and columns count from 1.
+type Place struct {
+	File string
+	Line int
+	Col  int
+}
+
+// String returns file:line:col.
+func (p Place) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Col) }
+
+// Finding is one fault with its place.
+type Finding struct {
+	Place   Place
+	Message string
+}
+
+// Findings is the error that reports all faults of one reading together.
+type Findings struct {
+	All []Finding
+}
+
+var _ error = (*Findings)(nil)
+
+// Add records one fault.
+func (f *Findings) Add(p Place, format string, args ...any) {
+	f.All = append(f.All, Finding{Place: p, Message: fmt.Sprintf(format, args...)})
+}
+
+// Err returns f when it holds a fault, and nil otherwise.
+func (f *Findings) Err() error {
+	if len(f.All) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Error returns one line per fault, ordered by place.
+func (f *Findings) Error() string {
+	sorted := slices.Clone(f.All)
+	slices.SortStableFunc(sorted, func(a, b Finding) int {
+		return cmp.Or(
+			cmp.Compare(a.Place.File, b.Place.File),
+			cmp.Compare(a.Place.Line, b.Place.Line),
+			cmp.Compare(a.Place.Col, b.Place.Col),
+		)
+	})
+	lines := make([]string, len(sorted))
+	for i, finding := range sorted {
+		lines[i] = finding.Place.String() + ": " + finding.Message
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,97 @@
+package medlargw
+
+import (
+	"context"
+	"time"
+)
+
+// Part is a service of the micro-kernel. Start returns when the part serves;
+// Stop asks it to end, and Done is closed when it has ended.
+type Part interface {
+	Name() string
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+	Done() <-chan struct{}
+}
+
+// Entry is one value of the store.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision uint64 // Rises with each write of the key; zero is absent.
+}
+
+// Store is the platform's key-value service. A method that returns an error
+// other than ErrConflict or ErrNotFound may have taken effect.
+type Store interface {
+	Get(ctx context.Context, key string) (Entry, error)
+	// Put writes if the key's revision is the given one; zero creates.
+	Put(ctx context.Context, key string, value []byte, revision uint64) (uint64, error)
+	// Delete removes the key if its revision is the given one.
+	Delete(ctx context.Context, key string, revision uint64) error
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Watch returns the entry as soon as its revision differs from the given one.
+	Watch(ctx context.Context, key string, revision uint64) (Entry, error)
+}
+
+// Hosts is the platform's list of hosts.
+type Hosts interface {
+	Hosts(ctx context.Context) (HostList, error)
+}
+
+// Sender carries one attempt to its target and waits for its end. It never
+// sends an attempt twice. The context ends when the attempt is cancelled.
+type Sender interface {
+	Send(ctx context.Context, attempt *Attempt) AttemptEnd
+}
+
+// Submitter runs one job and returns its outcome. The context ends when the
+// caller is gone, which cancels the job.
+type Submitter interface {
+	Submit(ctx context.Context, job *Job) Outcome
+}
+
+// Scheduler orders the waiting tasks. It is used by one goroutine.
+type Scheduler interface {
+	Configure(cfg *Config)
+	// Add lets all tasks of an admitted job wait.
+	Add(job *Job)
+	// Peek returns the task to start next, without removing it.
+	Peek() (Candidate, bool)
+	// Take removes the task that Peek returned.
+	Take(c Candidate)
+	// Requeue puts a task back that was proven not started.
+	Requeue(job *Job, index int)
+	// Remove drops the waiting tasks of a job.
+	Remove(job *Job)
+	// Block passes over a team until Unblock.
+	Block(team TeamName)
+	Unblock(team TeamName)
+	// Waiting returns the waiting tasks by class, from the highest rank.
+	Waiting() []ClassDemand
+}
+
+// Placer picks targets for tasks. It is used by one goroutine.
+type Placer interface {
+	// SetCapacity replaces what this entry may use.
+	SetCapacity(now time.Time, all []Capacity)
+	// Pick reserves one slot for a task of the job.
+	Pick(now time.Time, job *Job) (Capacity, bool)
+	// Release frees the slot, and learns from the end of the attempt.
+	Release(now time.Time, attempt *Attempt, end *AttemptEnd)
+	// Free returns the slots that are free now.
+	Free() int
+	// Fits reports whether any known target could hold a task of that size.
+	Fits(size int64) bool
+}
+
+// Limiter keeps teams within their limits. It is used by one goroutine.
+type Limiter interface {
+	Configure(cfg *Config)
+	// Take reserves one running task and one start. If the team is at a limit it
+	// returns false, and the time at which a start may be allowed; zero is when
+	// a running task ends.
+	Take(now time.Time, job *Job) (bool, time.Time)
+	// Return frees the running task.
+	Return(now time.Time, job *Job)
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,37 @@
+// Package logger makes the process's log: JSON, or text on a terminal.
+package logger
+
+import (
+	"fmt"
+	"os"
+
+	"go.uber.org/zap"
+)
+
+// Logger is the root of the logs. Each part logs under its own name. The level
+// can be changed while the process runs.
+type Logger struct {
+	*zap.Logger
+
+	Level zap.AtomicLevel
+}
+
+// New returns the log to standard error, from level info.
+func New() (*Logger, error) {
+	cfg := zap.NewProductionConfig()
+	if isTerminal(os.Stderr) {
+		cfg = zap.NewDevelopmentConfig()
+		cfg.DisableStacktrace = true
+		cfg.Level.SetLevel(zap.InfoLevel)
+	}
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, fmt.Errorf("build log: %w", err)
+	}
+	return &Logger{Logger: log, Level: cfg.Level}, nil
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/name.go
@@ -0,0 +1,28 @@
+package medlargw
+
+// TeamName names a team of callers, unique in a deployment.
+type TeamName string
+
+// ClassName names a priority class, unique in a deployment.
+type ClassName string
+
+// ServiceName names a service, unique in a deployment.
+type ServiceName string
+
+// TargetName names a target, unique in a deployment.
+type TargetName string
+
+// HostName names an entry host, unique in a deployment.
+type HostName string
+
+// ZoneName names an availability zone, unique in a deployment.
+type ZoneName string
+
+// JobID identifies a job within one incarnation of its home entry.
+type JobID uint64
+
+// Tag marks one attempt. It is random, and the target must echo it.
+type Tag string
+
+// Incarnation distinguishes the runs of one entry host. It is random at start.
+type Incarnation uint64
--- /dev/null
+++ b/receiver/authenticate.go
@@ -0,0 +1,32 @@
+package receiver
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"medlargw.example/medlargw"
+)
+
+// authenticate returns the team of the request's bearer token. The time it
+// takes does not depend on how much of a token is right.
+func authenticate(cfg *medlargw.Config, r *http.Request) (medlargw.TeamName, *medlargw.Refused) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return "", &medlargw.Refused{Code: medlargw.CodeUnauthorized, Message: "no bearer token"}
+	}
+	hash := sha256.Sum256([]byte(token))
+	var team medlargw.TeamName
+	for i := range cfg.Teams {
+		for _, key := range cfg.Teams[i].Keys {
+			if subtle.ConstantTimeCompare(key[:], hash[:]) == 1 {
+				team = cfg.Teams[i].Name
+			}
+		}
+	}
+	if team == "" {
+		return "", &medlargw.Refused{Code: medlargw.CodeUnauthorized, Message: "unknown bearer token"}
+	}
+	return team, nil
+}
--- /dev/null
+++ b/receiver/receiver.go
@@ -0,0 +1,251 @@
+// Package receiver serves the caller API over HTTP.
+//
+// A request is read whole, within a bound of bytes and time, before anything
+// of it is started. The answer is written when the job has ended.
+package receiver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/encoder"
+	"medlargw.example/medlargw/registrar"
+)
+
+// Limits of the HTTP server.
+const (
+	maxHeader   = 16 << 10 // Bytes.
+	idleTimeout = 2 * time.Minute
+)
+
+// Receiver is the part that serves callers.
+type Receiver struct {
+	log      *zap.Logger
+	registry *registrar.Registrar
+	settings medlargw.Settings
+	tls      *tls.Config
+	encoder  *encoder.Encoder
+
+	submitter  medlargw.Submitter
+	configured medlargw.Configured
+	listener   net.Listener
+	server     *http.Server
+	serving    conc.WaitGroup
+	stopping   chan struct{}
+	done       chan struct{}
+}
+
+var _ medlargw.Part = (*Receiver)(nil)
+
+// New returns a receiver that has not started. A nil TLS configuration serves
+// plain HTTP.
+func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, tlsConfig *tls.Config) *Receiver {
+	return &Receiver{
+		log:      log.Named("receiver"),
+		registry: reg,
+		settings: settings,
+		tls:      tlsConfig,
+		encoder:  encoder.New(settings.Intake),
+		stopping: make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+}
+
+// Name returns "receiver".
+func (*Receiver) Name() string { return "receiver" }
+
+// Addr returns the address that is served; it is known once started.
+func (rc *Receiver) Addr() netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(rc.listener.Addr().String())
+	return addr
+}
+
+// Start listens and serves.
+func (rc *Receiver) Start(ctx context.Context) error {
+	var err error
+	if rc.submitter, err = registrar.Find[medlargw.Submitter](rc.registry, "dispatcher"); err != nil {
+		return err
+	}
+	if rc.configured, err = registrar.Find[medlargw.Configured](rc.registry, "watcher"); err != nil {
+		return err
+	}
+	var lc net.ListenConfig
+	rc.listener, err = lc.Listen(ctx, "tcp", rc.settings.Listen.Callers.String())
+	if err != nil {
+		return err
+	}
+	rc.server = &http.Server{
+		Handler:           rc.routes(),
+		TLSConfig:         rc.tls,
+		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: rc.settings.Intake.Read,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(rc.log),
+	}
+	rc.serving.Go(rc.serve)
+	return nil
+}
+
+func (rc *Receiver) serve() {
+	var err error
+	if rc.tls != nil {
+		err = rc.server.ServeTLS(rc.listener, "", "")
+	} else {
+		err = rc.server.Serve(rc.listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		rc.log.Error("serving ended", zap.Error(err))
+	}
+}
+
+// Stop says not ready, lets the running requests end, and closes the listener.
+func (rc *Receiver) Stop(ctx context.Context) error {
+	defer close(rc.done)
+	close(rc.stopping)
+	err := rc.server.Shutdown(ctx)
+	rc.serving.Wait()
+	return err
+}
+
+// Done is closed when the last request has ended.
+func (rc *Receiver) Done() <-chan struct{} { return rc.done }
+
+func (rc *Receiver) routes() http.Handler {
+	routes := httprouter.New()
+	routes.POST("/v1/jobs", rc.submit)
+	routes.GET("/healthz", rc.healthy)
+	routes.GET("/readyz", rc.ready)
+	return routes
+}
+
+func (rc *Receiver) healthy(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (rc *Receiver) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	select {
+	case <-rc.stopping:
+		rc.refuse(w, &medlargw.Refused{Code: medlargw.CodeStopping, Message: "the entry is stopping"})
+		return
+	default:
+	}
+	if rc.configured.Config() == nil {
+		rc.refuse(w, noConfig())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func noConfig() *medlargw.Refused {
+	return &medlargw.Refused{
+		Code:       medlargw.CodeNotReady,
+		Message:    "no configuration yet: neither the store nor a peer has answered",
+		RetryAfter: time.Second,
+	}
+}
+
+func (rc *Receiver) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	job, refused := rc.job(w, r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	outcome := rc.submitter.Submit(r.Context(), job)
+	status, body := rc.encoder.EncodeOutcome(&outcome)
+	rc.write(w, status, body, outcome.RetryAfter)
+}
+
+// job reads, authenticates and checks a submission.
+func (rc *Receiver) job(w http.ResponseWriter, r *http.Request) (*medlargw.Job, *medlargw.Refused) {
+	arrived := time.Now()
+	cfg := rc.configured.Config()
+	if cfg == nil {
+		return nil, noConfig()
+	}
+	team, refused := authenticate(cfg, r)
+	if refused != nil {
+		return nil, refused
+	}
+	body, refused := rc.read(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	s, refused := rc.encoder.DecodeSubmission(body)
+	if refused != nil {
+		return nil, refused
+	}
+	service, ok := cfg.Service(s.Service)
+	if !ok || service.Team != team {
+		return nil, &medlargw.Refused{
+			Code:    medlargw.CodeUnknownService,
+			Message: "the team has no service " + strconv.Quote(string(s.Service)),
+		}
+	}
+	return &medlargw.Job{
+		Team:       team,
+		Service:    s.Service,
+		Class:      service.Class,
+		Tasks:      s.Tasks,
+		Idempotent: s.Idempotent,
+		Arrived:    arrived,
+		Deadline:   arrived.Add(s.Deadline),
+		Runtime:    s.Runtime,
+		Size:       s.Size,
+	}, nil
+}
+
+// read returns the whole body within the bounds of size and time.
+func (rc *Receiver) read(w http.ResponseWriter, r *http.Request) ([]byte, *medlargw.Refused) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(rc.settings.Intake.Read))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rc.settings.Intake.Body))
+	// Without a deadline again, the server notices when the caller goes away.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		message := "the body has more than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
+		return nil, &medlargw.Refused{Code: medlargw.CodeTooLarge, Message: message}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		message := "the body did not arrive within " + rc.settings.Intake.Read.String()
+		return nil, &medlargw.Refused{Code: medlargw.CodeTooSlow, Message: message}
+	}
+	return nil, &medlargw.Refused{Code: medlargw.CodeBadRequest, Message: "the body was cut short"}
+}
+
+func (rc *Receiver) refuse(w http.ResponseWriter, refused *medlargw.Refused) {
+	status, body := rc.encoder.EncodeRefused(refused)
+	rc.write(w, status, body, refused.RetryAfter)
+}
+
+func (rc *Receiver) write(w http.ResponseWriter, status int, body []byte, retryAfter time.Duration) {
+	contentType := "application/json"
+	if status != http.StatusOK {
+		contentType = "application/problem+json"
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if retryAfter > 0 {
+		seconds := int((retryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		rc.log.Debug("caller gone before its answer", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/sender/sender.go
@@ -0,0 +1,194 @@
+// Package sender carries attempts to targets over HTTP.
+//
+// One attempt is one POST. It is never sent twice: the body can't be rewound,
+// redirects are answers like any other, and the request carries no key that
+// would let the transport try again. An attempt counts as not started only if
+// no connection was made, nothing was written, or the target says so.
+package sender
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"medlargw.example/medlargw"
+)
+
+// The path and headers of the target protocol, as docs/target-protocol.md
+// describes them.
+const (
+	path             = "/v1/tasks"
+	headerAttempt    = "Medlargw-Attempt"
+	headerService    = "Medlargw-Service"
+	headerLease      = "Medlargw-Lease"       // Milliseconds.
+	headerDigest     = "Medlargw-Digest"      // XXH64 of the body, hexadecimal.
+	headerNotStarted = "Medlargw-Not-Started" // The reason: busy or leaving.
+)
+
+// idleTimeout is how long an unused connection to a target is kept.
+const idleTimeout = 30 * time.Second
+
+// Sender implements medlargw.Sender.
+type Sender struct {
+	client *http.Client
+	answer int64
+}
+
+var _ medlargw.Sender = (*Sender)(nil)
+
+// New returns a sender with at most conns connections to one target.
+func New(task medlargw.TaskSettings, conns int) *Sender {
+	dialer := &net.Dialer{Timeout: task.Connect}
+	transport := &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxConnsPerHost:       conns,
+		MaxIdleConnsPerHost:   conns,
+		IdleConnTimeout:       idleTimeout,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: task.Lease + task.Connect,
+	}
+	return &Sender{
+		client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		answer: task.Answer,
+	}
+}
+
+// noRedirect makes a redirect the answer, so that no body is sent on.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes the idle connections.
+func (s *Sender) Close() { s.client.CloseIdleConnections() }
+
+// progress records how far a request came. The transport calls from its own
+// goroutines.
+type progress struct {
+	connected atomic.Bool
+	wrote     atomic.Bool
+}
+
+func (p *progress) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		WroteHeaderField: func(string, []string) { p.wrote.Store(true) },
+	}
+}
+
+// Send carries the attempt and returns its end.
+func (s *Sender) Send(ctx context.Context, a *medlargw.Attempt) medlargw.AttemptEnd {
+	began := time.Now()
+	if !a.UseUpTo.IsZero() && began.After(a.UseUpTo) {
+		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonLoanOver}
+	}
+	end := s.exchange(ctx, a)
+	end.Elapsed = time.Since(began)
+	return end
+}
+
+func (s *Sender) exchange(ctx context.Context, a *medlargw.Attempt) medlargw.AttemptEnd {
+	ctx, cancel := context.WithTimeout(ctx, a.Lease)
+	defer cancel()
+	var p progress
+	req, err := s.request(httptrace.WithClientTrace(ctx, p.trace()), a)
+	if err != nil {
+		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonProtocol, Message: err.Error()}
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return endOfError(ctx, &p, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s.endOfResponse(ctx, a, resp)
+}
+
+// once hides every method of the payload's reader but Read, so that the
+// transport can't rewind it.
+type once struct{ io.Reader }
+
+func (s *Sender) request(ctx context.Context, a *medlargw.Attempt) (*http.Request, error) {
+	payload := a.Task().Payload
+	url := "http://" + a.Addr.String() + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, once{bytes.NewReader(payload)})
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.ContentLength = int64(len(payload))
+	if len(payload) == 0 {
+		req.Body = nil
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerAttempt, string(a.Tag))
+	req.Header.Set(headerService, string(a.Job.Service))
+	req.Header.Set(headerLease, strconv.FormatInt(a.Lease.Milliseconds(), 10))
+	req.Header.Set(headerDigest, digest(payload))
+	return req, nil
+}
+
+func digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// endOfError returns the end of an attempt without an answer.
+func endOfError(ctx context.Context, p *progress, err error) medlargw.AttemptEnd {
+	end := medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: medlargw.ReasonCutShort, Message: err.Error()}
+	if !p.wrote.Load() {
+		end.Kind = medlargw.EndNotStarted
+		end.Reason = medlargw.ReasonUnreachable
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		end.Reason = medlargw.ReasonTimeout
+	case ctx.Err() != nil:
+		end.Reason = medlargw.ReasonCancelled
+	}
+	return end
+}
+
+// endOfResponse returns the end that the target's answer tells.
+func (s *Sender) endOfResponse(ctx context.Context, a *medlargw.Attempt, resp *http.Response) medlargw.AttemptEnd {
+	if got := resp.Header.Get(headerAttempt); got != string(a.Tag) {
+		return lost(medlargw.ReasonCrossed, fmt.Sprintf("got the answer to attempt %q, want %q", got, a.Tag))
+	}
+	if reason := resp.Header.Get(headerNotStarted); reason != "" {
+		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.EndReason(strings.ToLower(reason))}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.answer+1))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return lost(medlargw.ReasonCancelled, err.Error())
+	case err != nil:
+		return lost(medlargw.ReasonCutShort, err.Error())
+	case int64(len(body)) > s.answer:
+		return lost(medlargw.ReasonTooLarge, fmt.Sprintf("got more than %d bytes", s.answer))
+	case resp.Header.Get(headerDigest) != digest(body):
+		return lost(medlargw.ReasonBadDigest, "the answer's digest is wrong")
+	}
+	return endOfStatus(resp.StatusCode, body)
+}
+
+func lost(reason medlargw.EndReason, message string) medlargw.AttemptEnd {
+	return medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: reason, Message: message}
+}
+
+// maxMessage is the number of bytes of a failure's text that is passed on.
+const maxMessage = 256
+
+// endOfStatus takes a whole answer with the right tag and digest.
+func endOfStatus(status int, body []byte) medlargw.AttemptEnd {
+	switch {
+	case status == http.StatusOK:
+		return medlargw.AttemptEnd{Kind: medlargw.EndSucceeded, Body: body}
+	case status >= http.StatusBadRequest:
+		message := string(body[:min(len(body), maxMessage)])
+		return medlargw.AttemptEnd{Kind: medlargw.EndFailed, Message: message}
+	}
+	return lost(medlargw.ReasonProtocol, fmt.Sprintf("got status %d, want 200 or an error", status))
+}
