--- a/builder/builder.go
+++ b/builder/builder.go
@@ -46,7 +46,7 @@
 	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
 	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	reg.Add(
-		dispatcher.New(b.Log, dec, send, metrics.NewRegistry()),
+		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
 		receiver.New(b.Log, reg, b.Settings, tlsConfig),
--- a/decider/deadline.go
+++ b/decider/deadline.go
@@ -28,6 +28,7 @@
 	h[j].index = j
 }
 
+// Push is part of heap.Interface.
 func (h *deadlineHeap) Push(x any) {
 	s, ok := x.(*jobState)
 	if !ok {
@@ -37,6 +38,7 @@
 	*h = append(*h, s)
 }
 
+// Pop is part of heap.Interface.
 func (h *deadlineHeap) Pop() any {
 	old := *h
 	s := old[len(old)-1]
--- /dev/null
+++ b/decider/status.go
@@ -0,0 +1,24 @@
+package decider
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// Status returns a snapshot of the state.
+func (d *Decider) Status() medlargw.CoreStatus {
+	return medlargw.CoreStatus{
+		Jobs:    len(d.jobs),
+		Free:    d.placer.Free(),
+		Queues:  d.scheduler.Queues(),
+		Targets: d.placer.Status(),
+		Limits:  d.limiter.Status(),
+	}
+}
+
+// SetAside takes a target out of use, or back into it.
+func (d *Decider) SetAside(now time.Time, target medlargw.TargetName, aside bool) {
+	d.placer.SetAside(now, target, aside)
+	d.dispatch(now)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 	decider  *decider.Decider
 	sender   medlargw.Sender
 	registry metrics.Registry
+	observer medlargw.Observer // Nil observes nothing.
 
 	messages chan message
 	ends     chan endMessage
@@ -71,12 +72,19 @@
 }
 
 // New returns a dispatcher that has not started.
-func New(log *zap.Logger, dec *decider.Decider, sender medlargw.Sender, registry metrics.Registry) *Dispatcher {
+func New(
+	log *zap.Logger,
+	dec *decider.Decider,
+	sender medlargw.Sender,
+	registry metrics.Registry,
+	observer medlargw.Observer,
+) *Dispatcher {
 	return &Dispatcher{
 		log:      log.Named("dispatcher"),
 		decider:  dec,
 		sender:   sender,
 		registry: registry,
+		observer: observer,
 		messages: make(chan message, queueLength),
 		ends:     make(chan endMessage, queueLength),
 		stopping: make(chan struct{}),
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -82,6 +82,7 @@
 }
 
 func (d *Dispatcher) finish(f *medlargw.Finish) {
+	d.observe(f, time.Now())
 	reply := d.waiters[f.Job.ID]
 	delete(d.waiters, f.Job.ID)
 	reply <- f.Outcome
@@ -105,5 +106,6 @@
 
 func (m endMessage) apply(d *Dispatcher, now time.Time) {
 	delete(d.cancels, m.attempt.Tag)
+	d.observeEnd(&m.end)
 	d.decider.Ended(now, m.attempt, &m.end)
 }
--- /dev/null
+++ b/dispatcher/observe.go
@@ -0,0 +1,76 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"medlargw.example/medlargw"
+)
+
+var _ medlargw.Inspector = (*Dispatcher)(nil)
+
+type statusMessage struct{ reply chan<- medlargw.CoreStatus }
+
+type asideMessage struct {
+	target medlargw.TargetName
+	aside  bool
+}
+
+// Status returns a snapshot of the control state.
+func (d *Dispatcher) Status(ctx context.Context) (medlargw.CoreStatus, error) {
+	reply := make(chan medlargw.CoreStatus, 1)
+	if !d.post(statusMessage{reply: reply}) {
+		return medlargw.CoreStatus{}, context.Canceled
+	}
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-ctx.Done():
+		return medlargw.CoreStatus{}, ctx.Err()
+	}
+}
+
+// SetAside takes a target out of use, or back into it.
+func (d *Dispatcher) SetAside(target medlargw.TargetName, aside bool) {
+	d.post(asideMessage{target: target, aside: aside})
+}
+
+func (m statusMessage) apply(d *Dispatcher, _ time.Time) {
+	s := d.decider.Status()
+	s.Running = len(d.cancels)
+	m.reply <- s
+}
+
+func (m asideMessage) apply(d *Dispatcher, now time.Time) { d.decider.SetAside(now, m.target, m.aside) }
+
+// observe counts the end of a job and tells the observer.
+func (d *Dispatcher) observe(f *medlargw.Finish, now time.Time) {
+	name := "jobs.complete"
+	if !f.Outcome.Complete {
+		name = "jobs." + string(f.Outcome.Code)
+	}
+	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
+	if d.observer == nil {
+		return
+	}
+	d.observer.JobEnded(medlargw.JobEnd{
+		Team:     f.Job.Team,
+		Class:    f.Job.Class,
+		Service:  f.Job.Service,
+		Ended:    now,
+		Response: now.Sub(f.Job.Arrived),
+		Complete: f.Outcome.Complete,
+		Code:     f.Outcome.Code,
+	})
+}
+
+// observeEnd counts the end of an attempt by kind and reason.
+func (d *Dispatcher) observeEnd(end *medlargw.AttemptEnd) {
+	name := "attempts." + end.Kind.String()
+	if end.Reason != medlargw.ReasonNone {
+		name += "." + string(end.Reason)
+	}
+	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -69,6 +69,8 @@
 	Unblock(team TeamName)
 	// Waiting returns the waiting tasks by class, from the highest rank.
 	Waiting() []ClassDemand
+	// Queues returns the waiting tasks by class and team.
+	Queues() []QueueStatus
 }
 
 // Placer picks targets for tasks. It is used by one goroutine.
@@ -83,6 +85,9 @@
 	Free() int
 	// Fits reports whether any known target could hold a task of that size.
 	Fits(size int64) bool
+	// SetAside takes a target out of use, or back into it.
+	SetAside(now time.Time, target TargetName, aside bool)
+	Status() []TargetStatus
 }
 
 // Limiter keeps teams within their limits. It is used by one goroutine.
@@ -94,4 +99,5 @@
 	Take(now time.Time, job *Job) (bool, time.Time)
 	// Return frees the running task.
 	Return(now time.Time, job *Job)
+	Status() []LimitStatus
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -6,7 +6,9 @@
 package limiter
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -92,3 +94,13 @@
 	}
 	u.running--
 }
+
+// Status returns the teams in the order of their names.
+func (l *Limiter) Status() []medlargw.LimitStatus {
+	all := make([]medlargw.LimitStatus, 0, len(l.teams))
+	for name, u := range l.teams {
+		all = append(all, medlargw.LimitStatus{Team: name, Running: u.running, Limit: u.limit})
+	}
+	slices.SortFunc(all, func(a, b medlargw.LimitStatus) int { return cmp.Compare(a.Team, b.Team) })
+	return all
+}
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,64 @@
+package loader
+
+import (
+	"testing"
+	"time"
+)
+
+const valid = `{
+	// One entry.
+	"host": "detroit-1",
+	"zone": "detroit",
+	"key": "0123456789abcdef",
+	"admin": "0123456789abcdef",
+	"group": {"beat": "500ms"},
+}`
+
+func TestParseReadsSettings(t *testing.T) {
+	var l Loader
+	s, err := l.Parse("s", []byte(valid))
+	if err != nil {
+		t.Fatalf("parse: %v", err)
+	}
+	if got, want := s.Group.Beat, 500*time.Millisecond; got != want {
+		t.Errorf("beat: got %s, want %s", got, want)
+	}
+	if got, want := s.Intake.Tasks, defaultTasks; got != want {
+		t.Errorf("tasks: got %d, want %d", got, want)
+	}
+}
+
+func TestParseReportsAllFaultsTogether(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want string
+	}{
+		{
+			name: "missing names",
+			text: `{"key": "0123456789abcdef", "admin": "0123456789abcdef"}`,
+			want: "s:1:1: host: missing\ns:1:1: zone: missing",
+		},
+		{
+			name: "misspelt, out of range, wrong type",
+			text: "{\n \"host\": \"a\", \"zone\": 7,\n \"key\": \"short\", \"admin\": \"0123456789abcdef\",\n" +
+				" \"favor\": \"latency\", \"intake\": {\"tasks\": 5000}}",
+			want: "s:2:23: zone: got a number, want a string\n" +
+				"s:3:9: key: got 5 bytes, want at least 16\n" +
+				"s:4:2: favor: unknown name, did you mean favour?\n" +
+				"s:4:42: tasks: got 5000, want 1 to 1000",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l Loader
+			_, err := l.Parse("s", []byte(tt.text))
+			if err == nil {
+				t.Fatal("parse: got no error, want findings")
+			}
+			if got := err.Error(); got != tt.want {
+				t.Errorf("findings:\ngot  %s\nwant %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -172,11 +172,11 @@
 		p.source.findings.Add(p.place, "%s: missing", name)
 		return ""
 	}
-	s := p.String(name, "")
-	if s == "" {
-		p.Fault(name, "got an empty value, want a name")
+	if s := p.String(name, " "); s != "" {
+		return strings.TrimSpace(s)
 	}
-	return s
+	p.Fault(name, "got an empty value, want a name")
+	return ""
 }
 
 // Number returns a number between the bounds, or the default.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -6,6 +6,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -25,11 +27,12 @@
 type targetUse struct {
 	capacity medlargw.Capacity
 	used     int
-	index    int // Position in free; -1 is outside.
+	aside    bool // An operator took it out of use.
+	index    int  // Position in free; -1 is outside.
 }
 
 func (u *targetUse) freeSlots() int {
-	if u.capacity.Target.Leaving {
+	if u.capacity.Target.Leaving || u.aside {
 		return 0
 	}
 	return max(0, u.capacity.Slots-u.used)
@@ -63,7 +66,7 @@
 	p.slots = 0
 	for name, u := range p.targets {
 		u.index = -1
-		if u.capacity.Slots == 0 && u.used == 0 {
+		if u.capacity.Slots == 0 && u.used == 0 && !u.aside {
 			delete(p.targets, name)
 			continue
 		}
@@ -133,3 +136,39 @@
 	}
 	return len(p.targets) == 0
 }
+
+// SetAside takes a target out of use, or back into it.
+func (p *Placer) SetAside(_ time.Time, target medlargw.TargetName, aside bool) {
+	u := p.targets[target]
+	if u == nil {
+		u = &targetUse{index: -1}
+		p.targets[target] = u
+	}
+	u.aside = aside
+	p.rebuild()
+}
+
+// Status returns the targets in the order of their names.
+func (p *Placer) Status() []medlargw.TargetStatus {
+	all := make([]medlargw.TargetStatus, 0, len(p.targets))
+	for _, u := range p.targets {
+		all = append(all, medlargw.TargetStatus{
+			Target: u.capacity.Target,
+			Slots:  u.capacity.Slots,
+			Used:   u.used,
+			State:  u.state(),
+		})
+	}
+	slices.SortFunc(all, func(a, b medlargw.TargetStatus) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
+	return all
+}
+
+func (u *targetUse) state() medlargw.TargetState {
+	switch {
+	case u.aside:
+		return medlargw.TargetSetAside
+	case u.capacity.Target.Leaving:
+		return medlargw.TargetLeaving
+	}
+	return medlargw.TargetServing
+}
--- a/scheduler/heap.go
+++ b/scheduler/heap.go
@@ -23,6 +23,7 @@
 	h[j].index = j
 }
 
+// Push is part of heap.Interface.
 func (h *teamHeap) Push(x any) {
 	t, ok := x.(*teamQueue)
 	if !ok {
@@ -32,6 +33,7 @@
 	*h = append(*h, t)
 }
 
+// Pop is part of heap.Interface.
 func (h *teamHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,7 +9,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 
 	"medlargw.example/medlargw"
 )
@@ -212,3 +214,23 @@
 	}
 	return all
 }
+
+// Queues returns the waiting tasks by class and team.
+func (s *Scheduler) Queues() []medlargw.QueueStatus {
+	var all []medlargw.QueueStatus
+	for rank, c := range s.classes {
+		for name, t := range c.teams {
+			tasks := 0
+			for _, q := range t.jobs {
+				tasks += len(q.tasks)
+			}
+			if tasks > 0 {
+				all = append(all, medlargw.QueueStatus{Rank: rank, Team: name, Tasks: tasks})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b medlargw.QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Team, b.Team))
+	})
+	return all
+}
