Tickets: a job can be submitted again and runs at most once

Cause: a caller that lost its connection could not ask again without the risk of a second run. Change: minter makes tickets with an HMAC of the deployment key; keeper, on the home, lets every further submission join the first, keeps answers within bytes and time, forwards to the home, and takes over from an entry that left. Expiry is on the home's monotonic clock. A ticket that is cancelled unused can't be used any more, so that its "not run" stays true. Answers are joined as raw JSON after the sender has checked them; an answer that is no JSON fails its task (it made the encoder panic). Result: the fate table of keeper passes under -race; nothing measured yet.

--- a/builder/builder.go
+++ b/builder/builder.go
@@ -8,7 +8,9 @@
 import (
 	"crypto/rand"
 	"crypto/tls"
+	"encoding/binary"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -18,7 +20,9 @@
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/keeper"
 	"medlargw.example/medlargw/limiter"
+	"medlargw.example/medlargw/minter"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
@@ -45,10 +49,13 @@
 	reg := registrar.New(b.Log)
 	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
 	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	incarnation := newIncarnation()
+	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	reg.Add(
 		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		keeper.New(b.Log, reg, b.Settings, mint),
 		receiver.New(b.Log, reg, b.Settings, tlsConfig),
 	)
 	return reg, nil
@@ -56,6 +63,12 @@
 
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
+func newIncarnation() medlargw.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // Never fails, as its documentation says.
+	return medlargw.Incarnation(binary.BigEndian.Uint64(random[:]))
+}
+
 func (b *Builder) reachPlatform() {
 	platform := accessor.New(b.Settings.Store)
 	if b.Store == nil {
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -35,15 +35,6 @@
 	Payload json.RawMessage `json:"payload"`
 }
 
-type answerWire struct {
-	Tasks []resultWire `json:"tasks"`
-}
-
-type resultWire struct {
-	ID     string          `json:"id"`
-	Answer json.RawMessage `json:"answer"`
-}
-
 type problemWire struct {
 	Type   string     `json:"type"`
 	Title  string     `json:"title"`
@@ -131,11 +122,7 @@
 	if !o.Complete {
 		return encodeProblem(problemOf(o))
 	}
-	wire := answerWire{Tasks: make([]resultWire, len(o.Tasks))}
-	for i := range o.Tasks {
-		wire.Tasks[i] = resultWire{ID: o.Tasks[i].ID, Answer: o.Tasks[i].Body}
-	}
-	return http.StatusOK, mustMarshal(wire)
+	return http.StatusOK, encodeAnswer(o.Tasks)
 }
 
 // EncodeRefused returns the status and the body of a request that can't be
@@ -149,6 +136,16 @@
 	})
 }
 
+// EncodeDoubt returns the status and the body of a request that is not run
+// itself, while an earlier one with the same ticket may have been.
+func (e *Encoder) EncodeDoubt(r *medlargw.Refused) (int, []byte) {
+	return encodeProblem(&problemWire{
+		Code:   string(r.Code),
+		Detail: r.Message,
+		Retry:  r.RetryAfter.Milliseconds(),
+	})
+}
+
 func problemOf(o *medlargw.Outcome) *problemWire {
 	wire := &problemWire{
 		Code:   string(o.Code),
--- /dev/null
+++ b/receiver/jobs.go
@@ -0,0 +1,104 @@
+package receiver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"medlargw.example/medlargw"
+)
+
+// submit serves POST /v1/jobs.
+func (rc *Receiver) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	arrived := time.Now()
+	cfg, team, refused := rc.caller(r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	body, refused := rc.read(w, r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	s, refused := rc.encoder.DecodeSubmission(body)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	job, refused := s.Job(cfg, team, arrived)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	if s.Ticket != "" {
+		rc.redeem(w, r, &medlargw.ForwardRequest{
+			Ticket: s.Ticket,
+			Verb:   medlargw.ForwardSubmit,
+			Team:   team,
+			Body:   body,
+			Left:   time.Until(job.Deadline),
+		})
+		return
+	}
+	outcome := rc.submitter.Submit(r.Context(), job)
+	status, answer := rc.encoder.EncodeOutcome(&outcome)
+	rc.write(w, status, answer, outcome.RetryAfter)
+}
+
+// caller returns the team of the request, by the configuration in force.
+func (rc *Receiver) caller(r *http.Request) (*medlargw.Config, medlargw.TeamName, *medlargw.Refused) {
+	cfg := rc.configured.Config()
+	if cfg == nil {
+		return nil, "", noConfig()
+	}
+	team, refused := authenticate(cfg, r)
+	return cfg, team, refused
+}
+
+// redeem serves a request that carries a ticket.
+func (rc *Receiver) redeem(w http.ResponseWriter, r *http.Request, request *medlargw.ForwardRequest) {
+	reply := rc.redeemer.Redeem(r.Context(), *request)
+	rc.write(w, reply.Status, reply.Body, reply.RetryAfter)
+}
+
+// fetch serves GET /v1/jobs/TICKET; it waits for the end of the job.
+func (rc *Receiver) fetch(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	rc.ask(w, r, params, medlargw.ForwardGet)
+}
+
+// cancel serves DELETE /v1/jobs/TICKET.
+func (rc *Receiver) cancel(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	rc.ask(w, r, params, medlargw.ForwardCancel)
+}
+
+func (rc *Receiver) ask(w http.ResponseWriter, r *http.Request, params httprouter.Params, verb medlargw.ForwardVerb) {
+	_, team, refused := rc.caller(r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	rc.redeem(w, r, &medlargw.ForwardRequest{Ticket: params.ByName("ticket"), Verb: verb, Team: team})
+}
+
+// mint serves POST /v1/tickets.
+func (rc *Receiver) mint(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	_, team, refused := rc.caller(r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	body, refused := rc.read(w, r)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	count, refused := rc.encoder.DecodeMint(body)
+	if refused != nil {
+		rc.refuse(w, refused)
+		return
+	}
+	tickets, term := rc.redeemer.Mint(team, count)
+	rc.write(w, http.StatusOK, rc.encoder.EncodeTickets(tickets, term), 0)
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -39,6 +39,7 @@
 	encoder  *encoder.Encoder
 
 	submitter  medlargw.Submitter
+	redeemer   medlargw.Redeemer
 	configured medlargw.Configured
 	listener   net.Listener
 	server     *http.Server
@@ -81,6 +82,9 @@
 	if rc.configured, err = registrar.Find[medlargw.Configured](rc.registry, "watcher"); err != nil {
 		return err
 	}
+	if rc.redeemer, err = registrar.Find[medlargw.Redeemer](rc.registry, "keeper"); err != nil {
+		return err
+	}
 	var lc net.ListenConfig
 	rc.listener, err = lc.Listen(ctx, "tcp", rc.settings.Listen.Callers.String())
 	if err != nil {
@@ -125,6 +129,9 @@
 func (rc *Receiver) routes() http.Handler {
 	routes := httprouter.New()
 	routes.POST("/v1/jobs", rc.submit)
+	routes.POST("/v1/tickets", rc.mint)
+	routes.GET("/v1/jobs/:ticket", rc.fetch)
+	routes.DELETE("/v1/jobs/:ticket", rc.cancel)
 	routes.GET("/healthz", rc.healthy)
 	routes.GET("/readyz", rc.ready)
 	return routes
@@ -156,56 +163,6 @@
 	}
 }
 
-func (rc *Receiver) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	job, refused := rc.job(w, r)
-	if refused != nil {
-		rc.refuse(w, refused)
-		return
-	}
-	outcome := rc.submitter.Submit(r.Context(), job)
-	status, body := rc.encoder.EncodeOutcome(&outcome)
-	rc.write(w, status, body, outcome.RetryAfter)
-}
-
-// job reads, authenticates and checks a submission.
-func (rc *Receiver) job(w http.ResponseWriter, r *http.Request) (*medlargw.Job, *medlargw.Refused) {
-	arrived := time.Now()
-	cfg := rc.configured.Config()
-	if cfg == nil {
-		return nil, noConfig()
-	}
-	team, refused := authenticate(cfg, r)
-	if refused != nil {
-		return nil, refused
-	}
-	body, refused := rc.read(w, r)
-	if refused != nil {
-		return nil, refused
-	}
-	s, refused := rc.encoder.DecodeSubmission(body)
-	if refused != nil {
-		return nil, refused
-	}
-	service, ok := cfg.Service(s.Service)
-	if !ok || service.Team != team {
-		return nil, &medlargw.Refused{
-			Code:    medlargw.CodeUnknownService,
-			Message: "the team has no service " + strconv.Quote(string(s.Service)),
-		}
-	}
-	return &medlargw.Job{
-		Team:       team,
-		Service:    s.Service,
-		Class:      service.Class,
-		Tasks:      s.Tasks,
-		Idempotent: s.Idempotent,
-		Arrived:    arrived,
-		Deadline:   arrived.Add(s.Deadline),
-		Runtime:    s.Runtime,
-		Size:       s.Size,
-	}, nil
-}
-
 // read returns the whole body within the bounds of size and time.
 func (rc *Receiver) read(w http.ResponseWriter, r *http.Request) ([]byte, *medlargw.Refused) {
 	control := http.NewResponseController(w)
@@ -244,6 +201,7 @@
 		seconds := int((retryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(rc.settings.Intake.Read))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		rc.log.Debug("caller gone before its answer", zap.Error(err))
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -184,6 +185,8 @@
 // endOfStatus takes a whole answer with the right tag and digest.
 func endOfStatus(status int, body []byte) medlargw.AttemptEnd {
 	switch {
+	case status == http.StatusOK && !json.Valid(body):
+		return medlargw.AttemptEnd{Kind: medlargw.EndFailed, Reason: medlargw.ReasonProtocol, Message: "the answer is no JSON"}
 	case status == http.StatusOK:
 		return medlargw.AttemptEnd{Kind: medlargw.EndSucceeded, Body: body}
 	case status >= http.StatusBadRequest:
