--- a/builder/builder.go
+++ b/builder/builder.go
@@ -52,6 +52,7 @@
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	reg.Add(
+		send,
 		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
--- /dev/null
+++ b/builder/target_test.go
@@ -0,0 +1,162 @@
+package builder
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rawTarget is a target that does with each request what a script says.
+type rawTarget struct {
+	addr     netip.AddrPort
+	scripts  []script // One per request; the last is repeated.
+	next     atomic.Int32
+	starts   atomic.Int32
+	received chan struct{} // Gets one value for each request received whole.
+	serving  sync.WaitGroup
+}
+
+// script handles one request on a connection; it returns false when the
+// connection is over.
+type script func(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool
+
+func newRawTarget(t *testing.T, scripts ...script) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	target := &rawTarget{
+		addr:     netip.MustParseAddrPort(l.Addr().String()),
+		scripts:  scripts,
+		received: make(chan struct{}, 100),
+	}
+	if len(scripts) == 0 {
+		_ = l.Close()
+		return target
+	}
+	target.serving.Go(func() { target.accept(l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		target.serving.Wait()
+	})
+	return target
+}
+
+func (t *rawTarget) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.serving.Go(func() { t.serve(c.(*net.TCPConn)) })
+	}
+}
+
+func (t *rawTarget) serve(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		n := min(int(t.next.Add(1)), len(t.scripts))
+		if !t.scripts[n-1](t, c, r) {
+			return
+		}
+	}
+}
+
+// receive reads a whole request, which starts its task.
+func (t *rawTarget) receive(r *bufio.Reader) (tag string) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	if _, err = io.Copy(io.Discard, req.Body); err != nil {
+		return ""
+	}
+	t.starts.Add(1)
+	t.received <- struct{}{}
+	return req.Header.Get("Medlargw-Attempt")
+}
+
+func reset(c *net.TCPConn) bool {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	return false
+}
+
+const goodAnswer = `{"ok":true}`
+
+// response returns the text of a response with the tag and digest it should
+// have.
+func response(status int, tag, body string, more ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	fmt.Fprintf(&b, "Medlargw-Attempt: %s\r\nMedlargw-Digest: %x\r\n", tag, xxhash.Sum64String(body))
+	fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	for _, line := range more {
+		b.WriteString(line + "\r\n")
+	}
+	b.WriteString("\r\n" + body)
+	return b.String()
+}
+
+// answers returns a script that receives the request and writes what the
+// function makes of the tag.
+func answers(text func(tag string) string) script {
+	return func(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+		_, err := io.WriteString(c, text(t.receive(r)))
+		return err == nil
+	}
+}
+
+func good(tag string) string { return response(http.StatusOK, tag, goodAnswer) }
+
+// busy receives a request without starting its task.
+func busy(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+	tag := t.receive(r)
+	t.starts.Add(-1)
+	_, err := io.WriteString(c, response(http.StatusServiceUnavailable, tag, "", "Medlargw-Not-Started: busy"))
+	return err == nil
+}
+
+func resetAtOnce(_ *rawTarget, c *net.TCPConn, _ *bufio.Reader) bool { return reset(c) }
+
+// resetAmid reads the header and a part of the body.
+func resetAmid(_ *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+	if req, err := http.ReadRequest(r); err == nil {
+		_, _ = io.CopyN(io.Discard, req.Body, 1)
+	}
+	return reset(c)
+}
+
+func resetAfter(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+	t.receive(r)
+	return reset(c)
+}
+
+// cutShort promises one byte more than it sends.
+func cutShort(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+	text := good(t.receive(r))
+	_, _ = io.WriteString(c, text[:len(text)-1])
+	return false
+}
+
+// hang answers only when the caller has given the request up.
+func hang(t *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+	tag := t.receive(r)
+	_, _ = r.ReadByte()
+	_, _ = io.WriteString(c, good(tag))
+	return false
+}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -140,7 +140,6 @@
 func TestFate(t *testing.T) {
 	submit, get, cancel := medlargw.ForwardSubmit, medlargw.ForwardGet, medlargw.ForwardCancel
 	type step struct {
-		name   string
 		do     func(t *testing.T, w *world) // Done before the request.
 		other  bool                         // Asks the other entry.
 		verb   medlargw.ForwardVerb
--- a/keeper/serve.go
+++ b/keeper/serve.go
@@ -153,6 +153,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.dropKept(time.Now())
 	if !rec.kept {
 		return k.doubt(medlargw.CodeTicketUsed, "the job has ended and its answer is not kept any more", 0)
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -40,13 +40,17 @@
 // idleTimeout is how long an unused connection to a target is kept.
 const idleTimeout = 30 * time.Second
 
-// Sender implements medlargw.Sender.
+// Sender is the part that implements medlargw.Sender.
 type Sender struct {
 	client *http.Client
 	answer int64
+	done   chan struct{}
 }
 
-var _ medlargw.Sender = (*Sender)(nil)
+var (
+	_ medlargw.Part   = (*Sender)(nil)
+	_ medlargw.Sender = (*Sender)(nil)
+)
 
 // New returns a sender with at most conns connections to one target.
 func New(task medlargw.TaskSettings, conns int) *Sender {
@@ -62,14 +66,28 @@
 	return &Sender{
 		client: &http.Client{Transport: transport, CheckRedirect: noRedirect},
 		answer: task.Answer,
+		done:   make(chan struct{}),
 	}
 }
 
 // noRedirect makes a redirect the answer, so that no body is sent on.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Close closes the idle connections.
-func (s *Sender) Close() { s.client.CloseIdleConnections() }
+// Name returns "sender".
+func (*Sender) Name() string { return "sender" }
+
+// Start does nothing: connections are made when they are needed.
+func (*Sender) Start(context.Context) error { return nil }
+
+// Stop closes the connections, which no attempt uses any more.
+func (s *Sender) Stop(context.Context) error {
+	defer close(s.done)
+	s.client.CloseIdleConnections()
+	return nil
+}
+
+// Done is closed when the connections are closed.
+func (s *Sender) Done() <-chan struct{} { return s.done }
 
 // progress records how far a request came. The transport calls from its own
 // goroutines.
