Membership, transport and a network for tests

Cause: entries did not know of each other. Change: the part tracker keeps the membership by heartbeats, the part messenger carries signed twirp messages and finds its handlers by name, and faker is a lossy network in memory for tests. Builder has Core, Sender and Messenger so that tests can run entries without sockets. Conclusion: the contract test of the messages passes; the membership has no fault tests yet.

--- a/builder/builder.go
+++ b/builder/builder.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/rand"
 	"crypto/tls"
+	"encoding/binary"
 	"fmt"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,11 +20,13 @@
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/limiter"
+	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/scheduler"
 	"medlargw.example/medlargw/sender"
+	"medlargw.example/medlargw/tracker"
 	"medlargw.example/medlargw/watcher"
 )
 
@@ -31,8 +34,11 @@
 type Builder struct {
 	Log      *zap.Logger
 	Settings medlargw.Settings
-	Store    medlargw.Store // Nil reaches the one in the settings.
-	Hosts    medlargw.Hosts // Nil reaches the one in the settings.
+	Store    medlargw.Store  // Nil reaches the one in the settings.
+	Hosts    medlargw.Hosts  // Nil reaches the one in the settings.
+	Sender   medlargw.Sender // Nil reaches the targets.
+	// Messenger returns the part "messenger"; nil serves and reaches real peers.
+	Messenger func(reg *registrar.Registrar) medlargw.Part
 }
 
 // Build returns the parts in a registrar that has not started.
@@ -41,17 +47,40 @@
 	if err != nil {
 		return nil, err
 	}
+	reg := b.Core()
+	reg.Add(receiver.New(b.Log, reg, b.Settings, tlsConfig))
+	return reg, nil
+}
+
+// Core returns the parts but for those that serve callers and operators.
+func (b *Builder) Core() *registrar.Registrar {
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
 	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
-	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	if b.Sender == nil {
+		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	}
 	reg.Add(
-		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
+		dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
-		receiver.New(b.Log, reg, b.Settings, tlsConfig),
+		b.messenger(reg),
+		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
 	)
-	return reg, nil
+	return reg
+}
+
+func (b *Builder) messenger(reg *registrar.Registrar) medlargw.Part {
+	if b.Messenger != nil {
+		return b.Messenger(reg)
+	}
+	return messenger.New(b.Log, reg, b.Settings)
+}
+
+func newIncarnation() medlargw.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // It never fails.
+	return medlargw.Incarnation(binary.LittleEndian.Uint64(random[:]))
 }
 
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
--- a/member.go
+++ b/member.go
@@ -1,6 +1,7 @@
 package medlargw
 
 import (
+	"context"
 	"net/netip"
 	"time"
 )
@@ -35,6 +36,35 @@
 	Successor   HostName  // Who has its used tickets after a planned stop.
 }
 
+// Serving reports whether the entry counts when an owner is chosen. A suspect
+// one does not: an owner too many costs a wasted message, one too few idles
+// its targets.
+func (m *Member) Serving() bool { return m.State == MemberLive }
+
+// BeatObserver is told of each heartbeat that a peer sent, and must return at
+// once. The parts "watcher" and "assigner" are.
+type BeatObserver interface {
+	HeardBeat(from Member, d Digest)
+}
+
+// MembersObserver is told when the known entries or their states have changed,
+// and must return at once. The part "assigner" is one.
+type MembersObserver interface {
+	MembersChanged(all []Member)
+}
+
+// HostsVersioner gives the version of the host list in use. The part
+// "assigner" does.
+type HostsVersioner interface {
+	HostsVersion() uint64
+}
+
+// Leaver is a part that does something at the beginning of a planned stop,
+// while it goes on serving.
+type Leaver interface {
+	Leave(ctx context.Context) error
+}
+
 // Digest sums up what an entry has, for its peers to compare with their own.
 type Digest struct {
 	Generation uint64 // Configuration in force.
--- /dev/null
+++ b/messenger/members.go
@@ -0,0 +1,114 @@
+package messenger
+
+import (
+	"net/netip"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/messenger/wire"
+)
+
+// beat is what a heartbeat and its answer have in common.
+type beat interface {
+	GetFrom() *wire.Member
+	GetDigest() *wire.Digest
+	GetChanged() []*wire.Member
+	GetView() uint64
+}
+
+func encodeBeat(b *medlargw.Beat) *wire.BeatRequest {
+	r := &wire.BeatRequest{
+		From: encodeMember(&b.From),
+		Digest: &wire.Digest{
+			Generation: b.Digest.Generation,
+			Hosts:      b.Digest.Hosts,
+			Free:       int32(b.Digest.Free),
+			Waiting:    encodeDemand(b.Digest.Waiting),
+		},
+		View: b.View,
+	}
+	for i := range b.Changed {
+		r.Changed = append(r.Changed, encodeMember(&b.Changed[i]))
+	}
+	return r
+}
+
+func decodeBeat(r beat) medlargw.Beat {
+	b := medlargw.Beat{
+		From: decodeMember(r.GetFrom()),
+		Digest: medlargw.Digest{
+			Generation: r.GetDigest().GetGeneration(),
+			Hosts:      r.GetDigest().GetHosts(),
+			Free:       int(r.GetDigest().GetFree()),
+			Waiting:    decodeDemand(r.GetDigest().GetWaiting()),
+		},
+		View: r.GetView(),
+	}
+	for _, m := range r.GetChanged() {
+		b.Changed = append(b.Changed, decodeMember(m))
+	}
+	return b
+}
+
+func encodeMember(m *medlargw.Member) *wire.Member {
+	return &wire.Member{
+		Host:        string(m.Host),
+		Zone:        string(m.Zone),
+		Addr:        encodeAddr(m.Addr),
+		Admin:       encodeAddr(m.Admin),
+		Incarnation: uint64(m.Incarnation),
+		Counter:     m.Counter,
+		State:       int32(m.State),
+		Successor:   string(m.Successor),
+	}
+}
+
+func decodeMember(m *wire.Member) medlargw.Member {
+	return medlargw.Member{
+		Host:        medlargw.HostName(m.GetHost()),
+		Zone:        medlargw.ZoneName(m.GetZone()),
+		Addr:        decodeAddr(m.GetAddr()),
+		Admin:       decodeAddr(m.GetAdmin()),
+		Incarnation: medlargw.Incarnation(m.GetIncarnation()),
+		Counter:     m.GetCounter(),
+		State:       decodeState(m.GetState()),
+		Successor:   medlargw.HostName(m.GetSuccessor()),
+	}
+}
+
+// decodeState takes a state that a newer program may know for suspect, the one
+// that decides nothing.
+func decodeState(s int32) medlargw.MemberState {
+	if s < int32(medlargw.MemberJoining) || s > int32(medlargw.MemberGone) {
+		return medlargw.MemberSuspect
+	}
+	return medlargw.MemberState(s)
+}
+
+func encodeAddr(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// decodeAddr returns the zero address for one that can't be read.
+func decodeAddr(text string) netip.AddrPort {
+	a, _ := netip.ParseAddrPort(text)
+	return a
+}
+
+func encodeDemand(all []medlargw.ClassDemand) []*wire.Demand {
+	var demand []*wire.Demand
+	for _, d := range all {
+		demand = append(demand, &wire.Demand{Rank: int32(d.Rank), Tasks: int32(d.Tasks)})
+	}
+	return demand
+}
+
+func decodeDemand(all []*wire.Demand) []medlargw.ClassDemand {
+	var demand []medlargw.ClassDemand
+	for _, d := range all {
+		demand = append(demand, medlargw.ClassDemand{Rank: int(d.GetRank()), Tasks: int(d.GetTasks())})
+	}
+	return demand
+}
--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,191 @@
+// Package messenger carries messages between the entries by twirp, as client
+// and as server.
+//
+// Each request is signed with the deployment's key over its path and body, so
+// that only entries of the deployment are heard. The generated code in package
+// wire is mapped to the domain messages by hand.
+package messenger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/messenger/wire"
+	"medlargw.example/medlargw/registrar"
+)
+
+// Limits of the HTTP server and client.
+const (
+	maxHeader     = 8 << 10 // Bytes.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	maxIdleConns  = 4    // Kept to one peer.
+	maxClients    = 1024 // Peers whose clients are kept.
+)
+
+// Messenger is the part that reaches the other entries and serves them.
+type Messenger struct {
+	log      *zap.Logger
+	registry *registrar.Registrar
+	settings medlargw.Settings
+	signer   signer
+	client   *http.Client
+	handlers handlers
+	listener net.Listener
+	server   *http.Server
+	serving  conc.WaitGroup
+	done     chan struct{}
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]wire.Entry
+}
+
+var (
+	_ medlargw.Part      = (*Messenger)(nil)
+	_ medlargw.Messenger = (*Messenger)(nil)
+)
+
+// New returns a messenger that has not started.
+func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings) *Messenger {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Messenger{
+		log:      log.Named("messenger"),
+		registry: reg,
+		settings: settings,
+		signer:   newSigner(settings.Key),
+		client:   &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		done:     make(chan struct{}),
+		clients:  map[netip.AddrPort]wire.Entry{},
+	}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Name returns "messenger".
+func (*Messenger) Name() string { return "messenger" }
+
+// Addr returns the address that is served; it is known once started.
+func (m *Messenger) Addr() netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(m.listener.Addr().String())
+	return addr
+}
+
+// Start listens and serves the peers.
+func (m *Messenger) Start(ctx context.Context) error {
+	m.handlers = findHandlers(m.registry)
+	var lc net.ListenConfig
+	var err error
+	m.listener, err = lc.Listen(ctx, "tcp", m.settings.Listen.Peers.String())
+	if err != nil {
+		return err
+	}
+	m.server = &http.Server{
+		Handler:           m.signer.verify(wire.NewEntryServer(&server{handlers: m.handlers})),
+		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       2 * idleTimeout,
+		ErrorLog:          zap.NewStdLog(m.log),
+	}
+	m.serving.Go(m.serve)
+	return nil
+}
+
+func (m *Messenger) serve() {
+	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
+		m.log.Error("serving ended", zap.Error(err))
+	}
+}
+
+// Stop lets the running requests of peers end and closes the listener.
+func (m *Messenger) Stop(ctx context.Context) error {
+	defer close(m.done)
+	err := m.server.Shutdown(ctx)
+	m.serving.Wait()
+	m.client.CloseIdleConnections()
+	return err
+}
+
+// Done is closed when the last request has ended.
+func (m *Messenger) Done() <-chan struct{} { return m.done }
+
+// peer returns the client of one peer.
+func (m *Messenger) peer(to netip.AddrPort) wire.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.clients[to]
+	if c != nil {
+		return c
+	}
+	if len(m.clients) >= maxClients {
+		clear(m.clients)
+	}
+	c = wire.NewEntryProtobufClient("http://"+to.String(), &signingClient{signer: m.signer, client: m.client})
+	m.clients[to] = c
+	return c
+}
+
+// Beat sends a heartbeat and returns the peer's.
+func (m *Messenger) Beat(ctx context.Context, to netip.AddrPort, b medlargw.Beat) (medlargw.Beat, error) {
+	reply, err := m.peer(to).Beat(ctx, encodeBeat(&b))
+	if err != nil {
+		return medlargw.Beat{}, err
+	}
+	return decodeBeat(reply), nil
+}
+
+// Borrow asks a peer for loans.
+func (m *Messenger) Borrow(
+	ctx context.Context,
+	to netip.AddrPort,
+	r medlargw.BorrowRequest,
+) (medlargw.BorrowReply, error) {
+	reply, err := m.peer(to).Borrow(ctx, encodeBorrowRequest(&r))
+	if err != nil {
+		return medlargw.BorrowReply{}, err
+	}
+	return decodeBorrowReply(reply), nil
+}
+
+// Fetch asks a peer for state.
+func (m *Messenger) Fetch(
+	ctx context.Context,
+	to netip.AddrPort,
+	r medlargw.FetchRequest,
+) (medlargw.FetchReply, error) {
+	reply, err := m.peer(to).Fetch(ctx, &wire.FetchRequest{Kind: string(r.Kind), Version: r.Version})
+	if err != nil {
+		return medlargw.FetchReply{}, err
+	}
+	return medlargw.FetchReply{Version: reply.Version, Body: reply.Body}, nil
+}
+
+// Forward passes a ticketed request to its home.
+func (m *Messenger) Forward(
+	ctx context.Context,
+	to netip.AddrPort,
+	r medlargw.ForwardRequest,
+) (medlargw.ForwardReply, error) {
+	reply, err := m.peer(to).Forward(ctx, encodeForwardRequest(&r))
+	if err != nil {
+		return medlargw.ForwardReply{}, err
+	}
+	return decodeForwardReply(reply), nil
+}
+
+// Handover gives used tickets to a successor.
+func (m *Messenger) Handover(ctx context.Context, to netip.AddrPort, h medlargw.Handover) error {
+	_, err := m.peer(to).Handover(ctx, encodeHandover(&h))
+	return err
+}
