Answer submissions that come after the control goroutine ended

Cause: a message posted to the buffered channel after the goroutine had ended was never taken, and its submitter waited for ever. Ruled out: refusing by the stopping channel alone, which races with the last turn of the loop. Change: a submitter also waits for the end and then takes the answer if there is one. Conclusion: safe, since that goroutine answers every message that it takes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -129,18 +129,26 @@
 	select {
 	case outcome := <-reply:
 		return outcome
+	case <-d.done:
 	case <-ctx.Done():
 		d.post(cancelMessage{job: job.ID})
-		return d.await(job, reply)
 	}
+	return d.await(job, reply)
 }
 
-// await returns the outcome of a cancelled job.
+// await returns the outcome of a job that was cancelled or that came after the
+// control goroutine had ended. That goroutine answers every message that it
+// takes before it ends, so without an answer nothing of the job was started.
 func (d *Dispatcher) await(job *medlargw.Job, reply <-chan medlargw.Outcome) medlargw.Outcome {
 	select {
 	case outcome := <-reply:
 		return outcome
 	case <-d.done:
+	}
+	select {
+	case outcome := <-reply:
+		return outcome
+	default:
 		return medlargw.Refusal(job, medlargw.CodeStopping, "the entry has stopped", 0)
 	}
 }
