Host list read by two entries per zone and spread to the others

Cause: every entry read the platform's list, and one that could not reach the platform learnt nothing of leaving targets. Change: two readers per zone by rendezvous; the others compare versions in heartbeat digests and fetch from a peer; all read when the zone's readers are blind; news is spread at once to peers that are behind. Ownership follows the membership in place of the list.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -1,5 +1,10 @@
-// Package assigner reads the platform's list of hosts and tells the dispatcher
-// which targets this entry owns.
+// Package assigner follows the platform's list of hosts and tells the
+// dispatcher which targets this entry owns.
+//
+// Two entries of each zone read the list; the others learn from the digests of
+// heartbeats that it has changed, and fetch it from a peer. When the readers
+// don't reach the platform, all entries of the zone try. Only a higher version
+// is taken, whatever its source.
 //
 // Each target of the zone belongs to the entry of the zone with the highest
 // rendezvous hash of both names, so that the loss of an entry moves only its
@@ -8,10 +13,11 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -19,28 +25,47 @@
 	"medlargw.example/medlargw/registrar"
 )
 
-// pollInterval is the time between two readings of the list.
-const pollInterval = time.Second
-
 // sink takes the slots that this entry may use.
 type sink interface {
 	SetCapacity(all []medlargw.Capacity)
 }
 
+// hinter learns at which addresses to look for entries.
+type hinter interface {
+	Hint(addrs []netip.AddrPort)
+}
+
 // Assigner is the part that assigns targets to entries.
 type Assigner struct {
-	log      *zap.Logger
-	registry *registrar.Registrar
-	settings medlargw.Settings
-	hosts    medlargw.Hosts
-	version  uint64
-	sink     sink
-	cancel   context.CancelFunc
-	running  conc.WaitGroup
-	done     chan struct{}
+	log       *zap.Logger
+	registry  *registrar.Registrar
+	settings  medlargw.Settings
+	hosts     medlargw.Hosts
+	sink      sink
+	hinter    hinter
+	spreader  medlargw.Spreader
+	members   medlargw.Members
+	messenger medlargw.Messenger
+
+	list      atomic.Pointer[medlargw.HostList] // Nil until there is one.
+	confirmed atomic.Int64                      // Last reading in the zone, in nanoseconds since began.
+	began     time.Time
+	fetching  atomic.Bool
+	mu        sync.Mutex // Held while a list or a membership is applied.
+
+	ctx     context.Context //nolint:containedctx // Ends with the part.
+	cancel  context.CancelFunc
+	running conc.WaitGroup
+	done    chan struct{}
 }
 
-var _ medlargw.Part = (*Assigner)(nil)
+var (
+	_ medlargw.Part            = (*Assigner)(nil)
+	_ medlargw.BeatObserver    = (*Assigner)(nil)
+	_ medlargw.MembersObserver = (*Assigner)(nil)
+	_ medlargw.HostsVersioner  = (*Assigner)(nil)
+	_ medlargw.FetchHandler    = (*Assigner)(nil)
+)
 
 // New returns an assigner that has not started.
 func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, hosts medlargw.Hosts) *Assigner {
@@ -49,6 +74,7 @@
 		registry: reg,
 		settings: settings,
 		hosts:    hosts,
+		began:    time.Now(),
 		done:     make(chan struct{}),
 	}
 }
@@ -56,16 +82,32 @@
 // Name returns "assigner".
 func (*Assigner) Name() string { return "assigner" }
 
-// Start reads the list until Stop. A list that can't be read is no error.
+// Start follows the list until Stop. A list that can't be read is no error.
 func (a *Assigner) Start(context.Context) error {
+	if err := a.find(); err != nil {
+		return err
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.running.Go(func() { a.follow(a.ctx) })
+	return nil
+}
+
+func (a *Assigner) find() error {
 	var err error
 	if a.sink, err = registrar.Find[sink](a.registry, "dispatcher"); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	a.running.Go(func() { a.follow(ctx) })
-	return nil
+	if a.hinter, err = registrar.Find[hinter](a.registry, "tracker"); err != nil {
+		return err
+	}
+	if a.spreader, err = registrar.Find[medlargw.Spreader](a.registry, "tracker"); err != nil {
+		return err
+	}
+	if a.members, err = registrar.Find[medlargw.Members](a.registry, "tracker"); err != nil {
+		return err
+	}
+	a.messenger, err = registrar.Find[medlargw.Messenger](a.registry, "messenger")
+	return err
 }
 
 // Stop ends the readings.
@@ -79,48 +121,61 @@
 // Done is closed when the readings have ended.
 func (a *Assigner) Done() <-chan struct{} { return a.done }
 
-func (a *Assigner) follow(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+// HostsVersion returns the version of the list in use; zero is none.
+func (a *Assigner) HostsVersion() uint64 {
+	if list := a.list.Load(); list != nil {
+		return list.Version
+	}
+	return 0
+}
+
+// HostsAge returns the time since an entry of the zone last read the list.
+func (a *Assigner) HostsAge() time.Duration {
+	return time.Since(a.began) - time.Duration(a.confirmed.Load())
+}
+
+// confirm notes that an entry of the zone read the list at that time.
+func (a *Assigner) confirm(at time.Time) {
+	confirmed := int64(at.Sub(a.began))
 	for {
-		a.poll(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		before := a.confirmed.Load()
+		if confirmed <= before || a.confirmed.CompareAndSwap(before, confirmed) {
 			return
 		}
 	}
 }
 
-func (a *Assigner) poll(ctx context.Context) {
-	list, err := a.hosts.Hosts(ctx)
-	if err != nil {
-		if ctx.Err() == nil {
-			a.log.Warn("host list not read", zap.Error(err))
-		}
-		return
-	}
-	if list.Version <= a.version {
-		return
+// take puts a list into use if it is newer; it returns whether it is.
+func (a *Assigner) take(list *medlargw.HostList) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if list.Version <= a.HostsVersion() {
+		return false
 	}
-	a.version = list.Version
-	a.sink.SetCapacity(owned(&list, a.settings.Host, a.settings.Zone))
+	a.list.Store(list)
+	a.hinter.Hint(addresses(list))
+	a.assign(a.members.Members())
+	return true
 }
 
-// owned returns the slots of the targets that the host owns.
-func owned(list *medlargw.HostList, host medlargw.HostName, zone medlargw.ZoneName) []medlargw.Capacity {
-	var names []string
+func addresses(list *medlargw.HostList) []netip.AddrPort {
+	var addrs []netip.AddrPort
 	for _, e := range list.Entries {
-		if e.Zone == zone {
-			names = append(names, string(e.Name))
-		}
+		addrs = append(addrs, e.Addr)
 	}
-	ring := rendezvous.New(names, xxhash.Sum64String)
-	var all []medlargw.Capacity
-	for _, t := range list.Targets {
-		if t.Zone == zone && ring.Lookup(string(t.Name)) == string(host) {
-			all = append(all, medlargw.Capacity{Target: t, Slots: t.Slots})
-		}
+	return addrs
+}
+
+// MembersChanged assigns the targets anew.
+func (a *Assigner) MembersChanged([]medlargw.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.assign(a.members.Members()) // The newest, whichever call comes first.
+}
+
+// assign tells the dispatcher what this entry owns. The lock is held.
+func (a *Assigner) assign(members []medlargw.Member) {
+	if list := a.list.Load(); list != nil {
+		a.sink.SetCapacity(owned(list, members))
 	}
-	return all
 }
--- a/member.go
+++ b/member.go
@@ -53,10 +53,18 @@
 	MembersChanged(all []Member)
 }
 
-// HostsVersioner gives the version of the host list in use. The part
-// "assigner" does.
+// HostsVersioner tells how new the host list in use is. The part "assigner"
+// does.
 type HostsVersioner interface {
 	HostsVersion() uint64
+	// HostsAge returns the time since an entry of the zone last read the list.
+	HostsAge() time.Duration
+}
+
+// Spreader tells peers at once what this entry has learnt, before the next
+// heartbeat is due. The part "tracker" does.
+type Spreader interface {
+	Spread()
 }
 
 // Leaver is a part that does something at the beginning of a planned stop,
@@ -67,9 +75,10 @@
 
 // Digest sums up what an entry has, for its peers to compare with their own.
 type Digest struct {
-	Generation uint64 // Configuration in force.
-	Hosts      uint64 // Version of the host list.
-	Free       int    // Free slots of the targets it owns.
+	Generation uint64        // Configuration in force.
+	Hosts      uint64        // Version of the host list.
+	HostsAge   time.Duration // Since an entry of the zone last read the list.
+	Free       int           // Free slots of the targets it owns.
 	Waiting    []ClassDemand
 }
 
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/messenger/wire"
@@ -21,6 +22,7 @@
 		Digest: &wire.Digest{
 			Generation: b.Digest.Generation,
 			Hosts:      b.Digest.Hosts,
+			HostsAgeMs: b.Digest.HostsAge.Milliseconds(),
 			Free:       int32(b.Digest.Free),
 			Waiting:    encodeDemand(b.Digest.Waiting),
 		},
@@ -38,6 +40,7 @@
 		Digest: medlargw.Digest{
 			Generation: r.GetDigest().GetGeneration(),
 			Hosts:      r.GetDigest().GetHosts(),
+			HostsAge:   time.Duration(r.GetDigest().GetHostsAgeMs()) * time.Millisecond,
 			Free:       int(r.GetDigest().GetFree()),
 			Waiting:    decodeDemand(r.GetDigest().GetWaiting()),
 		},
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -97,7 +97,7 @@
 	m, parts := start(t, "a-key-of-the-deployment")
 	beat := medlargw.Beat{
 		From:    sampleMember(),
-		Digest:  medlargw.Digest{Generation: 1, Hosts: 2, Free: 3, Waiting: []medlargw.ClassDemand{{Rank: 1, Tasks: 9}}},
+		Digest:  medlargw.Digest{Generation: 1, Hosts: 2, HostsAge: time.Second, Free: 3, Waiting: []medlargw.ClassDemand{{Rank: 1, Tasks: 9}}},
 		Changed: []medlargw.Member{sampleMember()},
 		View:    1 << 62,
 	}
--- a/tracker/exchange.go
+++ b/tracker/exchange.go
@@ -48,6 +48,9 @@
 	t.change(func(v *view) {
 		v.hear(now, &b.From, b.Changed)
 		v.agree(now, b)
+		if p := v.peers[b.From.Incarnation]; p != nil {
+			p.digest = b.Digest
+		}
 	})
 	for _, o := range t.observers {
 		o.HeardBeat(b.From, b.Digest)
@@ -80,3 +83,22 @@
 	t.fetched[from] = now
 	return true
 }
+
+// Spread sends a heartbeat at once to the peers of the zone that are behind,
+// and to one that is behind in each other zone.
+func (t *Tracker) Spread() {
+	select {
+	case <-t.started:
+	default:
+		return
+	}
+	t.running.Go(func() {
+		digest := t.digest(t.ctx)
+		t.mu.Lock()
+		to := t.view.behind(&digest)
+		t.mu.Unlock()
+		for _, addr := range to {
+			t.running.Go(func() { t.beat(t.ctx, addr, digest) })
+		}
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 	snapshot atomic.Pointer[[]medlargw.Member]
 
 	started chan struct{}
+	ctx     context.Context //nolint:containedctx // Ends with the part.
 	cancel  context.CancelFunc
 	running conc.WaitGroup
 	done    chan struct{}
@@ -60,6 +62,7 @@
 	_ medlargw.BeatHandler  = (*Tracker)(nil)
 	_ medlargw.FetchHandler = (*Tracker)(nil)
 	_ medlargw.Leaver       = (*Tracker)(nil)
+	_ medlargw.Spreader     = (*Tracker)(nil)
 )
 
 // New returns a tracker that has not started. The incarnation must be random.
@@ -113,9 +116,8 @@
 		}
 	}
 	t.locate()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.cancel = cancel
-	t.running.Go(func() { t.follow(ctx) })
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.running.Go(func() { t.follow(t.ctx) })
 	close(t.started)
 	return nil
 }
@@ -144,6 +146,13 @@
 // Members returns all known entries, this one first.
 func (t *Tracker) Members() []medlargw.Member { return *t.snapshot.Load() }
 
+// Hint gives the addresses of the host list, at which to look for entries.
+func (t *Tracker) Hint(addrs []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.hint(slices.Concat(t.settings.Peers, addrs))
+}
+
 // publish renews the snapshot. The lock is held, but for New.
 func (t *Tracker) publish() {
 	all := t.view.members()
@@ -211,6 +220,7 @@
 	}
 	if t.hosts != nil {
 		d.Hosts = t.hosts.HostsVersion()
+		d.HostsAge = t.hosts.HostsAge()
 	}
 	s, err := t.inspector.Status(ctx)
 	if err != nil {
--- a/tracker/turn.go
+++ b/tracker/turn.go
@@ -114,3 +114,19 @@
 		}
 	}
 }
+
+// behind returns the addresses of the peers of the zone that lack something of
+// the digest, and of one such peer in each other zone.
+func (v *view) behind(d *medlargw.Digest) []netip.AddrPort {
+	told := map[medlargw.ZoneName]bool{}
+	var all []netip.AddrPort
+	for _, p := range v.ordered() {
+		lacks := p.digest.Generation < d.Generation || p.digest.Hosts < d.Hosts
+		if !lacks || !p.member.Serving() || told[p.member.Zone] {
+			continue
+		}
+		told[p.member.Zone] = p.member.Zone != v.self.Zone
+		all = append(all, p.member.Addr)
+	}
+	return all
+}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -22,6 +22,7 @@
 
 // peer is what is known of one incarnation of another entry.
 type peer struct {
+	digest  medlargw.Digest // Of its last heartbeat.
 	member  medlargw.Member // Since is the last word of it, direct or not.
 	heard   time.Time       // Last direct message; zero is never.
 	tried   time.Time       // Last heartbeat to it.
