Configuration watched by two entries per zone and spread to the others

Cause: each entry held a watch, so that store calls grew with hosts, and an entry that started during an outage had no configuration. Change: the zone's two readers watch; the others fetch head and changed values from a peer that is ahead. The demo's entries listen for peers and wait until they know each other. The stop of the messenger no longer waits for unused connections.

--- a/accessor/accessor.go
+++ b/accessor/accessor.go
@@ -24,7 +24,7 @@
 const (
 	maxValue    = 2 << 20 // Bytes.
 	callTimeout = 5 * time.Second
-	watchTime   = 30 * time.Second // Then the watch is asked for anew.
+	watchTime   = 8 * time.Second // Then the watch is asked for anew.
 )
 
 // headerRevision carries the revision of a value.
--- a/assigner/reading.go
+++ b/assigner/reading.go
@@ -30,7 +30,7 @@
 	pause := pollInterval
 	for {
 		switch {
-		case !a.mustRead():
+		case !a.Reads():
 			pause = pollInterval
 		case a.read(ctx):
 			pause = pollInterval
@@ -49,9 +49,9 @@
 	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1))) //nolint:gosec // Spreads load, guards nothing.
 }
 
-// mustRead reports whether this entry is one of the zone's readers, or the
-// zone's readers don't reach the platform.
-func (a *Assigner) mustRead() bool {
+// Reads reports whether this entry reads from the platform: it is one of the
+// zone's readers, or those don't reach it.
+func (a *Assigner) Reads() bool {
 	return a.onDuty() || a.HostsAge() > blindAfter
 }
 
@@ -59,7 +59,7 @@
 func (a *Assigner) onDuty() bool {
 	names := serving(a.members.Members())
 	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Compare(xxhash.Sum64String("hosts/"+x), xxhash.Sum64String("hosts/"+y))
+		return cmp.Compare(xxhash.Sum64String("platform/"+x), xxhash.Sum64String("platform/"+y))
 	})
 	return slices.Contains(names[:min(readers, len(names))], string(a.settings.Host))
 }
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -62,8 +62,8 @@
 	}
 	reg.Add(
 		dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil),
-		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		watcher.New(b.Log, reg, b.Store),
 		b.messenger(reg),
 		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
 	)
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -44,7 +44,9 @@
 	store   *storer.Storer
 	targets []*executor.Executor
 	entries []*registrar.Registrar
-	addrs   []netip.AddrPort
+	addrs   []netip.AddrPort // Where the entries serve callers.
+	peers   []netip.AddrPort // Where they serve each other.
+	hosts   medlargw.HostList
 	servers []*http.Server
 	serving conc.WaitGroup
 	Report  medlargw.LoadReport   // What the load tool saw.
@@ -80,12 +82,12 @@
 			}
 		}
 	}
+	d.store.SetHosts(d.hosts)
 	return d.awaitReady(ctx)
 }
 
 // startHosts starts the targets and lists all hosts.
 func (d *Demonstrator) startHosts(ctx context.Context) error {
-	var list medlargw.HostList
 	for _, zone := range zones() {
 		for n := range targetsPerZone {
 			e := executor.New(slotsPerTarget)
@@ -95,13 +97,11 @@
 			}
 			d.targets = append(d.targets, e)
 			name := medlargw.TargetName(fmt.Sprintf("%s-target-%d", zone, n))
-			list.Targets = append(list.Targets, medlargw.Target{Name: name, Zone: zone, Addr: addr, Slots: slotsPerTarget})
-		}
-		for n := range entriesPerZone {
-			list.Entries = append(list.Entries, medlargw.EntryHost{Name: entryName(zone, n), Zone: zone})
+			target := medlargw.Target{Name: name, Zone: zone, Addr: addr, Slots: slotsPerTarget}
+			d.hosts.Targets = append(d.hosts.Targets, target)
 		}
 	}
-	d.store.SetHosts(list)
+	d.store.SetHosts(d.hosts)
 	return nil
 }
 
@@ -124,6 +124,7 @@
 
 func (d *Demonstrator) startEntry(ctx context.Context, zone medlargw.ZoneName, n int) error {
 	b := builder.Builder{Log: d.log, Settings: settings(zone, n), Store: d.store, Hosts: d.store}
+	b.Settings.Peers = d.peers
 	entry, err := b.Build()
 	if err != nil {
 		return err
@@ -132,20 +133,36 @@
 		return err
 	}
 	d.entries = append(d.entries, entry)
-	served, err := registrar.Find[interface{ Addr() netip.AddrPort }](entry, "receiver")
+	callers, err := addr(entry, "receiver")
+	if err != nil {
+		return err
+	}
+	peers, err := addr(entry, "messenger")
 	if err != nil {
 		return err
 	}
-	d.addrs = append(d.addrs, served.Addr())
+	d.addrs = append(d.addrs, callers)
+	d.peers = append(d.peers, peers)
+	d.hosts.Entries = append(d.hosts.Entries, medlargw.EntryHost{Name: entryName(zone, n), Zone: zone, Addr: peers})
 	return nil
 }
 
-// awaitReady waits until every entry says that it is ready.
+// addr returns the address that a part serves.
+func addr(entry *registrar.Registrar, part string) (netip.AddrPort, error) {
+	served, err := registrar.Find[interface{ Addr() netip.AddrPort }](entry, part)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	return served.Addr(), nil
+}
+
+// awaitReady waits until every entry says that it is ready and knows the
+// others.
 func (d *Demonstrator) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, addr := range d.addrs {
-		for !ready(ctx, addr) {
+	for i, addr := range d.addrs {
+		for !ready(ctx, addr) || !d.acquainted(d.entries[i]) {
 			select {
 			case <-time.After(20 * time.Millisecond):
 			case <-ctx.Done():
@@ -156,6 +173,21 @@
 	return nil
 }
 
+// acquainted reports whether an entry knows all entries as live.
+func (d *Demonstrator) acquainted(entry *registrar.Registrar) bool {
+	members, err := registrar.Find[medlargw.Members](entry, "tracker")
+	if err != nil {
+		return false
+	}
+	live := 0
+	for _, m := range members.Members() {
+		if m.Serving() {
+			live++
+		}
+	}
+	return live == len(d.entries)
+}
+
 func ready(ctx context.Context, addr netip.AddrPort) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/readyz", http.NoBody)
 	if err != nil {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -28,6 +28,7 @@
 	maxHeader     = 8 << 10 // Bytes.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
+	stopTimeout   = time.Second
 	maxIdleConns  = 4    // Kept to one peer.
 	maxClients    = 1024 // Peers whose clients are kept.
 )
@@ -111,7 +112,12 @@
 // Stop lets the running requests of peers end and closes the listener.
 func (m *Messenger) Stop(ctx context.Context) error {
 	defer close(m.done)
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	err := m.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = m.server.Close() // What is left are connections without a request.
+	}
 	m.serving.Wait()
 	m.client.CloseIdleConnections()
 	return err
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -196,8 +196,12 @@
 	var to []netip.AddrPort
 	t.change(func(v *view) {
 		v.tick(now)
+		before := v.self.State
 		v.setSelf(func(m *medlargw.Member) { m.State = t.ownState(m.State) })
 		to = v.due(now)
+		if v.self.State != before {
+			to = v.reachable() // The others must know at once who owns what.
+		}
 	})
 	for _, addr := range to {
 		t.running.Go(func() { t.beat(ctx, addr, digest) })
--- a/tracker/turn.go
+++ b/tracker/turn.go
@@ -35,6 +35,17 @@
 	return all
 }
 
+// reachable returns the addresses of all peers that are not gone.
+func (v *view) reachable() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, p := range v.ordered() {
+		if p.member.State != medlargw.MemberGone {
+			all = append(all, p.member.Addr)
+		}
+	}
+	return all
+}
+
 // ordered returns the peers in a fixed order.
 func (v *view) ordered() []*peer {
 	all := make([]*peer, 0, len(v.peers))
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -1,21 +1,19 @@
-// Package watcher follows the configuration in the store and puts each new
-// generation into force in one step.
+// Package watcher keeps the configuration in force: it follows the head in the
+// store, or learns from peers, and puts each new generation into force in one
+// step.
 //
-// It keeps the highest generation that it has seen; a head that goes back is
-// reported and ignored. Values of teams are kept by hash, so that a change of
-// one team reads one value.
+// The two entries of a zone that read from the platform hold the watch; the
+// others hear of a new generation in heartbeats and fetch it from a peer. Only
+// a higher generation is taken, whatever its source; a head that goes back is
+// reported and ignored. Values of teams are kept by hash, with the generation
+// that brought them, so that a change of one team moves one value.
 package watcher
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"fmt"
-	"slices"
+	"sync"
 	"sync/atomic"
-	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -24,31 +22,52 @@
 	"medlargw.example/medlargw/registrar"
 )
 
-// maxBackoff is the longest pause after errors of the store.
-const maxBackoff = 5 * time.Second
-
-// Sink takes each configuration that comes into force.
+// sink takes each configuration that comes into force.
 type sink interface {
 	Configure(cfg *medlargw.Config)
 }
 
+// reader tells whether this entry reads from the platform. The part "assigner"
+// does.
+type reader interface {
+	Reads() bool
+}
+
+// value is the declaration of one team, as the store holds it and decoded.
+type value struct {
+	raw     []byte
+	decoded medlargw.TeamConfig
+	since   uint64 // Generation that brought it here.
+}
+
 // Watcher is the part that keeps the configuration in force.
 type Watcher struct {
-	log      *zap.Logger
-	registry *registrar.Registrar
-	store    medlargw.Store
-	conv     converter.Converter
-	current  atomic.Pointer[medlargw.Config]
-	teams    map[medlargw.TeamVersion]medlargw.TeamConfig
-	sink     sink
-	cancel   context.CancelFunc
-	running  conc.WaitGroup
-	done     chan struct{}
+	log       *zap.Logger
+	registry  *registrar.Registrar
+	store     medlargw.Store
+	conv      converter.Converter
+	sink      sink
+	reader    reader
+	spreader  medlargw.Spreader
+	messenger medlargw.Messenger
+	current   atomic.Pointer[medlargw.Config]
+	fetching  atomic.Bool
+
+	mu    sync.Mutex // Held while a generation is put into force.
+	head  []byte     // As the store holds it.
+	teams map[medlargw.TeamVersion]value
+
+	ctx     context.Context //nolint:containedctx // Ends with the part.
+	cancel  context.CancelFunc
+	running conc.WaitGroup
+	done    chan struct{}
 }
 
 var (
-	_ medlargw.Part       = (*Watcher)(nil)
-	_ medlargw.Configured = (*Watcher)(nil)
+	_ medlargw.Part         = (*Watcher)(nil)
+	_ medlargw.Configured   = (*Watcher)(nil)
+	_ medlargw.BeatObserver = (*Watcher)(nil)
+	_ medlargw.FetchHandler = (*Watcher)(nil)
 )
 
 // New returns a watcher that has not started.
@@ -57,7 +76,7 @@
 		log:      log.Named("watcher"),
 		registry: reg,
 		store:    store,
-		teams:    map[medlargw.TeamVersion]medlargw.TeamConfig{},
+		teams:    map[medlargw.TeamVersion]value{},
 		done:     make(chan struct{}),
 	}
 }
@@ -68,16 +87,37 @@
 // Config returns the configuration in force, or nil when there is none yet.
 func (w *Watcher) Config() *medlargw.Config { return w.current.Load() }
 
+// generation returns the generation in force; zero is none.
+func (w *Watcher) generation() uint64 {
+	if cfg := w.Config(); cfg != nil {
+		return cfg.Generation
+	}
+	return 0
+}
+
 // Start follows the store until Stop. An outage of the store is no error.
 func (w *Watcher) Start(context.Context) error {
+	if err := w.find(); err != nil {
+		return err
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.running.Go(func() { w.follow(w.ctx) })
+	return nil
+}
+
+func (w *Watcher) find() error {
 	var err error
 	if w.sink, err = registrar.Find[sink](w.registry, "dispatcher"); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
-	w.running.Go(func() { w.follow(ctx) })
-	return nil
+	if w.reader, err = registrar.Find[reader](w.registry, "assigner"); err != nil {
+		return err
+	}
+	if w.spreader, err = registrar.Find[medlargw.Spreader](w.registry, "tracker"); err != nil {
+		return err
+	}
+	w.messenger, err = registrar.Find[medlargw.Messenger](w.registry, "messenger")
+	return err
 }
 
 // Stop ends the watch.
@@ -90,97 +130,3 @@
 
 // Done is closed when the watch has ended.
 func (w *Watcher) Done() <-chan struct{} { return w.done }
-
-func (w *Watcher) follow(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.MaxInterval = maxBackoff
-	var revision uint64
-	for ctx.Err() == nil {
-		entry, err := w.store.Watch(ctx, converter.HeadKey, revision)
-		if err == nil {
-			err = w.apply(ctx, entry)
-		}
-		if err == nil {
-			revision = entry.Revision
-			pause.Reset()
-			continue
-		}
-		if ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded) {
-			w.log.Warn("store not read", zap.Error(err))
-		}
-		sleep(ctx, pause.NextBackOff())
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
-// apply puts the configuration of a head into force, if it is newer.
-func (w *Watcher) apply(ctx context.Context, entry medlargw.Entry) error {
-	if entry.Revision == 0 {
-		return nil
-	}
-	head, err := w.conv.DecodeHead(entry.Value)
-	if err != nil {
-		return err
-	}
-	if now := w.Config(); now != nil && head.Generation <= now.Generation {
-		if head.Generation < now.Generation {
-			w.log.Error("head went back", zap.Uint64("got", head.Generation), zap.Uint64("kept", now.Generation))
-		}
-		return nil
-	}
-	teams, err := w.readTeams(ctx, head)
-	if err != nil {
-		return err
-	}
-	cfg := compose(head.Generation, teams)
-	w.current.Store(cfg)
-	w.sink.Configure(cfg)
-	w.log.Info("configuration in force", zap.Uint64("generation", cfg.Generation))
-	return nil
-}
-
-func (w *Watcher) readTeams(ctx context.Context, head medlargw.Head) ([]medlargw.TeamConfig, error) {
-	kept := make(map[medlargw.TeamVersion]medlargw.TeamConfig, len(head.Teams))
-	teams := make([]medlargw.TeamConfig, 0, len(head.Teams))
-	for _, v := range head.Teams {
-		t, ok := w.teams[v]
-		if !ok {
-			var err error
-			if t, err = w.readTeam(ctx, v); err != nil {
-				return nil, err
-			}
-		}
-		kept[v] = t
-		teams = append(teams, t)
-	}
-	w.teams = kept
-	return teams, nil
-}
-
-func (w *Watcher) readTeam(ctx context.Context, v medlargw.TeamVersion) (medlargw.TeamConfig, error) {
-	entry, err := w.store.Get(ctx, w.conv.TeamKey(v))
-	if err != nil {
-		return medlargw.TeamConfig{}, fmt.Errorf("read team %s: %w", v.Team, err)
-	}
-	return w.conv.DecodeTeam(entry.Value)
-}
-
-// compose joins the declarations of all teams into one configuration.
-func compose(generation uint64, teams []medlargw.TeamConfig) *medlargw.Config {
-	cfg := &medlargw.Config{Generation: generation}
-	for _, t := range teams {
-		cfg.Teams = append(cfg.Teams, t.Team)
-		cfg.Classes = append(cfg.Classes, t.Classes...)
-		cfg.Services = append(cfg.Services, t.Services...)
-	}
-	slices.SortFunc(cfg.Classes, func(a, b medlargw.Class) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name))
-	})
-	return cfg
-}
