Switchable faults of the stand-in platform

Cause: nothing could provoke an outage, a slow store, a lost reply or a late list of hosts. Change: Storer.SetFaults, also at PUT /v1/faults; GET /v1/calls gives the number of calls, a waiting watch as one. The store's own leases are used by nothing here, so they have no switch.

--- a/storer/handler.go
+++ b/storer/handler.go
@@ -35,6 +35,8 @@
 	routes.GET("/v1/watch/*key", s.serveWatch)
 	routes.GET("/v1/hosts", s.serveHosts)
 	routes.PUT("/v1/hosts", s.servePutHosts)
+	routes.PUT("/v1/faults", s.servePutFaults)
+	routes.GET("/v1/calls", s.serveCalls)
 	return routes
 }
 
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -20,9 +20,10 @@
 	mu       sync.Mutex
 	entries  map[string]medlargw.Entry
 	revision uint64
-	changed  chan struct{} // Closed and replaced at each change.
-	hosts    medlargw.HostList
+	changed  chan struct{}       // Closed and replaced at each change.
+	hosts    []medlargw.HostList // The newest last.
 	calls    uint64
+	faults   medlargw.StoreFaults
 }
 
 var (
@@ -43,10 +44,12 @@
 }
 
 // Get returns the value of a key, or medlargw.ErrNotFound.
-func (s *Storer) Get(_ context.Context, key string) (medlargw.Entry, error) {
+func (s *Storer) Get(ctx context.Context, key string) (medlargw.Entry, error) {
+	if err := s.begin(ctx); err != nil {
+		return medlargw.Entry{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	e, ok := s.entries[key]
 	if !ok {
 		return medlargw.Entry{}, medlargw.ErrNotFound
@@ -55,24 +58,28 @@
 }
 
 // Put writes a key whose revision is the given one; zero creates it.
-func (s *Storer) Put(_ context.Context, key string, value []byte, revision uint64) (uint64, error) {
+func (s *Storer) Put(ctx context.Context, key string, value []byte, revision uint64) (uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	if s.entries[key].Revision != revision {
 		return 0, medlargw.ErrConflict
 	}
 	s.revision++
 	s.entries[key] = medlargw.Entry{Key: key, Value: bytes.Clone(value), Revision: s.revision}
 	s.wake()
-	return s.revision, nil
+	return s.revision, s.loseReply()
 }
 
 // Delete removes a key whose revision is the given one.
-func (s *Storer) Delete(_ context.Context, key string, revision uint64) error {
+func (s *Storer) Delete(ctx context.Context, key string, revision uint64) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	e, ok := s.entries[key]
 	if !ok {
 		return medlargw.ErrNotFound
@@ -82,7 +89,7 @@
 	}
 	delete(s.entries, key)
 	s.wake()
-	return nil
+	return s.loseReply()
 }
 
 func (s *Storer) wake() {
@@ -91,10 +98,12 @@
 }
 
 // List returns the entries whose key starts with the prefix, in order.
-func (s *Storer) List(_ context.Context, prefix string) ([]medlargw.Entry, error) {
+func (s *Storer) List(ctx context.Context, prefix string) ([]medlargw.Entry, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	var all []medlargw.Entry
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
@@ -105,15 +114,19 @@
 	return all, nil
 }
 
-// Watch waits until the key's revision differs from the given one.
+// Watch waits until the key's revision differs from the given one. An outage
+// ends it with an error.
 func (s *Storer) Watch(ctx context.Context, key string, revision uint64) (medlargw.Entry, error) {
-	s.mu.Lock()
-	s.calls++
-	s.mu.Unlock()
+	if err := s.begin(ctx); err != nil {
+		return medlargw.Entry{}, err
+	}
 	for {
 		s.mu.Lock()
-		e, changed := s.entries[key], s.changed
+		e, changed, outage := s.entries[key], s.changed, s.faults.Outage
 		s.mu.Unlock()
+		if outage {
+			return medlargw.Entry{}, errOutage
+		}
 		if e.Revision != revision {
 			e.Key = key
 			return e, nil
@@ -126,19 +139,44 @@
 	}
 }
 
+// maxLists is the number of lists that are kept to serve them late.
+const maxLists = 64
+
 // SetHosts replaces the list of hosts and raises its version.
 func (s *Storer) SetHosts(list medlargw.HostList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list.Version = s.hosts.Version + 1
+	list.Version = s.newest().Version + 1
 	list.Taken = time.Now()
-	s.hosts = list
+	s.hosts = append(s.hosts, list)
+	if len(s.hosts) > maxLists {
+		s.hosts = s.hosts[1:]
+	}
+}
+
+// newest returns the last list. The lock is held.
+func (s *Storer) newest() medlargw.HostList {
+	if len(s.hosts) == 0 {
+		return medlargw.HostList{}
+	}
+	return s.hosts[len(s.hosts)-1]
 }
 
-// Hosts returns the list of hosts.
-func (s *Storer) Hosts(context.Context) (medlargw.HostList, error) {
+// Hosts returns the list of hosts, as late as the faults say.
+func (s *Storer) Hosts(ctx context.Context) (medlargw.HostList, error) {
+	if err := s.begin(ctx); err != nil {
+		return medlargw.HostList{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
-	return s.hosts, nil
+	if s.faults.Lag == 0 {
+		return s.newest(), nil
+	}
+	var list medlargw.HostList
+	for _, l := range s.hosts {
+		if time.Since(l.Taken) >= s.faults.Lag {
+			list = l
+		}
+	}
+	return list, nil
 }
