--- a/builder/builder.go
+++ b/builder/builder.go
@@ -15,9 +15,11 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
@@ -43,7 +45,7 @@
 	}
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
-	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
+	dec := decider.New(b.Settings, b.deciderTools(), newTag)
 	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	reg.Add(
 		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
@@ -54,6 +56,17 @@
 	return reg, nil
 }
 
+func (b *Builder) deciderTools() medlargw.DeciderTools {
+	est := estimator.New()
+	return medlargw.DeciderTools{
+		Scheduler:  scheduler.New(medlargw.OrderLeast),
+		Placer:     placer.New(est),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(b.Settings.Intake.Bytes),
+	}
+}
+
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
 func (b *Builder) reachPlatform() {
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -7,48 +7,58 @@
 // tag of its own. The first failure of a task ends the job at once. Slots and
 // units stay reserved until the end of each attempt is reported, also after
 // its job has ended.
+//
+// The work of one event is bounded: what is left over is done at the next one,
+// for which the actions ask by their wake time.
 package decider
 
 import (
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/ranker"
 )
 
 // Decider holds the state of all jobs of one entry. It is used by one
 // goroutine.
 type Decider struct {
-	settings  medlargw.Settings
-	scheduler medlargw.Scheduler
-	placer    medlargw.Placer
-	limiter   medlargw.Limiter
-	newTag    func() medlargw.Tag
+	settings   medlargw.Settings
+	scheduler  medlargw.Scheduler
+	placer     medlargw.Placer
+	limiter    medlargw.Limiter
+	estimator  medlargw.Estimator
+	accountant medlargw.Accountant
+	newTag     func() medlargw.Tag
+
+	now       time.Time // Of the last event.
+	reach     int       // Slots that this entry could use if it borrowed them.
 	jobs      map[medlargw.JobID]*jobState
-	deadlines deadlineHeap
-	blocked   map[medlargw.TeamName]time.Time // Zero waits for a running task to end.
-	waiting   map[medlargw.TeamName]int       // Waiting tasks by team.
-	total     int                             // Waiting tasks of all teams.
+	deadlines ranker.Ranker[*jobState]
+	cancelled []medlargw.JobID // Jobs that were cancelled and have not ended.
+	pauses    map[medlargw.Lane]*pause
+	expiring  ranker.Ranker[*pause]     // Pauses that end by time.
+	waiting   map[medlargw.TeamName]int // Waiting tasks by team.
+	total     int                       // Waiting tasks of all teams.
+	orphans   map[medlargw.Tag]medlargw.LeakStatus
+	unsettled bool // The last event left work over.
 	actions   medlargw.Actions
 }
 
 // New returns a decider without jobs. Each call of newTag must return a tag
 // that was never used before.
-func New(
-	settings medlargw.Settings,
-	scheduler medlargw.Scheduler,
-	placer medlargw.Placer,
-	limiter medlargw.Limiter,
-	newTag func() medlargw.Tag,
-) *Decider {
+func New(settings medlargw.Settings, tools medlargw.DeciderTools, newTag func() medlargw.Tag) *Decider {
 	return &Decider{
-		settings:  settings,
-		scheduler: scheduler,
-		placer:    placer,
-		limiter:   limiter,
-		newTag:    newTag,
-		jobs:      map[medlargw.JobID]*jobState{},
-		blocked:   map[medlargw.TeamName]time.Time{},
-		waiting:   map[medlargw.TeamName]int{},
+		settings:   settings,
+		scheduler:  tools.Scheduler,
+		placer:     tools.Placer,
+		limiter:    tools.Limiter,
+		estimator:  tools.Estimator,
+		accountant: tools.Accountant,
+		newTag:     newTag,
+		jobs:       map[medlargw.JobID]*jobState{},
+		pauses:     map[medlargw.Lane]*pause{},
+		waiting:    map[medlargw.TeamName]int{},
+		orphans:    map[medlargw.Tag]medlargw.LeakStatus{},
 	}
 }
 
@@ -69,8 +79,8 @@
 func (d *Decider) Configure(now time.Time, cfg *medlargw.Config) {
 	d.scheduler.Configure(cfg)
 	d.limiter.Configure(cfg)
-	for team := range d.blocked {
-		d.unblock(team)
+	for lane := range d.pauses {
+		d.resume(lane)
 	}
 	d.dispatch(now)
 }
@@ -78,66 +88,78 @@
 // SetCapacity replaces the slots that this entry may use.
 func (d *Decider) SetCapacity(now time.Time, all []medlargw.Capacity) {
 	d.placer.SetCapacity(now, all)
+	d.scheduler.SetSizes(d.placer.Sizes())
+	d.dispatch(now)
+}
+
+// SetReach tells how many slots this entry could use if it borrowed what it is
+// granted under load. Admission counts on them.
+func (d *Decider) SetReach(slots int) { d.reach = slots }
+
+// SetShare replaces the configured limit of the team by this entry's share.
+func (d *Decider) SetShare(now time.Time, team medlargw.TeamName, share medlargw.Limit) {
+	d.limiter.SetShare(team, share)
+	d.resume(medlargw.Lane{Team: team})
 	d.dispatch(now)
 }
 
 // Submit admits the job or refuses it at once.
 func (d *Decider) Submit(now time.Time, job *medlargw.Job) {
+	d.now = now
 	if refusal, refused := d.refuse(now, job); refused {
 		d.actions.Finishes = append(d.actions.Finishes, medlargw.Finish{Job: job, Outcome: refusal})
 		return
 	}
 	state := newJobState(job)
 	d.jobs[job.ID] = state
-	d.deadlines.add(state)
+	d.deadlines.Set(state)
 	d.count(job.Team, len(job.Tasks))
-	d.scheduler.Add(job)
+	d.accountant.Add(job, job.PayloadBytes())
+	d.scheduler.Add(job, d.estimator.Estimate(job))
 	d.dispatch(now)
 }
 
 // Ended takes the end of an attempt.
 func (d *Decider) Ended(now time.Time, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
+	d.now = now
 	d.placer.Release(now, a, end)
 	d.limiter.Return(now, a.Job)
-	if until, ok := d.blocked[a.Job.Team]; ok && until.IsZero() {
-		d.unblock(a.Job.Team)
+	d.resumeFull(medlargw.Lane{Team: a.Job.Team})
+	d.resumeFull(medlargw.Lane{Team: a.Job.Team, Service: a.Job.Service})
+	if end.Kind == medlargw.EndSucceeded {
+		d.estimator.Learn(a.Job, end.Elapsed)
 	}
 	if state := d.jobs[a.Job.ID]; state != nil {
 		d.settle(state, a, end)
+	} else {
+		delete(d.orphans, a.Tag)
 	}
 	d.dispatch(now)
 }
 
-// Cancel ends the job because its caller does not want it any more.
+// Cancel ends the job because its caller does not want it any more. No task of
+// it starts after that; a wave of cancellations is worked off in later events.
 func (d *Decider) Cancel(now time.Time, id medlargw.JobID) {
-	if state := d.jobs[id]; state != nil {
-		d.fail(state, medlargw.CodeCancelled, "the job was cancelled", 0)
-		d.dispatch(now)
+	state := d.jobs[id]
+	if state == nil || state.cancelled {
+		return
 	}
+	state.cancelled = true
+	d.cancelled = append(d.cancelled, id)
+	d.dispatch(now)
 }
 
 // Tick ends the jobs whose deadline has passed and starts what time allows.
 func (d *Decider) Tick(now time.Time) {
-	for {
-		state := d.deadlines.first()
-		if state == nil || now.Before(state.job.Deadline) {
+	for range maxDrops {
+		if d.deadlines.Len() == 0 || now.Before(d.deadlines.First().job.Deadline) {
 			break
 		}
-		d.fail(state, medlargw.CodeDeadline, "the deadline has passed", 0)
-	}
-	for team, until := range d.blocked {
-		if !until.IsZero() && !now.Before(until) {
-			d.unblock(team)
-		}
+		d.fail(d.deadlines.First(), medlargw.CodeDeadline, "the deadline has passed", 0)
 	}
 	d.dispatch(now)
 }
 
-func (d *Decider) unblock(team medlargw.TeamName) {
-	delete(d.blocked, team)
-	d.scheduler.Unblock(team)
-}
-
 func (d *Decider) count(team medlargw.TeamName, n int) {
 	d.total += n
 	d.waiting[team] += n
@@ -145,56 +167,3 @@
 		delete(d.waiting, team)
 	}
 }
-
-// dispatch starts waiting tasks in order of precedence while slots are free.
-func (d *Decider) dispatch(now time.Time) {
-	for d.placer.Free() > 0 {
-		c, ok := d.scheduler.Peek()
-		if !ok {
-			break
-		}
-		allowed, until := d.limiter.Take(now, c.Job)
-		if !allowed {
-			d.blocked[c.Job.Team] = until
-			d.scheduler.Block(c.Job.Team)
-			continue
-		}
-		slot, ok := d.placer.Pick(now, c.Job)
-		if !ok {
-			d.limiter.Return(now, c.Job)
-			break
-		}
-		d.scheduler.Take(c)
-		d.start(c, &slot)
-	}
-	d.setWake()
-}
-
-func (d *Decider) start(c medlargw.Candidate, slot *medlargw.Capacity) {
-	a := medlargw.Attempt{
-		Tag:     d.newTag(),
-		Job:     c.Job,
-		Index:   c.Index,
-		Target:  slot.Target.Name,
-		Addr:    slot.Target.Addr,
-		Lease:   d.settings.Task.Lease,
-		UseUpTo: slot.Until,
-	}
-	d.jobs[c.Job.ID].running[a.Tag] = c.Index
-	d.count(c.Job.Team, -1)
-	d.actions.Starts = append(d.actions.Starts, a)
-}
-
-// setWake finds the next time at which time alone changes something.
-func (d *Decider) setWake() {
-	var wake time.Time
-	if state := d.deadlines.first(); state != nil {
-		wake = state.job.Deadline
-	}
-	for _, until := range d.blocked {
-		if !until.IsZero() && (wake.IsZero() || until.Before(wake)) {
-			wake = until
-		}
-	}
-	d.actions.Wake = wake
-}
--- /dev/null
+++ b/decider/dispatch.go
@@ -0,0 +1,132 @@
+package decider
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+const (
+	maxDrops = 64  // Jobs that one event ends besides its own.
+	maxSteps = 512 // Tasks that one event starts or passes over.
+)
+
+// dispatch starts waiting tasks in order of precedence while slots are free.
+func (d *Decider) dispatch(now time.Time) {
+	d.now = now
+	d.placer.Tick(now)
+	d.resumeExpired(now)
+	d.unsettled = true
+	drops := 0
+	for range maxSteps {
+		if d.placer.Free() == 0 {
+			d.unsettled = false
+			break
+		}
+		c, ok := d.scheduler.Peek(d.placer.Room())
+		if !ok {
+			d.unsettled = false
+			break
+		}
+		if d.dropped(now, c.Job) {
+			drops++
+			if drops == maxDrops {
+				break
+			}
+			continue
+		}
+		d.tryStart(now, c)
+	}
+	d.endCancelled(maxDrops - drops)
+	d.setWake(now)
+}
+
+// tryStart starts the task, or pauses the lane that is at its limit.
+func (d *Decider) tryStart(now time.Time, c medlargw.Candidate) {
+	allowed, lane, until := d.limiter.Take(now, c.Job)
+	if !allowed {
+		d.pause(lane, until)
+		return
+	}
+	slot, ok := d.placer.Pick(now, c.Job)
+	if !ok {
+		panic("no target for a task that fits into a free slot")
+	}
+	d.scheduler.Take(c)
+	d.start(c, &slot)
+}
+
+// dropped ends the job instead of starting its next task, where it has no use.
+func (d *Decider) dropped(now time.Time, job *medlargw.Job) bool {
+	state := d.jobs[job.ID]
+	if state.cancelled {
+		d.failCancelled(state)
+		return true
+	}
+	if !now.Before(job.Deadline) {
+		d.fail(state, medlargw.CodeDeadline, "the deadline has passed", 0)
+		return true
+	}
+	if wait := d.placer.Failing(now, job); wait > 0 {
+		d.fail(state, medlargw.CodeServiceFailing, failingMessage, wait)
+		return true
+	}
+	return false
+}
+
+func (d *Decider) failCancelled(s *jobState) {
+	d.fail(s, medlargw.CodeCancelled, "the job was cancelled", 0)
+}
+
+// endCancelled ends up to n of the jobs that were cancelled.
+func (d *Decider) endCancelled(n int) {
+	n = min(n, len(d.cancelled))
+	for _, id := range d.cancelled[:n] {
+		if state := d.jobs[id]; state != nil {
+			d.failCancelled(state)
+		}
+	}
+	d.cancelled = d.cancelled[n:]
+	if len(d.cancelled) == 0 {
+		d.cancelled = nil
+	}
+}
+
+func (d *Decider) start(c medlargw.Candidate, slot *medlargw.Capacity) {
+	a := medlargw.Attempt{
+		Tag:     d.newTag(),
+		Job:     c.Job,
+		Index:   c.Index,
+		Target:  slot.Target.Name,
+		Addr:    slot.Target.Addr,
+		Lease:   d.settings.Task.Lease,
+		UseUpTo: slot.Until,
+	}
+	d.jobs[c.Job.ID].running[c.Index] = running{tag: a.Tag, target: a.Target}
+	d.count(c.Job.Team, -1)
+	d.actions.Starts = append(d.actions.Starts, a)
+}
+
+// setWake finds the next time at which time alone changes something.
+func (d *Decider) setWake(now time.Time) {
+	if d.unsettled || len(d.cancelled) > 0 {
+		d.actions.Wake = now
+		return
+	}
+	wake := d.placer.Wake()
+	if d.deadlines.Len() > 0 {
+		wake = earlier(wake, d.deadlines.First().job.Deadline)
+	}
+	if d.expiring.Len() > 0 {
+		wake = earlier(wake, d.expiring.First().until)
+	}
+	d.actions.Wake = wake
+}
+
+// earlier returns the earlier time, where zero is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/decider/jobstate.go
+++ b/decider/jobstate.go
@@ -9,20 +9,38 @@
 
 // jobState is a job that has not ended.
 type jobState struct {
-	job     *medlargw.Job
-	results []medlargw.TaskResult
-	left    int                  // Tasks without a result.
-	running map[medlargw.Tag]int // Position of the task by attempt.
-	tries   int                  // Attempts that were proven not started.
-	index   int                  // Position in the deadline heap.
+	job       *medlargw.Job
+	results   []medlargw.TaskResult
+	running   []running // By position of the task.
+	left      int       // Tasks without a result.
+	tries     int       // Attempts that were proven not started.
+	cancelled bool
+	index     int // Position among the deadlines.
 }
 
+// running is the attempt of one task; the tag is empty while there is none.
+type running struct {
+	tag    medlargw.Tag
+	target medlargw.TargetName
+}
+
+// Before is part of a ranker's element.
+func (s *jobState) Before(other *jobState) bool {
+	if s.job.Deadline.Equal(other.job.Deadline) {
+		return s.job.ID < other.job.ID
+	}
+	return s.job.Deadline.Before(other.job.Deadline)
+}
+
+// Position is part of a ranker's element.
+func (s *jobState) Position() *int { return &s.index }
+
 func newJobState(job *medlargw.Job) *jobState {
 	s := &jobState{
 		job:     job,
 		results: make([]medlargw.TaskResult, len(job.Tasks)),
+		running: make([]running, len(job.Tasks)),
 		left:    len(job.Tasks),
-		running: make(map[medlargw.Tag]int, 1),
 	}
 	for i := range job.Tasks {
 		s.results[i].ID = job.Tasks[i].ID
@@ -32,15 +50,11 @@
 
 // settle takes the end of an attempt into its job.
 func (d *Decider) settle(s *jobState, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
-	delete(s.running, a.Tag)
+	s.running[a.Index] = running{}
 	s.results[a.Index].Fate = end.Fate()
 	switch end.Kind {
 	case medlargw.EndSucceeded:
-		s.results[a.Index].Body = end.Body
-		s.left--
-		if s.left == 0 {
-			d.complete(s)
-		}
+		d.keep(s, a, end)
 	case medlargw.EndNotStarted:
 		d.again(s, a, end)
 	case medlargw.EndFailed:
@@ -58,43 +72,62 @@
 	return fmt.Sprintf("task %q %s: %s", a.Task().ID, what, detail)
 }
 
+// keep adds a task's answer to that of the job. Where the answers of all jobs
+// exceed the hard limit, one job fails for all others.
+func (d *Decider) keep(s *jobState, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
+	s.results[a.Index].Body = end.Body
+	s.left--
+	if s.left == 0 {
+		d.end(s, medlargw.Outcome{Complete: true, Tasks: s.results})
+		return
+	}
+	d.accountant.Add(s.job, int64(len(end.Body)))
+	for victim := d.accountant.Victim(); victim != nil; victim = d.accountant.Victim() {
+		d.fail(d.jobs[victim.ID], medlargw.CodeAnswerTooLarge, "the entry holds too many bytes, and this job the most", minRetryAfter)
+	}
+}
+
 // again lets a task that was not started wait once more, a bounded number of
 // times over the whole job.
 func (d *Decider) again(s *jobState, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
 	s.tries++
 	d.count(s.job.Team, 1)
+	d.scheduler.Requeue(s.job, a.Index)
 	if s.tries > d.settings.Task.Tries*len(s.job.Tasks) {
-		d.fail(s, medlargw.CodeOverloaded, taskMessage(a, "was not started", end), retryAfter)
-		return
+		d.fail(s, medlargw.CodeOverloaded, taskMessage(a, "was not started", end), minRetryAfter)
 	}
-	d.scheduler.Requeue(s.job, a.Index)
-}
-
-func (d *Decider) complete(s *jobState) {
-	d.end(s, medlargw.Outcome{Complete: true, Tasks: s.results})
 }
 
 // fail ends the job: waiting tasks are dropped, running ones are stopped and
 // their fate is unknown.
 func (d *Decider) fail(s *jobState, code medlargw.Code, message string, retryAfter time.Duration) {
-	for tag, i := range s.running {
-		s.results[i].Fate = medlargw.FateUnknown
-		d.actions.Stops = append(d.actions.Stops, tag)
-	}
 	waiting := 0
 	for i := range s.results {
 		s.results[i].Body = nil
-		if s.results[i].Fate == medlargw.FateNotRun {
+		switch {
+		case s.running[i].tag != "":
+			d.orphan(s, i)
+		case s.results[i].Fate == medlargw.FateNotRun:
 			waiting++
 		}
 	}
-	d.scheduler.Remove(s.job)
 	d.count(s.job.Team, -waiting)
 	d.end(s, medlargw.Outcome{Code: code, Message: message, RetryAfter: retryAfter, Tasks: s.results})
 }
 
+// orphan stops a running task of a job that ends. Its slot and units stay
+// reserved until its end is reported.
+func (d *Decider) orphan(s *jobState, i int) {
+	r := s.running[i]
+	s.results[i].Fate = medlargw.FateUnknown
+	d.actions.Stops = append(d.actions.Stops, r.tag)
+	d.orphans[r.tag] = medlargw.LeakStatus{Job: s.job.ID, Target: r.target, Ended: d.now}
+}
+
 func (d *Decider) end(s *jobState, outcome medlargw.Outcome) {
 	delete(d.jobs, s.job.ID)
-	d.deadlines.remove(s)
+	d.deadlines.Remove(s)
+	d.scheduler.Remove(s.job)
+	d.accountant.Release(s.job)
 	d.actions.Finishes = append(d.actions.Finishes, medlargw.Finish{Job: s.job, Outcome: outcome})
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -54,19 +54,27 @@
 // Scheduler orders the waiting tasks. It is used by one goroutine.
 type Scheduler interface {
 	Configure(cfg *Config)
-	// Add lets all tasks of an admitted job wait.
-	Add(job *Job)
-	// Peek returns the task to start next, without removing it.
-	Peek() (Candidate, bool)
+	// SetSizes tells the distinct task sizes that targets can hold, ascending.
+	SetSizes(sizes []int64)
+	// Add lets all tasks of an admitted job wait. The estimate is of one task.
+	Add(job *Job, estimate time.Duration)
+	// Peek returns the task to start next among those that fit into room bytes,
+	// without removing it.
+	Peek(room int64) (Candidate, bool)
 	// Take removes the task that Peek returned.
 	Take(c Candidate)
 	// Requeue puts a task back that was proven not started.
 	Requeue(job *Job, index int)
-	// Remove drops the waiting tasks of a job.
+	// Remove drops the waiting tasks of a job and forgets the job.
 	Remove(job *Job)
-	// Block passes over a team until Unblock.
-	Block(team TeamName)
-	Unblock(team TeamName)
+	// Block passes over a lane until Unblock.
+	Block(lane Lane)
+	Unblock(lane Lane)
+	// Backlog returns what waits before a new job of that class and team.
+	Backlog(class ClassName, team TeamName) Backlog
+	// Lowest returns the newest job without a start in the lowest class below
+	// the given one.
+	Lowest(below ClassName) (*Job, bool)
 	// Waiting returns the waiting tasks by class, from the highest rank.
 	Waiting() []ClassDemand
 	// Queues returns the waiting tasks by class and team.
@@ -81,23 +89,44 @@
 	Pick(now time.Time, job *Job) (Capacity, bool)
 	// Release frees the slot, and learns from the end of the attempt.
 	Release(now time.Time, attempt *Attempt, end *AttemptEnd)
-	// Free returns the slots that are free now.
+	// Tick lets time alone change the state; Wake says when it does next, zero
+	// is never.
+	Tick(now time.Time)
+	Wake() time.Time
+	// Free returns the slots that are free now, and Slots all that are in use
+	// or free.
 	Free() int
+	Slots() int
+	// Room returns the largest task size that a free slot can hold, in bytes.
+	Room() int64
+	// Sizes returns the distinct task sizes that targets can hold, ascending.
+	Sizes() []int64
 	// Fits reports whether any known target could hold a task of that size.
 	Fits(size int64) bool
+	// Failing returns how long the job is refused because its service fails
+	// everywhere; zero admits them.
+	Failing(now time.Time, job *Job) time.Duration
 	// SetAside takes a target out of use, or back into it.
 	SetAside(now time.Time, target TargetName, aside bool)
 	Status() []TargetStatus
 }
 
-// Limiter keeps teams within their limits. It is used by one goroutine.
+// Limiter keeps teams and services within their limits. It is used by one
+// goroutine.
 type Limiter interface {
 	Configure(cfg *Config)
-	// Take reserves one running task and one start. If the team is at a limit it
-	// returns false, and the time at which a start may be allowed; zero is when
-	// a running task ends.
-	Take(now time.Time, job *Job) (bool, time.Time)
+	// SetShare replaces the configured limit of the team by this entry's share
+	// of it. Zero allows nothing where the configured limit is a bound.
+	SetShare(team TeamName, share Limit)
+	// Take reserves one running task and one start. At a limit it returns false,
+	// the lane that the limit holds back, and the time at which a start may be
+	// allowed; zero is when a running task ends.
+	Take(now time.Time, job *Job) (bool, Lane, time.Time)
+	// Undo gives back what Take reserved for a start that did not happen.
+	Undo(now time.Time, job *Job)
 	// Return frees the running task.
 	Return(now time.Time, job *Job)
+	// Limit returns the limit in force for the team on this entry.
+	Limit(team TeamName) Limit
 	Status() []LimitStatus
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,105 +1,133 @@
-// Package limiter keeps teams within their limits of running tasks and of
-// starts per second.
+// Package limiter keeps teams and services within their limits of running
+// tasks and of starts per second.
 //
-// It holds one record per team with a limit; a team without one is not
-// recorded.
+// It holds one record per lane: one for each team, and one for each service
+// that has a limit of its own. A start passes the record of its service and
+// that of its team, or neither is charged.
 package limiter
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"medlargw.example/medlargw"
 )
 
 // Limiter implements medlargw.Limiter.
 type Limiter struct {
-	teams map[medlargw.TeamName]*teamUse
+	uses map[medlargw.Lane]*use
 }
 
 var _ medlargw.Limiter = (*Limiter)(nil)
 
-// teamUse is what one team uses of its limit.
-type teamUse struct {
-	limit   medlargw.Limit
-	running int
-	starts  *rate.Limiter
-}
-
 // New returns a limiter without limits.
 func New() *Limiter {
-	return &Limiter{teams: map[medlargw.TeamName]*teamUse{}}
+	return &Limiter{uses: map[medlargw.Lane]*use{}}
 }
 
-// Configure sets the limits. Running tasks stay counted.
+// Configure sets the limits. Running tasks stay counted and shares in force.
 func (l *Limiter) Configure(cfg *medlargw.Config) {
-	seen := make(map[medlargw.TeamName]bool, len(cfg.Teams))
-	for _, t := range cfg.Teams {
-		seen[t.Name] = true
-		u := l.teams[t.Name]
-		if u == nil {
-			u = &teamUse{}
-			l.teams[t.Name] = u
+	seen := make(map[medlargw.Lane]bool, len(cfg.Teams))
+	for i := range cfg.Teams {
+		lane := medlargw.Lane{Team: cfg.Teams[i].Name}
+		seen[lane] = true
+		l.use(lane).configure(cfg.Teams[i].Limit)
+	}
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		if s.Limit == (medlargw.Limit{}) {
+			continue
 		}
-		u.setLimit(t.Limit)
+		lane := medlargw.Lane{Team: s.Team, Service: s.Name}
+		seen[lane] = true
+		l.use(lane).configure(s.Limit)
 	}
-	for name, u := range l.teams {
-		if !seen[name] && u.running == 0 {
-			delete(l.teams, name)
+	for lane, u := range l.uses {
+		if seen[lane] {
+			continue
+		}
+		u.configure(medlargw.Limit{})
+		if u.running == 0 {
+			delete(l.uses, lane)
 		}
 	}
 }
 
-func (u *teamUse) setLimit(limit medlargw.Limit) {
-	changed := u.limit.Starts != limit.Starts
-	u.limit = limit
-	if limit.Starts == 0 {
-		u.starts = nil
-		return
-	}
-	if changed || u.starts == nil {
-		burst := int(math.Ceil(limit.Starts)) // One second of starts.
-		u.starts = rate.NewLimiter(rate.Limit(limit.Starts), max(1, burst))
+// SetShare replaces the configured limit of the team by a share of it.
+func (l *Limiter) SetShare(team medlargw.TeamName, share medlargw.Limit) {
+	u := l.use(medlargw.Lane{Team: team})
+	u.share = share
+	u.shared = true
+	u.derive()
+}
+
+func (l *Limiter) use(lane medlargw.Lane) *use {
+	u := l.uses[lane]
+	if u == nil {
+		u = &use{}
+		l.uses[lane] = u
 	}
+	return u
 }
 
 // Take reserves one running task and one start.
-func (l *Limiter) Take(now time.Time, job *medlargw.Job) (bool, time.Time) {
-	u := l.teams[job.Team]
-	if u == nil {
-		u = &teamUse{}
-		l.teams[job.Team] = u
+func (l *Limiter) Take(now time.Time, job *medlargw.Job) (bool, medlargw.Lane, time.Time) {
+	lane := medlargw.Lane{Team: job.Team}
+	team := l.use(lane)
+	if ok, until := team.allows(now); !ok {
+		return false, lane, until
 	}
-	if u.limit.Running > 0 && u.running >= u.limit.Running {
-		return false, time.Time{}
+	lane.Service = job.Service
+	service := l.uses[lane]
+	if service != nil {
+		if ok, until := service.allows(now); !ok {
+			return false, lane, until
+		}
+		service.take(now)
 	}
-	if u.starts != nil && !u.starts.AllowN(now, 1) {
-		missing := 1 - u.starts.TokensAt(now)
-		wait := time.Duration(missing / u.limit.Starts * float64(time.Second))
-		return false, now.Add(wait + time.Millisecond)
+	team.take(now)
+	return true, medlargw.Lane{}, time.Time{}
+}
+
+// Undo gives back what Take reserved.
+func (l *Limiter) Undo(now time.Time, job *medlargw.Job) {
+	l.Return(now, job)
+	l.uses[medlargw.Lane{Team: job.Team}].giveBack(now)
+	if u := l.uses[medlargw.Lane{Team: job.Team, Service: job.Service}]; u != nil {
+		u.giveBack(now)
 	}
-	u.running++
-	return true, time.Time{}
 }
 
 // Return frees the running task.
 func (l *Limiter) Return(_ time.Time, job *medlargw.Job) {
-	u := l.teams[job.Team]
+	u := l.uses[medlargw.Lane{Team: job.Team}]
 	if u == nil || u.running == 0 {
 		panic("running task returned twice: " + string(job.Team))
 	}
 	u.running--
+	// A service may have got its limit while this task ran uncounted.
+	if u := l.uses[medlargw.Lane{Team: job.Team, Service: job.Service}]; u != nil && u.running > 0 {
+		u.running--
+	}
+}
+
+// Limit returns the limit in force for the team.
+func (l *Limiter) Limit(team medlargw.TeamName) medlargw.Limit {
+	if u := l.uses[medlargw.Lane{Team: team}]; u != nil {
+		return u.limit
+	}
+	return medlargw.Limit{}
 }
 
 // Status returns the teams in the order of their names.
 func (l *Limiter) Status() []medlargw.LimitStatus {
-	all := make([]medlargw.LimitStatus, 0, len(l.teams))
-	for name, u := range l.teams {
-		all = append(all, medlargw.LimitStatus{Team: name, Running: u.running, Limit: u.limit})
+	all := make([]medlargw.LimitStatus, 0, len(l.uses))
+	for lane, u := range l.uses {
+		if lane.Service != "" {
+			continue
+		}
+		all = append(all, medlargw.LimitStatus{Team: lane.Team, Running: u.running, Limit: u.limit, Blocked: u.full()})
 	}
 	slices.SortFunc(all, func(a, b medlargw.LimitStatus) int { return cmp.Compare(a.Team, b.Team) })
 	return all
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,174 +1,221 @@
 // Package placer picks targets for tasks.
 //
 // It counts the slots in use of each target that this entry may use. Targets
-// with a free slot are kept in buckets by the number of free slots, so that a
-// pick costs the same however many targets there are.
+// with a free slot are kept in one heap per tier, a tier being the targets that
+// can hold the same task size; the first of a heap has the best learned speed,
+// and among equals the smallest used share. A pick looks at the tiers from the
+// smallest that fits, so that large targets stay free for large tasks.
+//
+// A target whose attempts fail where the same services succeed elsewhere is
+// quarantined; a service that fails on all targets is refused. Both are tried
+// again with single jobs. What time alone changes waits in a heap of timers.
 package placer
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/ranker"
 )
 
 // Placer implements medlargw.Placer.
 type Placer struct {
-	targets map[medlargw.TargetName]*targetUse
-	free    []*targetUse // Targets with a free slot, in no order.
-	slots   int          // Free slots of all targets.
-	next    int          // Where the next pick starts in free.
+	estimator medlargw.Estimator
+	targets   map[medlargw.TargetName]*target
+	tiers     []*tier // In ascending order of size.
+	timers    ranker.Ranker[*timer]
+	due       ranker.Ranker[*probe] // Quarantined targets that may be probed now.
+	services  services
+	free      int
+	slots     int
+	known     int // Targets with slots.
+	shut      int // Targets in quarantine.
+	round     uint64
 }
 
 var _ medlargw.Placer = (*Placer)(nil)
 
-// targetUse is what this entry uses of one target.
-type targetUse struct {
-	capacity medlargw.Capacity
-	used     int
-	aside    bool // An operator took it out of use.
-	index    int  // Position in free; -1 is outside.
-}
-
-func (u *targetUse) freeSlots() int {
-	if u.capacity.Target.Leaving || u.aside {
-		return 0
-	}
-	return max(0, u.capacity.Slots-u.used)
+// tier holds the targets of one size that have a free slot.
+type tier struct {
+	size  int64
+	known int // Targets with slots, free or not.
+	open  ranker.Ranker[*target]
 }
 
 // New returns a placer without targets.
-func New() *Placer {
-	return &Placer{targets: map[medlargw.TargetName]*targetUse{}}
+func New(estimator medlargw.Estimator) *Placer {
+	return &Placer{
+		estimator: estimator,
+		targets:   map[medlargw.TargetName]*target{},
+		services:  newServices(),
+	}
 }
 
-// SetCapacity replaces what this entry may use. Slots in use of a target that
-// is no longer among them are counted until they are released.
-func (p *Placer) SetCapacity(_ time.Time, all []medlargw.Capacity) {
-	for _, u := range p.targets {
-		u.capacity.Slots = 0
+// Pick reserves one slot.
+func (p *Placer) Pick(now time.Time, job *medlargw.Job) (medlargw.Capacity, bool) {
+	t := p.pickProbe(now, job)
+	if t == nil {
+		t = p.pickOpen(job.Size)
 	}
-	for _, c := range all {
-		u := p.targets[c.Target.Name]
-		if u == nil {
-			u = &targetUse{index: -1}
-			p.targets[c.Target.Name] = u
-		}
-		u.capacity = c
+	if t == nil {
+		return medlargw.Capacity{}, false
 	}
-	p.rebuild()
+	t.used++
+	p.services.started(now, job)
+	p.refresh(now, t)
+	return t.capacity, true
 }
 
-// rebuild derives the free list anew and forgets targets without any use.
-func (p *Placer) rebuild() {
-	p.free = p.free[:0]
-	p.slots = 0
-	for name, u := range p.targets {
-		u.index = -1
-		if u.capacity.Slots == 0 && u.used == 0 && !u.aside {
-			delete(p.targets, name)
-			continue
+func (p *Placer) pickOpen(size int64) *target {
+	from, _ := slices.BinarySearchFunc(p.tiers, size, func(t *tier, size int64) int { return cmp.Compare(t.size, size) })
+	for _, tier := range p.tiers[from:] {
+		if tier.open.Len() > 0 {
+			return tier.open.First()
 		}
-		p.slots += u.freeSlots()
-		p.list(u)
 	}
+	return nil
 }
 
-// list keeps the target in the free list exactly while it has a free slot.
-func (p *Placer) list(u *targetUse) {
-	switch {
-	case u.freeSlots() > 0 && u.index < 0:
-		u.index = len(p.free)
-		p.free = append(p.free, u)
-	case u.freeSlots() == 0 && u.index >= 0:
-		last := p.free[len(p.free)-1]
-		p.free[u.index] = last
-		last.index = u.index
-		p.free = p.free[:len(p.free)-1]
-		u.index = -1
+// pickProbe returns a quarantined target that is due, for an idempotent job.
+func (p *Placer) pickProbe(now time.Time, job *medlargw.Job) *target {
+	if !job.Idempotent || p.due.Len() == 0 || p.services.failing(now, job) > 0 {
+		return nil
 	}
+	t := p.due.First().target
+	if job.Size > t.tier.size {
+		return nil
+	}
+	t.quarantine.probing = true
+	t.quarantine.job = job.ID
+	return t
 }
 
-// Pick reserves one slot, going round the targets that have one free.
-func (p *Placer) Pick(now time.Time, job *medlargw.Job) (medlargw.Capacity, bool) {
-	for range len(p.free) {
-		p.next = (p.next + 1) % len(p.free)
-		u := p.free[p.next]
-		if !fits(&u.capacity.Target, job.Size) || expired(&u.capacity, now) {
-			continue
-		}
-		u.used++
-		p.slots--
-		p.list(u)
-		return u.capacity, true
+// Release frees the slot of an attempt and learns from its end.
+func (p *Placer) Release(now time.Time, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
+	t := p.targets[a.Target]
+	if t == nil || t.used == 0 {
+		panic("slot released twice: " + string(a.Target))
 	}
-	return medlargw.Capacity{}, false
+	t.used--
+	p.learn(now, t, a, end)
+	p.refresh(now, t)
 }
 
-func fits(t *medlargw.Target, size int64) bool { return t.Memory == 0 || size <= t.Memory }
+// refresh puts the target where its state belongs.
+func (p *Placer) refresh(now time.Time, t *target) {
+	free := t.freeSlots(now)
+	p.free += free - t.free
+	t.free = free
+	usable := max(t.used, t.usableSlots(now))
+	p.slots += usable - t.usable
+	t.usable = usable
+	p.shut -= t.shut
+	t.shut = 0
+	if t.quarantine.shut && t.capacity.Slots > 0 {
+		t.shut = 1
+	}
+	p.shut += t.shut
+	t.left = t.leaving(now)
+	if free > 0 {
+		t.tier.open.Set(t)
+	} else {
+		t.tier.open.Remove(t)
+	}
+	if t.probeDue(now) {
+		p.due.Set(&t.probe)
+	} else {
+		p.due.Remove(&t.probe)
+	}
+	t.timer.at = t.wake(now)
+	if t.timer.at.IsZero() {
+		p.timers.Remove(&t.timer)
+	} else {
+		p.timers.Set(&t.timer)
+	}
+}
 
-func expired(c *medlargw.Capacity, now time.Time) bool {
-	return !c.Until.IsZero() && now.After(c.Until)
+// Tick lets time alone change the state of targets.
+func (p *Placer) Tick(now time.Time) {
+	for p.timers.Len() > 0 {
+		first := p.timers.First()
+		if now.Before(first.at) {
+			return
+		}
+		p.refresh(now, first.target)
+		p.forget(now, first.target)
+	}
 }
 
-// Release frees the slot of an attempt.
-func (p *Placer) Release(_ time.Time, a *medlargw.Attempt, _ *medlargw.AttemptEnd) {
-	u := p.targets[a.Target]
-	if u == nil || u.used == 0 {
-		panic("slot released twice: " + string(a.Target))
+// Wake returns when time alone changes the state next.
+func (p *Placer) Wake() time.Time {
+	if p.timers.Len() == 0 {
+		return time.Time{}
 	}
-	before := u.freeSlots()
-	u.used--
-	p.slots += u.freeSlots() - before
-	p.list(u)
+	return p.timers.First().at
 }
 
 // Free returns the number of free slots.
-func (p *Placer) Free() int { return p.slots }
+func (p *Placer) Free() int { return p.free }
 
-// Fits reports whether any known target could hold a task of that size.
-func (p *Placer) Fits(size int64) bool {
-	for _, u := range p.targets {
-		if fits(&u.capacity.Target, size) {
-			return true
+// Slots returns the number of slots in use or free.
+func (p *Placer) Slots() int { return p.slots }
+
+// Room returns the largest task size that a free slot can hold.
+func (p *Placer) Room() int64 {
+	for _, tier := range slices.Backward(p.tiers) {
+		if tier.open.Len() > 0 {
+			return tier.size
 		}
 	}
-	return len(p.targets) == 0
+	return -1
 }
 
-// SetAside takes a target out of use, or back into it.
-func (p *Placer) SetAside(_ time.Time, target medlargw.TargetName, aside bool) {
-	u := p.targets[target]
-	if u == nil {
-		u = &targetUse{index: -1}
-		p.targets[target] = u
+// Sizes returns the distinct task sizes that targets can hold.
+func (p *Placer) Sizes() []int64 {
+	sizes := make([]int64, len(p.tiers))
+	for i, tier := range p.tiers {
+		sizes[i] = tier.size
 	}
-	u.aside = aside
-	p.rebuild()
+	return sizes
+}
+
+// Fits reports whether any known target could hold a task of that size.
+func (p *Placer) Fits(size int64) bool {
+	return len(p.tiers) == 0 || size <= p.tiers[len(p.tiers)-1].size
+}
+
+// Failing returns how long jobs of the service are refused.
+func (p *Placer) Failing(now time.Time, job *medlargw.Job) time.Duration {
+	return p.services.failing(now, job)
+}
+
+// SetAside takes a target out of use, or back into it.
+func (p *Placer) SetAside(now time.Time, name medlargw.TargetName, aside bool) {
+	t := p.target(now, name)
+	t.aside = aside
+	t.asideSince = now
+	p.refresh(now, t)
 }
 
 // Status returns the targets in the order of their names.
 func (p *Placer) Status() []medlargw.TargetStatus {
 	all := make([]medlargw.TargetStatus, 0, len(p.targets))
-	for _, u := range p.targets {
-		all = append(all, medlargw.TargetStatus{
-			Target: u.capacity.Target,
-			Slots:  u.capacity.Slots,
-			Used:   u.used,
-			State:  u.state(),
-		})
+	for _, t := range p.targets {
+		if t.capacity.Slots > 0 || t.used > 0 || t.aside {
+			all = append(all, t.status())
+		}
 	}
 	slices.SortFunc(all, func(a, b medlargw.TargetStatus) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
 	return all
 }
 
-func (u *targetUse) state() medlargw.TargetState {
-	switch {
-	case u.aside:
-		return medlargw.TargetSetAside
-	case u.capacity.Target.Leaving:
-		return medlargw.TargetLeaving
+// sizeOf returns the largest task size that a target can hold.
+func sizeOf(t *medlargw.Target) int64 {
+	if t.Memory == 0 {
+		return math.MaxInt64
 	}
-	return medlargw.TargetServing
+	return t.Memory
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -2,235 +2,258 @@
 // classes, weighted fairness between the teams of one class, and whole jobs in
 // turn within one team.
 //
-// Each class holds its teams in a heap ordered by virtual time, the number of
-// tasks taken divided by the weight. A team holds its waiting jobs in order of
-// arrival; a job is a list of task positions that still wait. A blocked team
-// stays out of the heap, so that Peek never looks at work that cannot start.
+// The work is a tree of indexed heaps. Each class has one heap per size tier,
+// a tier being the tasks that fit into the same targets. Its elements are the
+// teams, ordered by virtual time, the number of tasks taken divided by the
+// weight. Below, each team has a heap of its services, and each service a heap
+// of jobs. What is blocked stays out of its heap, so that Peek never looks at
+// work that cannot start, and every change costs the logarithm of what waits.
 package scheduler
 
 import (
 	"cmp"
-	"container/heap"
+	"math"
 	"slices"
+	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/ranker"
 )
 
 // Scheduler implements medlargw.Scheduler.
 type Scheduler struct {
-	ranks   map[medlargw.ClassName]int
-	weights map[medlargw.TeamName]int
-	blocked map[medlargw.TeamName]bool
-	classes []*classQueue
-	jobs    map[medlargw.JobID]*jobQueue
+	order    medlargw.JobOrder
+	ranks    map[medlargw.ClassName]int
+	weights  map[medlargw.TeamName]int
+	sizes    []int64 // Upper bounds of the tiers; a last tier holds what fits nowhere.
+	blocked  map[medlargw.Lane]bool
+	classes  []*class
+	floors   []*class // Those with a floor.
+	teams    map[medlargw.TeamName][]*member
+	lanes    map[medlargw.Lane][]*lane
+	entries  map[medlargw.JobID]*entry
+	sequence uint64
 }
 
 var _ medlargw.Scheduler = (*Scheduler)(nil)
 
-// classQueue holds the waiting work of one class.
-type classQueue struct {
-	tasks   int
-	clock   float64 // Virtual time of the team served last.
-	teams   map[medlargw.TeamName]*teamQueue
-	runable teamHeap
-}
-
-// teamQueue holds the waiting jobs of one team in one class.
-type teamQueue struct {
-	name    medlargw.TeamName
-	virtual float64
-	jobs    []*jobQueue
-	index   int // Position in the heap; -1 is outside.
-}
-
-// jobQueue holds the waiting tasks of one job.
-type jobQueue struct {
-	job   *medlargw.Job
-	rank  int
-	tasks []int
-}
-
-// New returns a scheduler without classes.
-func New() *Scheduler {
+// New returns a scheduler without classes, for targets without a bound on the
+// size of tasks.
+func New(order medlargw.JobOrder) *Scheduler {
 	return &Scheduler{
+		order:   order,
 		ranks:   map[medlargw.ClassName]int{},
 		weights: map[medlargw.TeamName]int{},
-		blocked: map[medlargw.TeamName]bool{},
-		jobs:    map[medlargw.JobID]*jobQueue{},
+		sizes:   []int64{math.MaxInt64},
+		blocked: map[medlargw.Lane]bool{},
+		teams:   map[medlargw.TeamName][]*member{},
+		lanes:   map[medlargw.Lane][]*lane{},
+		entries: map[medlargw.JobID]*entry{},
 	}
 }
 
-// Configure sets the classes and weights for jobs added from now on. Jobs that
-// wait keep the rank they were admitted with.
+// Configure sets the classes and weights. Jobs that wait keep the rank they
+// were admitted with.
 func (s *Scheduler) Configure(cfg *medlargw.Config) {
 	clear(s.ranks)
 	clear(s.weights)
-	for _, c := range cfg.Classes {
-		s.ranks[c.Name] = c.Rank
-		s.class(c.Rank)
+	s.floors = s.floors[:0]
+	for _, c := range s.classes {
+		c.floor = 0
 	}
-	for _, t := range cfg.Teams {
-		s.weights[t.Name] = t.Weight
+	for i := range cfg.Classes {
+		c := s.class(cfg.Classes[i].Rank)
+		s.ranks[cfg.Classes[i].Name] = c.rank
+		c.floor = cfg.Classes[i].Floor
+		if c.floor > 0 {
+			s.floors = append(s.floors, c)
+		}
+	}
+	for i := range cfg.Teams {
+		s.weights[cfg.Teams[i].Name] = max(1, cfg.Teams[i].Weight)
 	}
+	s.rebuild()
 }
 
-func (s *Scheduler) class(rank int) *classQueue {
+func (s *Scheduler) class(rank int) *class {
 	for len(s.classes) <= rank {
-		s.classes = append(s.classes, &classQueue{teams: map[medlargw.TeamName]*teamQueue{}})
+		s.classes = append(s.classes, &class{
+			rank:    len(s.classes),
+			members: map[medlargw.TeamName]*member{},
+			heaps:   make([]ranker.Ranker[*part], len(s.sizes)+1),
+		})
 	}
 	return s.classes[rank]
 }
 
-// Add lets all tasks of the job wait.
-func (s *Scheduler) Add(job *medlargw.Job) {
-	tasks := make([]int, len(job.Tasks))
-	for i := range tasks {
-		tasks[i] = len(tasks) - 1 - i // Taken from the end, so in order.
+// SetSizes tells the distinct task sizes that targets can hold. A change puts
+// all waiting jobs into their new tiers, which costs time in their number; it
+// comes with a new kind of target only.
+func (s *Scheduler) SetSizes(sizes []int64) {
+	if slices.Equal(s.sizes, sizes) {
+		return
 	}
-	s.insert(&jobQueue{job: job, rank: s.ranks[job.Class], tasks: tasks})
+	s.sizes = slices.Clone(sizes)
+	s.rebuild()
 }
 
-func (s *Scheduler) insert(q *jobQueue) {
-	s.jobs[q.job.ID] = q
-	c := s.class(q.rank)
-	c.tasks += len(q.tasks)
-	t := c.teams[q.job.Team]
-	if t == nil {
-		t = &teamQueue{name: q.job.Team, virtual: c.clock, index: -1}
-		c.teams[q.job.Team] = t
+// rebuild makes the heaps anew, and forgets the teams that have no work. Teams
+// with work keep their virtual time.
+func (s *Scheduler) rebuild() {
+	entries := make([]*entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		entries = append(entries, e)
 	}
-	if len(t.jobs) == 0 {
-		// An idle team gains no credit for the time it did not wait.
-		t.virtual = max(t.virtual, c.clock)
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	clear(s.lanes)
+	for _, c := range s.classes {
+		c.tasks, c.work, c.weight = 0, 0, 0
+		c.heaps = make([]ranker.Ranker[*part], len(s.sizes)+1)
+		for _, m := range c.members {
+			m.tasks, m.work, m.parts = 0, 0, nil
+			m.weight = max(1, s.weights[m.name])
+		}
 	}
-	t.jobs = append(t.jobs, q)
-	s.enqueue(c, t)
-}
-
-// enqueue puts a team with work into the heap, unless it is blocked.
-func (s *Scheduler) enqueue(c *classQueue, t *teamQueue) {
-	if t.index < 0 && len(t.jobs) > 0 && !s.blocked[t.name] {
-		heap.Push(&c.runable, t)
+	for _, e := range entries {
+		e.index = 0
+		s.attach(e)
+		s.insert(e)
 	}
-}
-
-func (c *classQueue) dequeue(t *teamQueue) {
-	if t.index >= 0 {
-		heap.Remove(&c.runable, t.index)
+	for _, c := range s.classes {
+		c.prune(s)
 	}
 }
 
-// Peek returns the task to start next.
-func (s *Scheduler) Peek() (medlargw.Candidate, bool) {
-	for rank, c := range s.classes {
-		if len(c.runable) == 0 {
+// prune forgets the members that have no job left.
+func (c *class) prune(s *Scheduler) {
+	for name, m := range c.members {
+		if m.parts != nil {
 			continue
 		}
-		q := c.runable[0].jobs[0]
-		return medlargw.Candidate{Job: q.job, Index: q.tasks[len(q.tasks)-1], Rank: rank}, true
+		delete(c.members, name)
+		s.teams[name] = slices.DeleteFunc(s.teams[name], func(other *member) bool { return other == m })
+		if len(s.teams[name]) == 0 {
+			delete(s.teams, name)
+		}
 	}
-	return medlargw.Candidate{}, false
 }
 
-// Take removes the task that Peek returned and charges its team.
-func (s *Scheduler) Take(cand medlargw.Candidate) {
-	c := s.classes[cand.Rank]
-	t := c.teams[cand.Job.Team]
-	q := t.jobs[0]
-	q.tasks = q.tasks[:len(q.tasks)-1]
-	c.tasks--
-	c.clock = t.virtual
-	t.virtual += 1 / float64(max(1, s.weights[t.name]))
-	if len(q.tasks) == 0 {
-		t.jobs = t.jobs[1:]
-		delete(s.jobs, q.job.ID)
-	}
-	if len(t.jobs) == 0 {
-		c.dequeue(t)
-		return
-	}
-	heap.Fix(&c.runable, t.index)
+// Add lets all tasks of the job wait.
+func (s *Scheduler) Add(job *medlargw.Job, estimate time.Duration) {
+	s.sequence++
+	e := &entry{job: job, sequence: s.sequence, estimate: estimate}
+	e.class = s.class(s.ranks[job.Class])
+	s.entries[job.ID] = e
+	s.attach(e)
+	e.class.link(e)
+	s.insert(e)
 }
 
-// Requeue puts back a task that was proven not started.
-func (s *Scheduler) Requeue(job *medlargw.Job, index int) {
-	if q := s.jobs[job.ID]; q != nil {
-		q.tasks = append(q.tasks, index)
-		s.classes[q.rank].tasks++
-		return
+// Peek returns the task to start next: of a class whose floor is owed a start,
+// or else of the highest class.
+func (s *Scheduler) Peek(room int64) (medlargw.Candidate, bool) {
+	for _, c := range s.floors {
+		if c.credit < 1 {
+			continue
+		}
+		if p := s.next(c, room); p != nil {
+			return p.candidate(), true
+		}
 	}
-	s.insert(&jobQueue{job: job, rank: s.ranks[job.Class], tasks: []int{index}})
+	for _, c := range s.classes {
+		if p := s.next(c, room); p != nil {
+			return p.candidate(), true
+		}
+	}
+	return medlargw.Candidate{}, false
 }
 
-// Remove drops the waiting tasks of the job.
-func (s *Scheduler) Remove(job *medlargw.Job) {
-	q := s.jobs[job.ID]
-	if q == nil {
-		return
+// next returns the part of the class to serve next, or nil.
+func (s *Scheduler) next(c *class, room int64) *part {
+	if c.tasks == 0 {
+		return nil
 	}
-	delete(s.jobs, job.ID)
-	c := s.classes[q.rank]
-	c.tasks -= len(q.tasks)
-	t := c.teams[job.Team]
-	for i := range t.jobs {
-		if t.jobs[i] == q {
-			t.jobs = append(t.jobs[:i:i], t.jobs[i+1:]...)
+	var best *part
+	for tier, size := range s.sizes {
+		if size > room {
 			break
 		}
+		h := &c.heaps[tier]
+		if h.Len() > 0 && (best == nil || h.First().preferred(best)) {
+			best = h.First()
+		}
 	}
-	if len(t.jobs) == 0 {
-		c.dequeue(t)
+	return best
+}
+
+// preferred orders parts of different tiers, which may be of the same member.
+func (p *part) preferred(other *part) bool {
+	if p.member == other.member {
+		return p.lanes.First().Before(other.lanes.First())
 	}
+	return p.Before(other)
 }
 
-// Block passes over the team's work until Unblock.
-func (s *Scheduler) Block(team medlargw.TeamName) {
-	s.blocked[team] = true
-	for _, c := range s.classes {
-		if t := c.teams[team]; t != nil {
-			c.dequeue(t)
+func (p *part) candidate() medlargw.Candidate {
+	e := p.lanes.First().jobs.First()
+	return medlargw.Candidate{Job: e.job, Index: e.first(), Rank: e.class.rank}
+}
+
+// Take removes the task that Peek returned and charges its team.
+func (s *Scheduler) Take(cand medlargw.Candidate) {
+	e := s.entries[cand.Job.ID]
+	c := e.class
+	m := e.member
+	c.unlink(e)
+	e.take()
+	m.count(-1, e.estimate)
+	s.charge(c)
+	c.clock = max(c.clock, m.virtual)
+	m.virtual += 1 / float64(m.weight)
+	s.moved(e)
+	for _, p := range m.parts {
+		if p != nil && p.index > 0 {
+			c.heaps[p.tier].Set(p)
 		}
 	}
 }
 
-// Unblock lets the team's work start again.
-func (s *Scheduler) Unblock(team medlargw.TeamName) {
-	if !s.blocked[team] {
-		return
-	}
-	delete(s.blocked, team)
-	for _, c := range s.classes {
-		if t := c.teams[team]; t != nil {
-			s.enqueue(c, t)
+// charge gives each class with a floor and waiting work its share of the
+// start, and takes the start from the class that got it.
+func (s *Scheduler) charge(taken *class) {
+	for _, c := range s.floors {
+		if c.tasks > 0 {
+			c.credit = min(c.credit+c.floor, maxCredit)
+		}
+		if c == taken {
+			c.credit = max(0, c.credit-1)
 		}
 	}
 }
 
-// Waiting returns the waiting tasks by class.
-func (s *Scheduler) Waiting() []medlargw.ClassDemand {
-	all := make([]medlargw.ClassDemand, 0, len(s.classes))
-	for rank, c := range s.classes {
-		all = append(all, medlargw.ClassDemand{Rank: rank, Tasks: c.tasks})
+// maxCredit is the number of starts that a floor may owe, so that a class
+// whose work was blocked can't take all slots later.
+const maxCredit = 2
+
+// Requeue puts back a task that was proven not started.
+func (s *Scheduler) Requeue(job *medlargw.Job, index int) {
+	e := s.entries[job.ID]
+	if e == nil {
+		return
 	}
-	return all
+	e.back = append(e.back, index)
+	e.member.count(1, e.estimate)
+	s.moved(e)
 }
 
-// Queues returns the waiting tasks by class and team.
-func (s *Scheduler) Queues() []medlargw.QueueStatus {
-	var all []medlargw.QueueStatus
-	for rank, c := range s.classes {
-		for name, t := range c.teams {
-			tasks := 0
-			for _, q := range t.jobs {
-				tasks += len(q.tasks)
-			}
-			if tasks > 0 {
-				all = append(all, medlargw.QueueStatus{Rank: rank, Team: name, Tasks: tasks})
-			}
-		}
+// Remove drops the waiting tasks of the job and forgets it.
+func (s *Scheduler) Remove(job *medlargw.Job) {
+	e := s.entries[job.ID]
+	if e == nil {
+		return
 	}
-	slices.SortFunc(all, func(a, b medlargw.QueueStatus) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Team, b.Team))
-	})
-	return all
+	delete(s.entries, job.ID)
+	e.class.unlink(e)
+	e.member.count(-e.waiting(), e.estimate)
+	s.detach(e)
 }
--- a/status.go
+++ b/status.go
@@ -15,6 +15,8 @@
 	Limits  []LimitStatus
 	Lent    []LoanStatus
 	Held    []LoanStatus
+	Bytes   int64        // Payload and answer bytes of jobs that have not ended.
+	Leaks   []LeakStatus // Reservations whose job ended a minute ago or longer.
 }
 
 // QueueStatus is the waiting work of one team in one class.
