--- a/builder/builder.go
+++ b/builder/builder.go
@@ -16,9 +16,11 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/placer"
@@ -56,7 +58,7 @@
 func (b *Builder) Core() *registrar.Registrar {
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
-	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
+	dec := decider.New(b.Settings, b.deciderTools(), newTag)
 	if b.Sender == nil {
 		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	}
@@ -83,6 +85,17 @@
 	return medlargw.Incarnation(binary.LittleEndian.Uint64(random[:]))
 }
 
+func (b *Builder) deciderTools() medlargw.DeciderTools {
+	est := estimator.New()
+	return medlargw.DeciderTools{
+		Scheduler:  scheduler.New(medlargw.OrderLeast),
+		Placer:     placer.New(est),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(b.Settings.Intake.Bytes),
+	}
+}
+
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
 func (b *Builder) reachPlatform() {
