Publish with keys, prune, races and collection; check across files

Cause: the thin path published anything from anybody, forgot which turn had taken effect after 32 publishes, took each conflict on a value for the same content, and never deleted old values. The head lists retired values; they are deleted after an hour and never named again. Result: the fault table (outage, lost reply, crash before and after, at each call of the store) ends with the change in force once and with every named value present; without the rule on retired values the collection test fails.

--- a/commander/check.go
+++ b/commander/check.go
@@ -1,39 +1,80 @@
 package commander
 
 import (
+	"context"
 	"fmt"
 	"io/fs"
+	"net/netip"
 	"os"
 	"path/filepath"
 
 	"github.com/spf13/cobra"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/accessor"
 	"medlargw.example/medlargw/checker"
+	"medlargw.example/medlargw/publisher"
 )
 
+// extension ends the names of the files that hold declarations.
+const extension = ".medlargw"
+
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var store string
+	cmd := &cobra.Command{
 		Use:   "check DIR...",
 		Short: "Report all faults of the *.medlargw files below the directories",
-		Args:  cobra.MinimumNArgs(1),
+		Long: "Report all faults of the *.medlargw files below the directories, one line each.\n" +
+			"With --store, the files are seen together with what is in force of other teams.",
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, dirs []string) error {
-			teams, err := readFiles(dirs)
+			files, err := readFiles(dirs)
+			if err != nil {
+				return err
+			}
+			inForce, err := readInForce(cmd.Context(), store)
 			if err != nil {
 				return err
 			}
-			cmd.Printf("%d teams, no faults\n", len(teams))
+			if err := files.Check(inForce); err != nil {
+				return err
+			}
+			cmd.Printf("no faults: %d teams\n", len(files.Teams()))
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&store, "store", "", "address of the store")
+	return cmd
+}
+
+// readInForce returns what is in force, or nothing without a store.
+func readInForce(ctx context.Context, store string) ([]medlargw.TeamConfig, error) {
+	if store == "" {
+		return nil, nil
+	}
+	platform, err := openStore(store)
+	if err != nil {
+		return nil, err
+	}
+	defer platform.Close()
+	return publisher.New(platform).Read(ctx)
 }
 
-// readFiles checks the *.medlargw files below the directories.
-func readFiles(dirs []string) ([]medlargw.TeamConfig, error) {
+func openStore(store string) (*accessor.Accessor, error) {
+	addr, err := netip.ParseAddrPort(store)
+	if err != nil {
+		return nil, fmt.Errorf("parse address of the store: %w", err)
+	}
+	return accessor.New(addr), nil
+}
+
+// readFiles reads the *.medlargw files below the directories.
+func readFiles(dirs []string) (*checker.Checker, error) {
 	c := checker.New()
+	found := 0
 	for _, dir := range dirs {
 		err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
-			if err != nil || entry.IsDir() || filepath.Ext(path) != ".medlargw" {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != extension {
 				return err
 			}
 			text, err := os.ReadFile(path) //nolint:gosec // The operator names the directory.
@@ -41,11 +82,15 @@
 				return err
 			}
 			c.Add(path, text)
+			found++
 			return nil
 		})
 		if err != nil {
 			return nil, fmt.Errorf("read declarations: %w", err)
 		}
 	}
-	return c.Check()
+	if found == 0 {
+		return nil, fmt.Errorf("read declarations: no *%s file below %q", extension, dirs)
+	}
+	return c, nil
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,7 +25,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand())
+	root.SetOut(os.Stdout) // Results; errors go to standard error.
+	root.AddCommand(serveCommand(), checkCommand(), publishCommand(), versionCommand())
 	return &Commander{root: root}
 }
 
--- /dev/null
+++ b/commander/publish.go
@@ -0,0 +1,100 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/checker"
+	"medlargw.example/medlargw/publisher"
+)
+
+// publishTimeout bounds one publish, retries included.
+const publishTimeout = 30 * time.Second
+
+// keyVariable names the environment variable that holds the publishing key.
+const keyVariable = "MEDLARGW_KEY"
+
+// publishFlags are the flags of publish.
+type publishFlags struct {
+	store   string
+	key     string
+	dryRun  bool
+	prune   bool
+	recover bool
+}
+
+func publishCommand() *cobra.Command {
+	var f publishFlags
+	cmd := &cobra.Command{
+		Use:   "publish DIR...",
+		Short: "Check the *.medlargw files below the directories and put them into force",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, dirs []string) error {
+			files, err := readFiles(dirs)
+			if err != nil {
+				return err
+			}
+			return f.publish(cmd, files)
+		},
+	}
+	cmd.Flags().StringVar(&f.store, "store", "", "address of the store")
+	cmd.Flags().StringVar(&f.key, "key", os.Getenv(keyVariable), "publishing key; by default that of "+keyVariable)
+	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show what would change, and write nothing")
+	cmd.Flags().BoolVar(&f.prune, "prune", false, "allow that something is removed")
+	cmd.Flags().BoolVar(&f.recover, "recover", false, "publish above the entries' generation when the store went back")
+	cmd.Flags().Lookup("key").DefValue = ""
+	_ = cmd.MarkFlagRequired("store")
+	return cmd
+}
+
+func (f *publishFlags) publish(cmd *cobra.Command, files *checker.Checker) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), publishTimeout)
+	defer cancel()
+	platform, err := openStore(f.store)
+	if err != nil {
+		return err
+	}
+	defer platform.Close()
+	p := publisher.New(platform)
+	p.Prune = f.prune || f.dryRun
+	p.Recover = f.recover
+	p.Check = files.Check
+	if f.key != "" {
+		p.Keys = []string{f.key}
+	}
+	plan, err := p.Plan(ctx, files.Teams())
+	if err != nil {
+		return err
+	}
+	f.print(cmd, plan)
+	if f.dryRun || len(plan.Changes) == 0 {
+		return nil
+	}
+	generation, err := p.Publish(ctx, files.Teams())
+	if err != nil {
+		return err
+	}
+	cmd.Printf("generation %d accepted\n", generation)
+	return nil
+}
+
+func (f *publishFlags) print(cmd *cobra.Command, plan medlargw.Plan) {
+	removed := false
+	for i := range plan.Changes {
+		cmd.Println(plan.Changes[i].String())
+		removed = removed || plan.Changes[i].Removed()
+	}
+	if len(plan.Changes) == 0 {
+		cmd.Printf("nothing to change: generation %d is in force\n", plan.Generation)
+	}
+	if f.dryRun && removed && !f.prune {
+		cmd.PrintErrln("warning: something is removed, which needs --prune")
+	}
+	if !plan.Claimed {
+		cmd.PrintErrf("warning: team %s is not in force yet, so anybody may publish anything\n", medlargw.DeploymentTeam)
+	}
+}
--- a/converter/converter.go
+++ b/converter/converter.go
@@ -31,6 +31,13 @@
 	Generation uint64         `json:"generation"`
 	Teams      []teamHashWire `json:"teams"`
 	Publishes  []string       `json:"publishes"`
+	Retired    []retiredWire  `json:"retired,omitempty"`
+}
+
+type retiredWire struct {
+	teamHashWire
+
+	At time.Time `json:"at"`
 }
 
 type teamHashWire struct {
@@ -45,6 +52,16 @@
 	Limit    limitWire     `json:"limit"`
 	Classes  []classWire   `json:"classes,omitempty"`
 	Services []serviceWire `json:"services,omitempty"`
+	Teams    []grantWire   `json:"teams,omitempty"`
+	Salt     string        `json:"salt,omitempty"` // Tells apart values of one content.
+}
+
+type grantWire struct {
+	Name    string    `json:"name"`
+	Owners  []string  `json:"owners"`
+	Weight  int       `json:"weight"`
+	Limit   limitWire `json:"limit"`
+	Classes []string  `json:"classes,omitempty"`
 }
 
 type limitWire struct {
@@ -78,11 +95,22 @@
 func (Converter) EncodeHead(h medlargw.Head) ([]byte, error) {
 	wire := headWire{Generation: h.Generation, Publishes: h.Publishes}
 	for _, t := range h.Teams {
-		wire.Teams = append(wire.Teams, teamHashWire{Team: string(t.Team), Hash: t.Hash})
+		wire.Teams = append(wire.Teams, versionWire(t))
+	}
+	for _, r := range h.Retired {
+		wire.Retired = append(wire.Retired, retiredWire{teamHashWire: versionWire(r.Version), At: r.At})
 	}
 	return marshal("head", wire)
 }
 
+func versionWire(v medlargw.TeamVersion) teamHashWire {
+	return teamHashWire{Team: string(v.Team), Hash: v.Hash}
+}
+
+func (w teamHashWire) version() medlargw.TeamVersion {
+	return medlargw.TeamVersion{Team: medlargw.TeamName(w.Team), Hash: w.Hash}
+}
+
 // DecodeHead reads the value of a head.
 func (Converter) DecodeHead(value []byte) (medlargw.Head, error) {
 	var wire headWire
@@ -91,16 +119,26 @@
 	}
 	h := medlargw.Head{Generation: wire.Generation, Publishes: wire.Publishes}
 	for _, t := range wire.Teams {
-		h.Teams = append(h.Teams, medlargw.TeamVersion{Team: medlargw.TeamName(t.Team), Hash: t.Hash})
+		h.Teams = append(h.Teams, t.version())
+	}
+	for _, r := range wire.Retired {
+		h.Retired = append(h.Retired, medlargw.RetiredVersion{Version: r.version(), At: r.At})
 	}
 	return h, nil
 }
 
 // EncodeTeam returns the value of a team.
-func (Converter) EncodeTeam(t medlargw.TeamConfig) ([]byte, error) {
-	wire := teamWire{Team: string(t.Team.Name), Weight: t.Team.Weight, Limit: limitWire(t.Team.Limit)}
-	for _, key := range t.Team.Keys {
-		wire.Keys = append(wire.Keys, hex.EncodeToString(key[:]))
+func (c Converter) EncodeTeam(t medlargw.TeamConfig) ([]byte, error) { return c.EncodeSalted(t, "") }
+
+// EncodeSalted returns the value of a team under a salt, which changes its
+// hash and nothing else.
+func (Converter) EncodeSalted(t medlargw.TeamConfig, salt string) ([]byte, error) {
+	wire := teamWire{
+		Team:   string(t.Team.Name),
+		Keys:   encodeKeys(t.Team.Keys),
+		Weight: t.Team.Weight,
+		Limit:  limitWire(t.Team.Limit),
+		Salt:   salt,
 	}
 	for _, c := range t.Classes {
 		wire.Classes = append(wire.Classes, classWire{
@@ -118,9 +156,33 @@
 			Limit: limitWire(s.Limit),
 		})
 	}
+	for _, g := range t.Grants {
+		wire.Teams = append(wire.Teams, encodeGrant(&g))
+	}
 	return marshal("team", wire)
 }
 
+func encodeKeys(keys [][32]byte) []string {
+	var all []string
+	for _, key := range keys {
+		all = append(all, hex.EncodeToString(key[:]))
+	}
+	return all
+}
+
+func encodeGrant(g *medlargw.Grant) grantWire {
+	wire := grantWire{
+		Name:   string(g.Team),
+		Owners: encodeKeys(g.Owners),
+		Weight: g.Weight,
+		Limit:  limitWire(g.Limit),
+	}
+	for _, class := range g.Classes {
+		wire.Classes = append(wire.Classes, string(class))
+	}
+	return wire
+}
+
 func marshal(what string, wire any) ([]byte, error) {
 	value, err := json.Marshal(wire)
 	if err != nil {
@@ -140,12 +202,16 @@
 		Weight: wire.Weight,
 		Limit:  medlargw.Limit(wire.Limit),
 	}}
-	for _, text := range wire.Keys {
-		key, err := decodeKey(text)
+	var err error
+	if t.Team.Keys, err = decodeKeys(wire.Keys); err != nil {
+		return medlargw.TeamConfig{}, fmt.Errorf("decode team %s: %w", wire.Team, err)
+	}
+	for i := range wire.Teams {
+		g, err := decodeGrant(&wire.Teams[i])
 		if err != nil {
 			return medlargw.TeamConfig{}, fmt.Errorf("decode team %s: %w", wire.Team, err)
 		}
-		t.Team.Keys = append(t.Team.Keys, key)
+		t.Grants = append(t.Grants, g)
 	}
 	for _, c := range wire.Classes {
 		t.Classes = append(t.Classes, medlargw.Class{
@@ -169,6 +235,32 @@
 	return t, nil
 }
 
+func decodeGrant(wire *grantWire) (medlargw.Grant, error) {
+	owners, err := decodeKeys(wire.Owners)
+	g := medlargw.Grant{
+		Team:   medlargw.TeamName(wire.Name),
+		Owners: owners,
+		Weight: wire.Weight,
+		Limit:  medlargw.Limit(wire.Limit),
+	}
+	for _, class := range wire.Classes {
+		g.Classes = append(g.Classes, medlargw.ClassName(class))
+	}
+	return g, err
+}
+
+func decodeKeys(texts []string) ([][32]byte, error) {
+	var all [][32]byte
+	for _, text := range texts {
+		key, err := decodeKey(text)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, key)
+	}
+	return all, nil
+}
+
 func decodeKey(text string) ([32]byte, error) {
 	var key [32]byte
 	raw, err := hex.DecodeString(text)
--- a/parser/nearest.go
+++ b/parser/nearest.go
@@ -3,9 +3,9 @@
 // maxDistance is the number of edits up to which a name counts as misspelt.
 const maxDistance = 2
 
-// nearest returns the known name with the fewest edits from the given one, or
+// Nearest returns the known name with the fewest edits from the given one, or
 // nothing when all are too far.
-func nearest(name string, known []string) string {
+func Nearest(name string, known []string) string {
 	best, bestDistance := "", maxDistance+1
 	for _, k := range known {
 		if d := distance(name, k); d < bestDistance {
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -34,6 +34,7 @@
 	file     string
 	text     []byte
 	findings *medlargw.Findings
+	broken   bool // Whether the text is no JSON, so that nothing can be missing.
 }
 
 // Parse returns a cursor on the top-level object of the text. When the text is
@@ -42,20 +43,23 @@
 	s := &source{file: file, text: text, findings: findings}
 	value, err := hujson.Parse(text)
 	if err != nil {
-		findings.Add(s.placeOfError(err), "%s", strings.TrimPrefix(err.Error(), "hujson: "))
+		s.broken = true
+		place, message := s.placeOfError(err)
+		findings.Add(place, "%s", message)
 		return s.object(nil, medlargw.Place{File: file, Line: 1, Col: 1})
 	}
 	return s.objectOf(&value, "file")
 }
 
-func (s *source) placeOfError(err error) medlargw.Place {
+// placeOfError takes apart the library's error, which holds the place only in
+// its message.
+func (s *source) placeOfError(err error) (medlargw.Place, string) {
 	p := medlargw.Place{File: s.file, Line: 1, Col: 1}
-	text := err.Error()
-	if i := strings.Index(text, "line "); i >= 0 {
-		// The library gives the place only in its message.
-		_, _ = fmt.Sscanf(text[i:], "line %d, column %d", &p.Line, &p.Col)
+	message := strings.TrimPrefix(err.Error(), "hujson: ")
+	if n, _ := fmt.Sscanf(message, "line %d, column %d:", &p.Line, &p.Col); n == 2 {
+		_, message, _ = strings.Cut(message, ": ")
 	}
-	return p
+	return p, message
 }
 
 func (s *source) placeAt(offset int) medlargw.Place {
@@ -169,7 +173,9 @@
 func (p *Parser) Need(name string) string {
 	if !p.Has(name) {
 		p.known = append(p.known, name)
-		p.source.findings.Add(p.place, "%s: missing", name)
+		if !p.source.broken {
+			p.source.findings.Add(p.place, "%s: missing", name)
+		}
 		return ""
 	}
 	if s := p.String(name, " "); s != "" {
@@ -293,7 +299,7 @@
 		}
 		name := memberName(&p.members[i])
 		place := p.source.placeAt(p.members[i].Name.StartOffset)
-		near := nearest(name, p.known)
+		near := Nearest(name, p.known)
 		if near == "" {
 			p.source.findings.Add(place, "%s: unknown name", name)
 			continue
--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,327 @@
+package publisher
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/converter"
+)
+
+// operators returns the operators' team, with a key named after each team.
+func operators(teams ...medlargw.TeamName) medlargw.TeamConfig {
+	t := medlargw.TeamConfig{
+		Team:    medlargw.Team{Name: medlargw.DeploymentTeam, Weight: 1},
+		Classes: []medlargw.Class{{Name: "urgent"}},
+	}
+	for _, name := range append(teams, medlargw.DeploymentTeam) {
+		key := sha256.Sum256([]byte(name))
+		t.Grants = append(t.Grants, medlargw.Grant{Team: name, Owners: [][32]byte{key}, Weight: 9})
+	}
+	return t
+}
+
+// team returns a team with one service per name.
+func team(name medlargw.TeamName, weight int, services ...string) medlargw.TeamConfig {
+	t := medlargw.TeamConfig{Team: medlargw.Team{Name: name, Weight: weight}}
+	for _, s := range services {
+		t.Services = append(t.Services, medlargw.Service{Name: medlargw.ServiceName(s), Team: name, Class: "urgent"})
+	}
+	return t
+}
+
+// publish publishes by a new process; crashed says that it did not end.
+func publish(t *testing.T, s *fakeStore, key string, teams ...medlargw.TeamConfig) (g uint64, err error, crashed bool) {
+	t.Helper()
+	defer func() {
+		if r := recover(); r != nil {
+			if _, ok := r.(crash); !ok {
+				panic(r)
+			}
+			crashed = true
+		}
+	}()
+	p := New(s)
+	p.Keys = []string{key}
+	g, err = p.Publish(t.Context(), teams)
+	return g, err, false
+}
+
+// mustPublish publishes with the operators' key and wants a generation.
+func mustPublish(t *testing.T, s *fakeStore, want uint64, teams ...medlargw.TeamConfig) {
+	t.Helper()
+	got, err, _ := publish(t, s, "deployment", teams...)
+	if err != nil || got != want {
+		t.Fatalf("publish: got generation %d and error %v, want %d", got, err, want)
+	}
+}
+
+// head returns the head in the store.
+func head(t *testing.T, s *fakeStore) medlargw.Head {
+	t.Helper()
+	var conv converter.Converter
+	h, err := conv.DecodeHead(s.entries[converter.HeadKey].Value)
+	if err != nil {
+		t.Fatalf("head: %v", err)
+	}
+	return h
+}
+
+// checkWhole fails if the head names a value that the store lacks.
+func checkWhole(t *testing.T, s *fakeStore) {
+	t.Helper()
+	var conv converter.Converter
+	for _, v := range head(t, s).Teams {
+		e, ok := s.entries[conv.TeamKey(v)]
+		if got := conv.Hash(e.Value); !ok || got != v.Hash {
+			t.Errorf("value of team %s: got hash %s, want %s", v.Team, got, v.Hash)
+		}
+	}
+}
+
+// weight returns the weight in force of a team.
+func weight(t *testing.T, s *fakeStore, name medlargw.TeamName) int {
+	t.Helper()
+	teams, err := New(s).Read(t.Context())
+	if err != nil {
+		t.Fatalf("read: %v", err)
+	}
+	for i := range teams {
+		if teams[i].Team.Name == name {
+			return teams[i].Team.Weight
+		}
+	}
+	return 0
+}
+
+// TestFaultAtEachCall publishes a change of two teams while one call of the
+// store meets a fault, publishes again where the publisher did not end well,
+// and wants the change in force exactly once.
+func TestFaultAtEachCall(t *testing.T) {
+	faults := []struct {
+		name    string
+		fault   fault
+		lasting int
+	}{
+		{name: "outage of one call", fault: faultDown},
+		{name: "outage of six calls", fault: faultDown, lasting: 6},
+		{name: "lost reply", fault: faultLost},
+		{name: "three lost replies", fault: faultLost, lasting: 3},
+		{name: "crash before", fault: faultCrash},
+		{name: "crash after", fault: faultAfter},
+	}
+	for _, tt := range faults {
+		t.Run(tt.name, func(t *testing.T) {
+			for at := 1; ; at++ {
+				if calls := runFault(t, tt.fault, tt.lasting, at); calls < at {
+					break
+				}
+			}
+		})
+	}
+}
+
+// runFault returns the number of calls of the faulty publish.
+func runFault(t *testing.T, f fault, lasting, at int) (calls int) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1, "slip"), team("ice", 1, "ping"))
+		mustPublish(t, s, 2, team("desk", 2, "slip"))
+		time.Sleep(2 * retiredFor) // Virtual time; the value of generation 1 is to be collected.
+		s.calls, s.at, s.fault, s.lasting = 0, at, f, lasting
+		changed := []medlargw.TeamConfig{team("desk", 3, "slip"), team("ice", 3, "ping")}
+		g, err, crashed := publish(t, s, "deployment", changed...)
+		calls, s.at = s.calls, 0
+		checkWhole(t, s)
+		if a, b := weight(t, s, "desk"), weight(t, s, "ice"); (a == 3) != (b == 3) {
+			t.Errorf("call %d: got weights %d and %d, want both old or both new", at, a, b)
+		}
+		if crashed {
+			g, err, _ = publish(t, s, "deployment", changed...)
+		}
+		if err != nil || g != 3 {
+			t.Errorf("call %d: got generation %d and error %v, want 3", at, g, err)
+		}
+		mustPublish(t, s, 4, team("ice", 4, "ping"))
+		checkWhole(t, s)
+	})
+	return calls
+}
+
+func TestNothingChangedWritesNothing(t *testing.T) {
+	s := newFakeStore()
+	mustPublish(t, s, 1, operators("desk"), team("desk", 1, "slip"))
+	revision := s.revision
+	mustPublish(t, s, 1, operators("desk"), team("desk", 1, "slip"))
+	if got, want := s.revision, revision; got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+}
+
+func TestRaces(t *testing.T) {
+	tests := []struct {
+		name  string
+		other medlargw.TeamConfig // Published before our head is written.
+		want  string              // Part of the error; empty is none.
+	}{
+		{name: "another team: both in force", other: team("ice", 2, "ping")},
+		{name: "the same change", other: team("desk", 3, "slip")},
+		{
+			name:  "the same team",
+			other: team("desk", 2, "slip", "cure"),
+			want: "another publisher changed the same team meanwhile:\n" +
+				"  ~ desk: weight: 1 -> 2\n  + desk: service cure: class urgent",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1, "slip"), team("ice", 1, "ping"))
+				s.before = func() { mustPublish(t, s, 2, tt.other) }
+				_, err, _ := publish(t, s, "desk", team("desk", 3, "slip"))
+				if got := fmt.Sprint(err); tt.want == "" && err != nil || !strings.Contains(got, tt.want) {
+					t.Errorf("error: got %s, want %s", got, tt.want)
+				}
+				if got, want := weight(t, s, tt.other.Team.Name), tt.other.Team.Weight; got != want {
+					t.Errorf("weight of the other publish: got %d, want %d", got, want)
+				}
+				checkWhole(t, s)
+			})
+		})
+	}
+}
+
+// TestManyPublishesAfterALostReply wants that a publish isn't repeated when its
+// id has left the head.
+func TestManyPublishesAfterALostReply(t *testing.T) {
+	tests := []struct {
+		name  string
+		other medlargw.TeamName // Changed by those that follow.
+		want  string
+	}{
+		{name: "other teams", other: "ice"},
+		{name: "the same team", other: "desk", want: "another publisher changed the same team"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1), team("ice", 1))
+				s.before = func() { s.at, s.fault = s.calls+1, faultLost }
+				s.after = func() {
+					for n := range keptPublishes + 8 {
+						mustPublish(t, s, uint64(n+3), team(tt.other, n+10))
+					}
+				}
+				_, err, _ := publish(t, s, "desk", team("desk", 3))
+				if got := fmt.Sprint(err); tt.want == "" && err != nil || !strings.Contains(got, tt.want) {
+					t.Errorf("error: got %s, want %s", got, tt.want)
+				}
+				if got, want := weight(t, s, tt.other), keptPublishes+8+9; got != want {
+					t.Errorf("weight: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+func TestKeys(t *testing.T) {
+	tests := []struct {
+		name  string
+		key   string
+		teams []medlargw.TeamConfig
+		want  string
+	}{
+		{name: "its own team", key: "desk", teams: []medlargw.TeamConfig{team("desk", 2)}},
+		{name: "any team with the operators' key", key: "deployment", teams: []medlargw.TeamConfig{team("desk", 2)}},
+		{
+			name: "an unchanged team needs no key", key: "desk",
+			teams: []medlargw.TeamConfig{team("desk", 2), team("ice", 1)},
+		},
+		{
+			name: "another team", key: "desk",
+			teams: []medlargw.TeamConfig{team("desk", 2), team("ice", 2)},
+			want:  "the key may not publish team ice",
+		},
+		{
+			name: "the operators' team", key: "desk",
+			teams: []medlargw.TeamConfig{operators("desk", "ice", "more")},
+			want:  "the key may not publish team deployment",
+		},
+		{name: "no key", teams: []medlargw.TeamConfig{team("desk", 2)}, want: "the key may not publish team desk"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newFakeStore()
+			mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1), team("ice", 1))
+			_, err, _ := publish(t, s, tt.key, tt.teams...)
+			if got := fmt.Sprint(err); tt.want == "" && err != nil || !strings.Contains(got, tt.want) {
+				t.Errorf("error: got %s, want %s", got, tt.want)
+			}
+		})
+	}
+	if _, err, _ := publish(t, newFakeStore(), "other", operators("desk")); err == nil {
+		t.Error("first publish of the operators with another key: got no error")
+	}
+}
+
+func TestRemovalNeedsPrune(t *testing.T) {
+	s := newFakeStore()
+	mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1, "slip", "cure"), team("ice", 1))
+	for _, changed := range []medlargw.TeamConfig{team("desk", 1, "slip"), operators("desk")} {
+		p := New(s)
+		p.Keys = []string{"deployment"}
+		_, err := p.Publish(t.Context(), []medlargw.TeamConfig{changed})
+		var refused *medlargw.PublishError
+		if !errors.As(err, &refused) || len(refused.Changes) == 0 {
+			t.Errorf("publish without prune: got %v, want the removals", err)
+		}
+		p.Prune = true
+		if _, err := p.Publish(t.Context(), []medlargw.TeamConfig{changed}); err != nil {
+			t.Errorf("publish with prune: %v", err)
+		}
+	}
+	if got := len(head(t, s).Teams); got != 2 {
+		t.Errorf("teams: got %d, want 2 after ice was removed", got)
+	}
+}
+
+func TestStoreGoesBack(t *testing.T) {
+	s := newFakeStore()
+	mustPublish(t, s, 1, operators("desk"), team("desk", 1))
+	p := New(s)
+	p.Keys, p.Seen = []string{"desk"}, 5
+	changed := []medlargw.TeamConfig{team("desk", 2)}
+	if _, err := p.Publish(t.Context(), changed); !strings.Contains(fmt.Sprint(err), "the store went back") {
+		t.Errorf("error: got %v, want that the store went back", err)
+	}
+	p.Recover = true
+	if got, err := p.Publish(t.Context(), changed); err != nil || got != 6 {
+		t.Errorf("publish: got generation %d and error %v, want 6", got, err)
+	}
+	mustPublish(t, s, 7, team("desk", 3))
+}
+
+func TestOldValuesAreCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.entries["team/desk/orphan"] = medlargw.Entry{Key: "team/desk/orphan", Revision: 99}
+		for n := range 8 {
+			mustPublish(t, s, uint64(n+1), operators("desk"), team("desk", 1+n%2))
+			checkWhole(t, s)
+		}
+		before := len(s.entries)
+		time.Sleep(retiredFor) // Virtual time.
+		mustPublish(t, s, 9, team("desk", 7))
+		checkWhole(t, s)
+		if got, want := len(s.entries), 4; before <= want || got != want {
+			t.Errorf("values: got %d, then %d, want more, then %d", before, got, want)
+		}
+	})
+}
--- a/submission.go
+++ b/submission.go
@@ -29,7 +29,8 @@
 type Head struct {
 	Generation uint64 // Rises with each publish.
 	Teams      []TeamVersion
-	Publishes  []string // Ids of the last publishes, the newest last.
+	Publishes  []string // Ids of the last publishes, one per generation, the newest last.
+	Retired    []RetiredVersion
 }
 
 // TeamVersion names the value of one team.
@@ -43,6 +44,7 @@
 	Team     Team
 	Classes  []Class
 	Services []Service
+	Grants   []Grant // Of the operators' team only.
 }
 
 // Configured gives the configuration in force, or nil when there is none yet.
