Planned stop in two phases

Cause: a stop closed the listener at once, before the balancer and the peers knew, and its bound was shorter than the longest deadline. Change: Registrar.Leave tells the parts; the receiver is not ready and has callers close their connections; after group.notice the listener closes and accepted work ends within group.drain, which the loader holds at or above notice plus intake.deadline. A second signal logs how many jobs it loses.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
@@ -14,6 +16,7 @@
 	"medlargw.example/medlargw/builder"
 	"medlargw.example/medlargw/loader"
 	"medlargw.example/medlargw/logger"
+	"medlargw.example/medlargw/registrar"
 )
 
 func serveCommand() *cobra.Command {
@@ -56,14 +59,61 @@
 		return err
 	}
 	<-signals
-	log.Info("planned stop begins")
-	ctx, cancel := context.WithTimeout(ctx, settings.Group.Drain)
-	defer cancel()
+	return stop(ctx, log.Logger, entry, settings.Group, signals)
+}
+
+// stop does the planned stop: it says not ready and leaving, goes on accepting
+// requests for the notice, lets the accepted ones end and stops the parts. A
+// further signal ends the process at once.
+func stop(
+	ctx context.Context,
+	log *zap.Logger,
+	entry *registrar.Registrar,
+	group medlargw.GroupSettings,
+	signals <-chan os.Signal,
+) error {
+	log.Info("planned stop begins", zap.Duration("notice", group.Notice), zap.Duration("drain", group.Drain))
 	var impatient conc.WaitGroup // Never waited for: it ends with the process.
 	impatient.Go(func() {
 		<-signals
-		log.Error("second signal: exit at once", zap.String("lost", "all running jobs"))
+		log.Error("second signal: exit at once", lost(ctx, entry)...)
+		_ = log.Sync()
 		os.Exit(1)
 	})
-	return entry.Stop(ctx)
+	ctx, cancel := context.WithTimeout(ctx, group.Drain)
+	defer cancel()
+	err := entry.Leave(ctx)
+	select {
+	case <-time.After(group.Notice):
+	case <-ctx.Done():
+	}
+	err = errors.Join(err, entry.Stop(ctx))
+	log.Info("planned stop ends", zap.Error(err))
+	return err
+}
+
+// lostTimeout bounds the wait for the count of what an exit loses.
+const lostTimeout = 100 * time.Millisecond
+
+// lost says what ends without an answer when the process exits now.
+func lost(ctx context.Context, entry *registrar.Registrar) []zap.Field {
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+	core, err := registrar.Find[medlargw.Inspector](entry, "dispatcher")
+	if err != nil {
+		return []zap.Field{zap.Error(err)}
+	}
+	status, err := core.Status(ctx)
+	if err != nil {
+		return []zap.Field{zap.String("lost", "unknown"), zap.Error(err)}
+	}
+	waiting := 0
+	for _, q := range status.Queues {
+		waiting += q.Tasks
+	}
+	return []zap.Field{
+		zap.Int("jobs", status.Jobs),
+		zap.Int("running", status.Running),
+		zap.Int("waiting", waiting),
+	}
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -52,6 +52,9 @@
 		Group:  group(p.Object("group")),
 		TLS:    tls(p.Object("tls")),
 	}
+	if shortest := s.Group.Notice + s.Intake.Deadline; s.Group.Drain < shortest {
+		p.Fault("group", "got drain %s, want at least notice and intake.deadline, %s", s.Group.Drain, shortest)
+	}
 	p.Close()
 	return s, l.findings.Err()
 }
@@ -129,7 +132,8 @@
 		Gone:    p.Duration("gone", 10*time.Second, 100*time.Millisecond, time.Hour),
 		Term:    p.Duration("term", 2*time.Second, 50*time.Millisecond, time.Minute),
 		Margin:  p.Duration("margin", 200*time.Millisecond, 5*time.Millisecond, time.Minute),
-		Drain:   p.Duration("drain", 30*time.Second, time.Second, time.Hour),
+		Notice:  p.Duration("notice", 5*time.Second, 0, time.Hour),
+		Drain:   p.Duration("drain", 75*time.Second, time.Second, time.Hour),
 	}
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -43,11 +44,15 @@
 	listener   net.Listener
 	server     *http.Server
 	serving    conc.WaitGroup
+	leave      sync.Once
 	stopping   chan struct{}
 	done       chan struct{}
 }
 
-var _ medlargw.Part = (*Receiver)(nil)
+var (
+	_ medlargw.Part   = (*Receiver)(nil)
+	_ medlargw.Leaver = (*Receiver)(nil)
+)
 
 // New returns a receiver that has not started. A nil TLS configuration serves
 // plain HTTP.
@@ -87,7 +92,7 @@
 		return err
 	}
 	rc.server = &http.Server{
-		Handler:           rc.routes(),
+		Handler:           rc.closing(rc.routes()),
 		TLSConfig:         rc.tls,
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: rc.settings.Intake.Read,
@@ -110,10 +115,30 @@
 	}
 }
 
+// Leave says not ready, so that the balancer sends no more, and has callers
+// close their connections after their answers.
+func (rc *Receiver) Leave(context.Context) error {
+	rc.leave.Do(func() { close(rc.stopping) })
+	return nil
+}
+
+// closing has callers close their connections while the entry is leaving, so
+// that none is left on which a request could cross the listener's end.
+func (rc *Receiver) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-rc.stopping:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop says not ready, lets the running requests end, and closes the listener.
 func (rc *Receiver) Stop(ctx context.Context) error {
 	defer close(rc.done)
-	close(rc.stopping)
+	_ = rc.Leave(ctx)
 	err := rc.server.Shutdown(ctx)
 	rc.serving.Wait()
 	return err
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -78,6 +78,23 @@
 	return nil
 }
 
+// Leave begins a planned stop: it tells the started parts that are
+// medlargw.Leaver, in reverse order, and returns their errors together. All
+// parts go on serving.
+func (r *Registrar) Leave(ctx context.Context) error {
+	var errs []error
+	for _, p := range slices.Backward(r.parts[:r.started]) {
+		l, ok := p.(medlargw.Leaver)
+		if !ok {
+			continue
+		}
+		if err := l.Leave(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("leave %s: %w", p.Name(), err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // Stop stops the started parts in reverse order and waits for each. It returns
 // the errors of all parts together. A second call does nothing.
 func (r *Registrar) Stop(ctx context.Context) error {
--- a/settings.go
+++ b/settings.go
@@ -66,6 +66,7 @@
 	Gone    time.Duration // Silence after which a suspect entry is gone.
 	Term    time.Duration // Length of a loan.
 	Margin  time.Duration // Time before the term's end at which a borrower stops.
+	Notice  time.Duration // Time in which a planned stop still accepts requests.
 	Drain   time.Duration // Longest time that a planned stop waits for running tasks.
 }
 
