--- a/builder/builder.go
+++ b/builder/builder.go
@@ -10,6 +10,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -21,8 +22,10 @@
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/keeper"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
+	"medlargw.example/medlargw/minter"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
@@ -62,12 +65,15 @@
 	if b.Sender == nil {
 		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	}
+	incarnation := newIncarnation()
+	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	reg.Add(
 		dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
 		watcher.New(b.Log, reg, b.Store),
 		b.messenger(reg),
-		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
+		tracker.New(b.Log, reg, b.Settings, incarnation),
+		keeper.New(b.Log, reg, b.Settings, mint),
 	)
 	return reg
 }
