Administration interface, status, burn report and metrics

Cause: operators could not see what an entry does, nor whether a published configuration is in force. The builder passes one registry to the parts.

--- /dev/null
+++ b/administrator/handler.go
@@ -0,0 +1,282 @@
+package administrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"medlargw.example/medlargw"
+)
+
+// inspectTimeout bounds how long the control goroutine may take to answer.
+const inspectTimeout = 2 * time.Second
+
+// codeUnknown says that the named thing doesn't exist.
+const codeUnknown medlargw.Code = "unknown"
+
+const typeJSON = "application/json"
+
+// status gathers what this entry shows.
+func (a *Administrator) status(ctx context.Context) (medlargw.EntryStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	now := time.Now()
+	s := medlargw.EntryStatus{
+		Self:    a.self(now),
+		Version: a.version,
+		Started: a.started,
+		Taken:   now,
+		Level:   a.level.Level().String(),
+	}
+	s.Members = []medlargw.Member{s.Self}
+	if a.members != nil {
+		s.Members = a.members.Members()
+	}
+	if cfg := a.configured.Config(); cfg != nil {
+		a.note(now)
+		s.Generation = cfg.Generation
+		s.InForce = a.inForce.Load().at
+		s.Classes = cfg.Classes
+		s.Teams = len(cfg.Teams)
+		s.Services = len(cfg.Services)
+	}
+	var err error
+	s.Core, err = a.inspector.Status(ctx)
+	return s, err
+}
+
+// self returns this entry, also when nobody keeps track of the members.
+func (a *Administrator) self(now time.Time) medlargw.Member {
+	if a.members != nil {
+		return a.members.Self()
+	}
+	return medlargw.Member{
+		Host:  a.settings.Host,
+		Zone:  a.settings.Zone,
+		Admin: a.Addr(),
+		State: medlargw.MemberLive,
+		Since: now,
+	}
+}
+
+func (a *Administrator) showStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	s, err := a.status(r.Context())
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	body, err := a.describe.EncodeStatus(&s)
+	a.answer(w, body, err)
+}
+
+func (a *Administrator) showPart(part string) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		s, err := a.status(r.Context())
+		if err != nil {
+			a.fail(w, err)
+			return
+		}
+		body, err := a.describe.EncodePart(&s, part)
+		a.answer(w, body, err)
+	}
+}
+
+func (a *Administrator) showBurn(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	b := a.burner.Burn(time.Now())
+	body, err := a.describe.EncodeBurn(&b)
+	a.answer(w, body, err)
+}
+
+// showMetrics answers in JSON, or in the text format of Prometheus to whoever
+// asks for text.
+func (a *Administrator) showMetrics(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if err := a.updateGauges(r.Context()); err != nil {
+		a.fail(w, err)
+		return
+	}
+	var body bytes.Buffer
+	if strings.Contains(r.Header.Get("Accept"), "text/plain") || r.URL.Query().Get("format") == "text" {
+		err := a.export.WriteText(&body)
+		w.Header().Set("Content-Type", a.export.ContentType())
+		a.answer(w, body.Bytes(), err)
+		return
+	}
+	err := a.export.WriteJSON(&body)
+	a.answer(w, body.Bytes(), err)
+}
+
+// updateGauges copies the present state into the registry.
+func (a *Administrator) updateGauges(ctx context.Context) error {
+	s, err := a.status(ctx)
+	if err != nil {
+		return err
+	}
+	waiting := map[int]int{}
+	for _, c := range s.Classes {
+		waiting[c.Rank] = 0
+	}
+	for _, q := range s.Core.Queues {
+		waiting[q.Rank] += q.Tasks
+	}
+	for rank, n := range waiting {
+		a.gauge("waiting.rank-"+strconv.Itoa(rank), n)
+	}
+	states := map[medlargw.TargetState]int{
+		medlargw.TargetServing: 0, medlargw.TargetLeaving: 0, medlargw.TargetQuarantined: 0, medlargw.TargetSetAside: 0,
+	}
+	for i := range s.Core.Targets {
+		states[s.Core.Targets[i].State]++
+	}
+	for state, n := range states {
+		a.gauge("targets."+string(state), n)
+	}
+	a.gauge("entry.jobs", s.Core.Jobs)
+	a.gauge("entry.running", s.Core.Running)
+	a.gauge("entry.free", s.Core.Free)
+	a.gauge("entry.generation", int(s.Generation))
+	a.gauge("entry.members", len(s.Members))
+	return nil
+}
+
+func (a *Administrator) gauge(name string, n int) {
+	metrics.GetOrRegisterGauge(name, a.metrics).Update(int64(n))
+}
+
+type jobWire struct {
+	Ticket  string    `json:"ticket"`
+	State   string    `json:"state"`
+	Status  int       `json:"status,omitempty"` // Of the kept answer.
+	Expires time.Time `json:"expires"`
+}
+
+func (a *Administrator) showJob(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	ticket := p.ByName("ticket")
+	if a.tickets != nil {
+		for _, u := range a.tickets.Used() {
+			if u.Ticket == ticket {
+				a.answerJSON(w, jobOf(&u))
+				return
+			}
+		}
+	}
+	a.refuse(w, http.StatusNotFound, medlargw.CodeUnknownJob, "this entry remembers no job of that ticket")
+}
+
+func jobOf(u *medlargw.UsedTicket) jobWire {
+	job := jobWire{Ticket: u.Ticket, State: "running", Status: u.Status, Expires: u.Expires.UTC()}
+	if u.Ended {
+		job.State = "ended"
+	}
+	return job
+}
+
+type logWire struct {
+	Level string `json:"level"`
+}
+
+func (a *Administrator) showLog(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	a.answerJSON(w, logWire{Level: a.level.Level().String()})
+}
+
+func (a *Administrator) setLog(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var wire logWire
+	if !a.read(w, r, &wire) {
+		return
+	}
+	level, err := zapcore.ParseLevel(wire.Level)
+	if err != nil || level > zapcore.ErrorLevel {
+		a.refuse(w, http.StatusBadRequest, medlargw.CodeBadRequest, "want level debug, info, warn or error")
+		return
+	}
+	a.level.SetLevel(level)
+	a.log.Info("level of the log changed", zap.String("level", level.String()))
+	a.answerJSON(w, logWire{Level: level.String()})
+}
+
+type targetAction struct {
+	Aside *bool `json:"aside"`
+}
+
+func (a *Administrator) setTarget(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	var wire targetAction
+	if !a.read(w, r, &wire) {
+		return
+	}
+	if wire.Aside == nil {
+		a.refuse(w, http.StatusBadRequest, medlargw.CodeBadRequest, "aside: missing")
+		return
+	}
+	name := medlargw.TargetName(p.ByName("name"))
+	s, err := a.status(r.Context())
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	for i := range s.Core.Targets {
+		if s.Core.Targets[i].Target.Name == name {
+			a.inspector.SetAside(name, *wire.Aside)
+			a.log.Info("target set aside or back", zap.String("target", string(name)), zap.Bool("aside", *wire.Aside))
+			a.answerJSON(w, wire)
+			return
+		}
+	}
+	a.refuse(w, http.StatusNotFound, codeUnknown, "this entry uses no target of that name")
+}
+
+// read decodes the body, or answers what is wrong with it.
+func (a *Administrator) read(w http.ResponseWriter, r *http.Request, wire any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(wire); err != nil {
+		a.refuse(w, http.StatusBadRequest, medlargw.CodeBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+func (a *Administrator) answerJSON(w http.ResponseWriter, wire any) {
+	body, err := json.Marshal(wire)
+	a.answer(w, append(body, '\n'), err)
+}
+
+func (a *Administrator) answer(w http.ResponseWriter, body []byte, err error) {
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	if w.Header().Get("Content-Type") == "" {
+		w.Header().Set("Content-Type", typeJSON)
+	}
+	_, _ = w.Write(body)
+}
+
+// fail answers an error of this entry.
+func (a *Administrator) fail(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		status = http.StatusServiceUnavailable
+	}
+	a.log.Warn("request failed", zap.Error(err))
+	a.refuse(w, status, medlargw.CodeNotReady, err.Error())
+}
+
+type problemWire struct {
+	Code   string `json:"code"`
+	Detail string `json:"detail"`
+}
+
+func (*Administrator) refuse(w http.ResponseWriter, status int, code medlargw.Code, detail string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problemWire{Code: string(code), Detail: detail})
+}
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -9,12 +9,14 @@
 	"crypto/rand"
 	"crypto/tls"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/administrator"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
@@ -22,6 +24,7 @@
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/reporter"
 	"medlargw.example/medlargw/scheduler"
 	"medlargw.example/medlargw/sender"
 	"medlargw.example/medlargw/watcher"
@@ -33,6 +36,8 @@
 	Settings medlargw.Settings
 	Store    medlargw.Store // Nil reaches the one in the settings.
 	Hosts    medlargw.Hosts // Nil reaches the one in the settings.
+	Level    zap.AtomicLevel
+	Version  string
 }
 
 // Build returns the parts in a registrar that has not started.
@@ -45,8 +50,12 @@
 	reg := registrar.New(b.Log)
 	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
 	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	registry := metrics.NewRegistry()
+	report := reporter.New(reg, registry, time.Now())
 	reg.Add(
-		dispatcher.New(b.Log, dec, send, metrics.NewRegistry(), nil),
+		dispatcher.New(b.Log, dec, send, registry, report),
+		report,
+		administrator.New(b.Log, reg, b.Settings, tlsConfig, registry, b.level(), b.Version),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
 		receiver.New(b.Log, reg, b.Settings, tlsConfig),
@@ -54,6 +63,14 @@
 	return reg, nil
 }
 
+// level returns the level of the log that operators may change.
+func (b *Builder) level() zap.AtomicLevel {
+	if b.Level == (zap.AtomicLevel{}) {
+		return zap.NewAtomicLevel()
+	}
+	return b.Level
+}
+
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
 func (b *Builder) reachPlatform() {
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -15,13 +15,19 @@
 // publishTimeout bounds one publish, retries included.
 const publishTimeout = 30 * time.Second
 
+// defaultWait is the time in which an accepted configuration is in force on
+// every entry that can be reached.
+const defaultWait = 19 * time.Second
+
 // keyVariable names the environment variable that holds the publishing key.
 const keyVariable = "MEDLARGW_KEY"
 
 // publishFlags are the flags of publish.
 type publishFlags struct {
-	store   string
-	key     string
+	entryFlags
+
+	wait    time.Duration
+	owner   string
 	dryRun  bool
 	prune   bool
 	recover bool
@@ -42,7 +48,10 @@
 		},
 	}
 	cmd.Flags().StringVar(&f.store, "store", "", "address of the store")
-	cmd.Flags().StringVar(&f.key, "key", os.Getenv(keyVariable), "publishing key; by default that of "+keyVariable)
+	cmd.Flags().StringVar(&f.owner, "key", os.Getenv(keyVariable), "publishing key; by default that of "+keyVariable)
+	f.register(cmd, "admin-key")
+	cmd.Flags().DurationVar(&f.wait, "wait", 0, "wait up to that long until the entries have it in force; alone, 19s")
+	cmd.Flags().Lookup("wait").NoOptDefVal = defaultWait.String()
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show what would change, and write nothing")
 	cmd.Flags().BoolVar(&f.prune, "prune", false, "allow that something is removed")
 	cmd.Flags().BoolVar(&f.recover, "recover", false, "publish above the entries' generation when the store went back")
@@ -63,23 +72,33 @@
 	p.Prune = f.prune || f.dryRun
 	p.Recover = f.recover
 	p.Check = files.Check
-	if f.key != "" {
-		p.Keys = []string{f.key}
+	if f.owner != "" {
+		p.Keys = []string{f.owner}
 	}
-	plan, err := p.Plan(ctx, files.Teams())
+	entries, err := f.entries(ctx)
 	if err != nil {
 		return err
 	}
-	f.print(cmd, plan)
-	if f.dryRun || len(plan.Changes) == 0 {
-		return nil
+	defer entries.close()
+	p.Seen = entries.highest(ctx)
+	plan, err := p.Plan(ctx, files.Teams())
+	if err == nil || f.dryRun {
+		f.print(cmd, plan)
+	}
+	if err != nil || f.dryRun {
+		return err
 	}
 	generation, err := p.Publish(ctx, files.Teams())
 	if err != nil {
 		return err
 	}
-	cmd.Printf("generation %d accepted\n", generation)
-	return nil
+	if len(plan.Changes) > 0 {
+		cmd.Printf("generation %d accepted\n", generation)
+	}
+	if f.wait == 0 {
+		return nil
+	}
+	return entries.await(cmd, generation, f.wait)
 }
 
 func (f *publishFlags) print(cmd *cobra.Command, plan medlargw.Plan) {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	b := builder.Builder{Log: log.Logger, Settings: settings}
+	b := builder.Builder{Log: log.Logger, Settings: settings, Level: log.Level, Version: version}
 	entry, err := b.Build()
 	if err != nil {
 		return err
--- /dev/null
+++ b/commander/status.go
@@ -0,0 +1,50 @@
+package commander
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"medlargw.example/medlargw/presenter"
+)
+
+func statusCommand() *cobra.Command {
+	var f entryFlags
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the state of all entries on one screen",
+		Long: "Show the state of all entries that the given ones know of. The exit status is 1\n" +
+			"when an entry did not answer; what the others said is shown all the same.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			g, err := f.gatherer()
+			if err != nil {
+				return err
+			}
+			defer g.Close()
+			addrs, err := f.addrs(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if len(addrs) == 0 {
+				return errNobody
+			}
+			answers := g.Status(cmd.Context(), addrs)
+			var p presenter.Presenter
+			if asJSON {
+				err = p.StatusJSON(cmd.OutOrStdout(), answers)
+			} else {
+				err = p.Status(cmd.OutOrStdout(), answers, time.Now())
+			}
+			if err != nil {
+				return err
+			}
+			return silent(answers)
+		},
+	}
+	f.register(cmd, "key")
+	cmd.Flags().StringVar(&f.store, "store", "", "address of the store, whose host list names the entries")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	return cmd
+}
--- /dev/null
+++ b/describer/burn.go
@@ -0,0 +1,110 @@
+package describer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+type burnWire struct {
+	Since   time.Time    `json:"since"`
+	Taken   time.Time    `json:"taken"`
+	Step    string       `json:"step"`
+	Other   uint64       `json:"other"`
+	Classes []classWire  `json:"classes"`
+	Series  []seriesWire `json:"series"`
+	Points  []pointWire  `json:"points"`
+}
+
+type seriesWire struct {
+	Class   string       `json:"class"`
+	Team    string       `json:"team"`
+	Windows []windowWire `json:"windows"`
+}
+
+type windowWire struct {
+	Window string `json:"window"`
+	Jobs   uint64 `json:"jobs"`
+	Missed uint64 `json:"missed"`
+}
+
+type pointWire struct {
+	Class  string    `json:"class"`
+	Start  time.Time `json:"start"`
+	Jobs   uint64    `json:"jobs"`
+	Missed uint64    `json:"missed"`
+}
+
+// EncodeBurn returns what an entry knows of its jobs.
+func (Describer) EncodeBurn(b *medlargw.BurnStatus) ([]byte, error) {
+	return marshal(burnWire{
+		Since:   b.Since.UTC(),
+		Taken:   b.Taken.UTC(),
+		Step:    b.Step.String(),
+		Other:   b.Other,
+		Classes: convert(b.Classes, classToWire),
+		Series:  convert(b.Series, seriesToWire),
+		Points:  convert(b.Points, pointToWire),
+	})
+}
+
+func seriesToWire(s *medlargw.BurnSeries) seriesWire {
+	wire := seriesWire{Class: string(s.Class), Team: string(s.Team)}
+	for w, c := range s.Windows {
+		name := medlargw.BurnWindow(w).String()
+		wire.Windows = append(wire.Windows, windowWire{Window: name, Jobs: c.Jobs, Missed: c.Missed})
+	}
+	return wire
+}
+
+func pointToWire(p *medlargw.BurnPoint) pointWire {
+	return pointWire{
+		Class:  string(p.Class),
+		Start:  p.Start.UTC(),
+		Jobs:   p.Counts.Jobs,
+		Missed: p.Counts.Missed,
+	}
+}
+
+// DecodeBurn reads what an entry knows of its jobs.
+func (Describer) DecodeBurn(body []byte) (medlargw.BurnStatus, error) {
+	var wire burnWire
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return medlargw.BurnStatus{}, fmt.Errorf("decode burn: %w", err)
+	}
+	step, err := time.ParseDuration(wire.Step)
+	if err != nil {
+		return medlargw.BurnStatus{}, fmt.Errorf("decode burn: %w", err)
+	}
+	return medlargw.BurnStatus{
+		Since:   wire.Since,
+		Taken:   wire.Taken,
+		Step:    step,
+		Other:   wire.Other,
+		Classes: convert(wire.Classes, classFromWire),
+		Series:  convert(wire.Series, seriesFromWire),
+		Points:  convert(wire.Points, pointFromWire),
+	}, nil
+}
+
+func seriesFromWire(w *seriesWire) medlargw.BurnSeries {
+	s := medlargw.BurnSeries{Class: medlargw.ClassName(w.Class), Team: medlargw.TeamName(w.Team)}
+	for _, window := range w.Windows {
+		for i := range medlargw.BurnWindows {
+			if i.String() == window.Window {
+				s.Windows[i] = medlargw.JobCounts{Jobs: window.Jobs, Missed: window.Missed}
+			}
+		}
+	}
+	return s
+}
+
+func pointFromWire(w *pointWire) medlargw.BurnPoint {
+	return medlargw.BurnPoint{
+		Class:  medlargw.ClassName(w.Class),
+		Start:  w.Start,
+		Counts: medlargw.JobCounts{Jobs: w.Jobs, Missed: w.Missed},
+	}
+}
--- /dev/null
+++ b/describer/decode.go
@@ -0,0 +1,102 @@
+package describer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// DecodeStatus reads a whole status.
+func (Describer) DecodeStatus(body []byte) (medlargw.EntryStatus, error) {
+	var wire statusWire
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return medlargw.EntryStatus{}, fmt.Errorf("decode status: %w", err)
+	}
+	return medlargw.EntryStatus{
+		Self:       medlargw.Member{Host: medlargw.HostName(wire.Host), Zone: medlargw.ZoneName(wire.Zone)},
+		Version:    wire.Version,
+		Started:    wire.Started,
+		Taken:      wire.Taken,
+		Level:      wire.Level,
+		Generation: wire.Config.Generation,
+		InForce:    wire.Config.Since,
+		Teams:      wire.Config.Teams,
+		Services:   wire.Config.Services,
+		Classes:    convert(wire.Config.Classes, classFromWire),
+		Members:    convert(wire.Members, memberFromWire),
+		Core: medlargw.CoreStatus{
+			Jobs:    wire.Jobs,
+			Running: wire.Running,
+			Free:    wire.Free,
+			Targets: convert(wire.Targets, targetFromWire),
+			Queues:  convert(wire.Queues, queueFromWire),
+			Limits:  convert(wire.Limits, limitFromWire),
+			Lent:    convert(wire.Loans.Lent, loanFromWire),
+			Held:    convert(wire.Loans.Held, loanFromWire),
+		},
+	}, nil
+}
+
+func classFromWire(w *classWire) medlargw.Class {
+	response, _ := time.ParseDuration(w.Response) // Empty is none.
+	return medlargw.Class{
+		Name:      medlargw.ClassName(w.Name),
+		Rank:      w.Rank,
+		Floor:     w.Floor,
+		Objective: medlargw.Objective{Answered: w.Answered, Response: response},
+	}
+}
+
+// memberStates returns the states by their name.
+func memberStates() map[string]medlargw.MemberState {
+	states := map[string]medlargw.MemberState{}
+	for s := medlargw.MemberJoining; s <= medlargw.MemberGone; s++ {
+		states[s.String()] = s
+	}
+	return states
+}
+
+func memberFromWire(w *memberWire) medlargw.Member {
+	return medlargw.Member{
+		Host:  medlargw.HostName(w.Host),
+		Zone:  medlargw.ZoneName(w.Zone),
+		Addr:  w.Addr,
+		Admin: w.Admin,
+		State: memberStates()[w.State],
+		Since: w.Since,
+	}
+}
+
+func targetFromWire(w *targetWire) medlargw.TargetStatus {
+	return medlargw.TargetStatus{
+		Target: medlargw.Target{
+			Name: medlargw.TargetName(w.Name),
+			Zone: medlargw.ZoneName(w.Zone),
+			Addr: w.Addr,
+		},
+		Slots:  w.Slots,
+		Used:   w.Used,
+		State:  medlargw.TargetState(w.State),
+		Reason: w.Reason,
+		Since:  w.Since,
+	}
+}
+
+func queueFromWire(w *queueWire) medlargw.QueueStatus {
+	return medlargw.QueueStatus{Rank: w.Rank, Team: medlargw.TeamName(w.Team), Tasks: w.Tasks}
+}
+
+func limitFromWire(w *limitWire) medlargw.LimitStatus {
+	return medlargw.LimitStatus{
+		Team:    medlargw.TeamName(w.Team),
+		Running: w.Running,
+		Limit:   medlargw.Limit{Running: w.Most, Starts: w.Starts},
+		Blocked: w.Blocked,
+	}
+}
+
+func loanFromWire(w *loanWire) medlargw.LoanStatus {
+	return medlargw.LoanStatus{Peer: medlargw.HostName(w.Peer), Name: w.Name, Amount: w.Amount, Until: w.Until}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -42,7 +42,7 @@
 		Host:   medlargw.HostName(p.Need("host")),
 		Zone:   medlargw.ZoneName(p.Need("zone")),
 		Listen: listen(p.Object("listen")),
-		Store:  p.AddrPort("store"),
+		Store:  addr(p, "store", "127.0.0.1:7800"),
 		Peers:  l.peers(p),
 		Key:    secret(p, "key"),
 		Admin:  secret(p, "admin"),
@@ -89,12 +89,19 @@
 func listen(p *parser.Parser) medlargw.ListenSettings {
 	defer p.Close()
 	return medlargw.ListenSettings{
-		Callers: p.AddrPort("callers"),
-		Peers:   p.AddrPort("peers"),
-		Admin:   p.AddrPort("admin"),
+		Callers: addr(p, "callers", "127.0.0.1:8080"),
+		Peers:   addr(p, "peers", "127.0.0.1:8081"),
+		Admin:   addr(p, "admin", "127.0.0.1:8082"),
 	}
 }
 
+func addr(p *parser.Parser, name, byDefault string) netip.AddrPort {
+	if a := p.AddrPort(name); a.IsValid() {
+		return a
+	}
+	return netip.MustParseAddrPort(byDefault)
+}
+
 func intake(p *parser.Parser) medlargw.IntakeSettings {
 	defer p.Close()
 	return medlargw.IntakeSettings{
--- /dev/null
+++ b/presenter/presenter.go
@@ -0,0 +1,268 @@
+// Package presenter shows the entries' answers to people and to programs.
+//
+// Text is aligned by spaces and holds no colour, so that it reads the same on a
+// terminal, in a mail and in a file.
+package presenter
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// maxRows is the number of rows of one list, so that all fits on one screen.
+const maxRows = 8
+
+// Presenter shows answers. It has no state.
+type Presenter struct{}
+
+// Status writes the state of the deployment on one screen.
+func (Presenter) Status(w io.Writer, answers []medlargw.EntryAnswer, now time.Time) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	silent := silentOf(answers)
+	fmt.Fprintf(t, "%s  %s answered, %d did not\n", now.UTC().Format(time.DateTime),
+		count(len(answers)-len(silent), "entry", "entries"), len(silent))
+	writeEntries(t, answers, now)
+	writeConfig(t, answers)
+	writeTargets(t, answers, now)
+	writeQueues(t, answers)
+	writeLimits(t, answers)
+	writeLoans(t, answers)
+	return t.Flush()
+}
+
+func count(n int, one, many string) string {
+	if n == 1 {
+		return "1 " + one
+	}
+	return fmt.Sprintf("%d %s", n, many)
+}
+
+func silentOf(answers []medlargw.EntryAnswer) []medlargw.EntryAnswer {
+	return slices.DeleteFunc(slices.Clone(answers), func(a medlargw.EntryAnswer) bool { return a.Err == nil })
+}
+
+// age returns the time since then in the largest unit that says something.
+func age(now, then time.Time) string {
+	if then.IsZero() {
+		return "-"
+	}
+	d := max(0, now.Sub(then))
+	switch {
+	case d < time.Minute:
+		return fmt.Sprintf("%ds", int(d.Seconds()))
+	case d < time.Hour:
+		return fmt.Sprintf("%dm", int(d.Minutes()))
+	case d < 48*time.Hour:
+		return fmt.Sprintf("%dh", int(d.Hours()))
+	}
+	return fmt.Sprintf("%dd", int(d.Hours()/24))
+}
+
+func writeEntries(w io.Writer, answers []medlargw.EntryAnswer, now time.Time) {
+	fmt.Fprint(w, "\nENTRY\tZONE\tSTATE\tUP\tGENERATION\tSINCE\tJOBS\tRUNNING\tFREE\tWAITING\n")
+	for i := range answers {
+		a := &answers[i]
+		if a.Err != nil {
+			continue
+		}
+		s := &a.Status
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\n", a.Host, a.Zone, stateOf(a),
+			age(now, s.Started), s.Generation, age(now, s.InForce), s.Core.Jobs, s.Core.Running, s.Core.Free, waiting(s))
+	}
+	for _, a := range silentOf(answers) {
+		fmt.Fprintf(w, "%s\t%s\tDID NOT ANSWER at %s: %v\n", nameOf(&a), dash(string(a.Zone)), a.Addr, a.Err)
+	}
+}
+
+func nameOf(a *medlargw.EntryAnswer) string {
+	if a.Host == "" {
+		return "unknown"
+	}
+	return string(a.Host)
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// stateOf returns the state that the entry gives itself.
+func stateOf(a *medlargw.EntryAnswer) string {
+	for i := range a.Status.Members {
+		if a.Status.Members[i].Host == a.Host {
+			return a.Status.Members[i].State.String()
+		}
+	}
+	return "-"
+}
+
+func waiting(s *medlargw.EntryStatus) int {
+	n := 0
+	for _, q := range s.Core.Queues {
+		n += q.Tasks
+	}
+	return n
+}
+
+func writeConfig(w io.Writer, answers []medlargw.EntryAnswer) {
+	var highest uint64
+	for i := range answers {
+		highest = max(highest, answers[i].Status.Generation)
+	}
+	have, asked := 0, 0
+	var behind []string
+	for i := range answers {
+		a := &answers[i]
+		switch {
+		case a.Err != nil:
+			continue
+		case a.Status.Generation == highest:
+			have++
+		default:
+			behind = append(behind, fmt.Sprintf("%s has %d", a.Host, a.Status.Generation))
+		}
+		asked++
+	}
+	fmt.Fprintf(w, "\nCONFIGURATION  generation %d on %d of %d\n", highest, have, asked)
+	if len(behind) > 0 {
+		fmt.Fprintf(w, "  behind: %s\n", strings.Join(behind, ", "))
+	}
+}
+
+// targetRow is a target as one entry sees it.
+type targetRow struct {
+	host   medlargw.HostName
+	status medlargw.TargetStatus
+}
+
+func writeTargets(w io.Writer, answers []medlargw.EntryAnswer, now time.Time) {
+	counts := map[medlargw.TargetState]int{}
+	seen := map[medlargw.TargetName]medlargw.TargetState{}
+	var rows []targetRow
+	for i := range answers {
+		for _, t := range answers[i].Status.Core.Targets {
+			if t.State != medlargw.TargetServing {
+				rows = append(rows, targetRow{host: answers[i].Host, status: t})
+			}
+			if old, ok := seen[t.Target.Name]; !ok || old == medlargw.TargetServing {
+				seen[t.Target.Name] = t.State
+			}
+		}
+	}
+	for _, state := range seen {
+		counts[state]++
+	}
+	fmt.Fprintf(w, "\nTARGETS  %d serving, %d leaving, %d quarantined, %d set aside\n",
+		counts[medlargw.TargetServing], counts[medlargw.TargetLeaving],
+		counts[medlargw.TargetQuarantined], counts[medlargw.TargetSetAside])
+	if len(rows) == 0 {
+		return
+	}
+	slices.SortStableFunc(rows, func(a, b targetRow) int { return cmp.Compare(a.status.Target.Name, b.status.Target.Name) })
+	fmt.Fprint(w, "  target\tzone\tstate\tsince\tseen by\tused\treason\n")
+	for i := range rows[:min(maxRows, len(rows))] {
+		t := &rows[i].status
+		fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%s\t%d of %d\t%s\n", t.Target.Name, t.Target.Zone, t.State,
+			age(now, t.Since), rows[i].host, t.Used, t.Slots, dash(t.Reason))
+	}
+	writeMore(w, len(rows))
+}
+
+// writeMore says how many rows are not shown.
+func writeMore(w io.Writer, rows int) {
+	if rows > maxRows {
+		fmt.Fprintf(w, "  ... and %d more, see --json\n", rows-maxRows)
+	}
+}
+
+func writeQueues(w io.Writer, answers []medlargw.EntryAnswer) {
+	classes := map[int]medlargw.ClassName{}
+	tasks := map[medlargw.QueueStatus]int{} // By rank and team.
+	for i := range answers {
+		for _, c := range answers[i].Status.Classes {
+			classes[c.Rank] = c.Name
+		}
+		for _, q := range answers[i].Status.Core.Queues {
+			tasks[medlargw.QueueStatus{Rank: q.Rank, Team: q.Team}] += q.Tasks
+		}
+	}
+	var rows []medlargw.QueueStatus
+	total := 0
+	for q, n := range tasks {
+		q.Tasks = n
+		total += n
+		rows = append(rows, q)
+	}
+	fmt.Fprintf(w, "\nQUEUES  %s waiting\n", count(total, "task", "tasks"))
+	if len(rows) == 0 {
+		return
+	}
+	slices.SortFunc(rows, func(a, b medlargw.QueueStatus) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(b.Tasks, a.Tasks), cmp.Compare(a.Team, b.Team))
+	})
+	fmt.Fprint(w, "  class\tteam\ttasks\n")
+	for _, q := range rows[:min(maxRows, len(rows))] {
+		class := string(classes[q.Rank])
+		if class == "" {
+			class = fmt.Sprintf("(rank %d)", q.Rank)
+		}
+		fmt.Fprintf(w, "  %s\t%s\t%d\n", class, q.Team, q.Tasks)
+	}
+	writeMore(w, len(rows))
+}
+
+func writeLimits(w io.Writer, answers []medlargw.EntryAnswer) {
+	fmt.Fprint(w, "\nLIMITS")
+	rows := 0
+	var held []string
+	for i := range answers {
+		for _, l := range answers[i].Status.Core.Limits {
+			if !l.Blocked {
+				continue
+			}
+			rows++
+			held = append(held, fmt.Sprintf("  %s\t%s\t%d running of %s\n", l.Team, answers[i].Host, l.Running, bound(l.Limit)))
+		}
+	}
+	fmt.Fprintf(w, "  %d reached\n", rows)
+	if rows > 0 {
+		fmt.Fprint(w, "  team\tentry\tuse\n", strings.Join(held[:min(maxRows, rows)], ""))
+	}
+	writeMore(w, rows)
+}
+
+func bound(l medlargw.Limit) string {
+	var parts []string
+	if l.Running > 0 {
+		parts = append(parts, fmt.Sprint(l.Running))
+	}
+	if l.Starts > 0 {
+		parts = append(parts, fmt.Sprintf("%g starts a second", l.Starts))
+	}
+	if len(parts) == 0 {
+		return "no bound"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func writeLoans(w io.Writer, answers []medlargw.EntryAnswer) {
+	lent, held := 0, 0
+	for i := range answers {
+		for _, l := range answers[i].Status.Core.Lent {
+			lent += l.Amount
+		}
+		for _, l := range answers[i].Status.Core.Held {
+			held += l.Amount
+		}
+	}
+	fmt.Fprintf(w, "\nLOANS  %d lent, %d held\n", lent, held)
+}
