--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -102,8 +102,11 @@
 // Name returns "administrator".
 func (*Administrator) Name() string { return "administrator" }
 
-// Addr returns the address that is served; it is known once started.
+// Addr returns the address that is served; until started, that of the settings.
 func (a *Administrator) Addr() netip.AddrPort {
+	if a.listener == nil {
+		return a.settings.Listen.Admin
+	}
 	addr, _ := netip.ParseAddrPort(a.listener.Addr().String())
 	return addr
 }
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/rand"
 	"crypto/tls"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -16,17 +17,21 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/administrator"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/limiter"
+	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/reporter"
 	"medlargw.example/medlargw/scheduler"
 	"medlargw.example/medlargw/sender"
+	"medlargw.example/medlargw/tracker"
 	"medlargw.example/medlargw/watcher"
 )
 
@@ -34,10 +39,13 @@
 type Builder struct {
 	Log      *zap.Logger
 	Settings medlargw.Settings
-	Store    medlargw.Store // Nil reaches the one in the settings.
-	Hosts    medlargw.Hosts // Nil reaches the one in the settings.
-	Level    zap.AtomicLevel
-	Version  string
+	Store    medlargw.Store  // Nil reaches the one in the settings.
+	Hosts    medlargw.Hosts  // Nil reaches the one in the settings.
+	Sender   medlargw.Sender // Nil reaches the targets.
+	// Messenger returns the part "messenger"; nil serves and reaches real peers.
+	Messenger func(reg *registrar.Registrar) medlargw.Part
+	Level     zap.AtomicLevel // Of the log, for operators to change.
+	Version   string
 }
 
 // Build returns the parts in a registrar that has not started.
@@ -46,21 +54,63 @@
 	if err != nil {
 		return nil, err
 	}
+	reg := b.core(func(reg *registrar.Registrar, registry metrics.Registry) medlargw.Part {
+		return administrator.New(b.Log, reg, b.Settings, tlsConfig, registry, b.level(), b.Version)
+	})
+	reg.Add(receiver.New(b.Log, reg, b.Settings, tlsConfig))
+	return reg, nil
+}
+
+// Core returns the parts but for those that serve callers and operators.
+func (b *Builder) Core() *registrar.Registrar { return b.core(nil) }
+
+// core returns the parts that decide, and the one that serves operators. That
+// one starts before the tracker, which tells its address to the peers, and
+// stops after the traffic, so that a planned stop can be followed.
+func (b *Builder) core(admin func(*registrar.Registrar, metrics.Registry) medlargw.Part) *registrar.Registrar {
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
-	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
-	send := sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	dec := decider.New(b.Settings, b.deciderTools(), newTag)
+	if b.Sender == nil {
+		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
+	}
 	registry := metrics.NewRegistry()
 	report := reporter.New(reg, registry, time.Now())
+	reg.Add(dispatcher.New(b.Log, dec, b.Sender, registry, report), report)
+	if admin != nil {
+		reg.Add(admin(reg, registry))
+	}
 	reg.Add(
-		dispatcher.New(b.Log, dec, send, registry, report),
-		report,
-		administrator.New(b.Log, reg, b.Settings, tlsConfig, registry, b.level(), b.Version),
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
-		receiver.New(b.Log, reg, b.Settings, tlsConfig),
+		b.messenger(reg),
+		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
 	)
-	return reg, nil
+	return reg
+}
+
+func (b *Builder) messenger(reg *registrar.Registrar) medlargw.Part {
+	if b.Messenger != nil {
+		return b.Messenger(reg)
+	}
+	return messenger.New(b.Log, reg, b.Settings)
+}
+
+func newIncarnation() medlargw.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // It never fails.
+	return medlargw.Incarnation(binary.LittleEndian.Uint64(random[:]))
+}
+
+func (b *Builder) deciderTools() medlargw.DeciderTools {
+	est := estimator.New()
+	return medlargw.DeciderTools{
+		Scheduler:  scheduler.New(medlargw.OrderLeast),
+		Placer:     placer.New(est),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(b.Settings.Intake.Bytes),
+	}
 }
 
 // level returns the level of the log that operators may change.
--- a/plotter/plotter.go
+++ b/plotter/plotter.go
@@ -27,12 +27,30 @@
 // leastRate is the top of the scale when nothing burns faster.
 const leastRate = 2.0
 
+// legendRoom is the factor by which the scale exceeds the highest rate, so that
+// the legend lies above the lines.
+const legendRoom = 1.4
+
 // Plotter draws. It has no state.
 type Plotter struct{}
 
 // SVG returns the plot: one line per class with an objective, and one at the
 // rate that uses the budget up exactly. Steps without jobs are left out.
 func (Plotter) SVG(r *medlargw.BurnReport) ([]byte, error) {
+	p, err := layOut(r)
+	if err != nil {
+		return nil, err
+	}
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return nil, fmt.Errorf("plot: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+func layOut(r *medlargw.BurnReport) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = "Burn rate by class"
 	p.Y.Label.Text = "times the allowed rate"
@@ -57,13 +75,7 @@
 	allowed.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 	p.Add(allowed)
 	p.Legend.Add("allowed", allowed)
-	canvas := vgsvg.New(width, height)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return nil, fmt.Errorf("plot: %w", err)
-	}
-	return b.Bytes(), nil
+	return p, nil
 }
 
 func addClasses(p *plot.Plot, r *medlargw.BurnReport) error {
@@ -81,12 +93,12 @@
 		line.Color = plotutil.Color(n)
 		line.Width = vg.Points(1.5)
 		dots.Color = plotutil.Color(n)
-		dots.Shape = draw.CircleGlyph{}
+		dots.Shape = plotutil.Shape(n) // Tells lines apart without their colour.
 		dots.Radius = vg.Points(2)
 		p.Add(line, dots)
 		p.Legend.Add(string(l.Class), line, dots)
 		for _, xy := range xys {
-			p.Y.Max = max(p.Y.Max, math.Ceil(xy.Y*1.1))
+			p.Y.Max = max(p.Y.Max, math.Ceil(xy.Y*legendRoom))
 		}
 		n++
 	}
