--- a/builder/builder.go
+++ b/builder/builder.go
@@ -18,6 +18,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
 	"medlargw.example/medlargw/accountant"
+	"medlargw.example/medlargw/administrator"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
@@ -29,6 +30,7 @@
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/reporter"
 	"medlargw.example/medlargw/scheduler"
 	"medlargw.example/medlargw/sender"
 	"medlargw.example/medlargw/tracker"
@@ -44,6 +46,8 @@
 	Sender   medlargw.Sender // Nil reaches the targets.
 	// Messenger returns the part "messenger"; nil serves and reaches real peers.
 	Messenger func(reg *registrar.Registrar) medlargw.Part
+	Level     zap.AtomicLevel // Of the log, for operators to change.
+	Version   string
 }
 
 // Build returns the parts in a registrar that has not started.
@@ -52,13 +56,20 @@
 	if err != nil {
 		return nil, err
 	}
-	reg := b.Core()
+	reg := b.core(func(reg *registrar.Registrar, registry metrics.Registry) medlargw.Part {
+		return administrator.New(b.Log, reg, b.Settings, tlsConfig, registry, b.level(), b.Version)
+	})
 	reg.Add(receiver.New(b.Log, reg, b.Settings, tlsConfig))
 	return reg, nil
 }
 
 // Core returns the parts but for those that serve callers and operators.
-func (b *Builder) Core() *registrar.Registrar {
+func (b *Builder) Core() *registrar.Registrar { return b.core(nil) }
+
+// core returns the parts that decide, and the one that serves operators. That
+// one starts before the tracker, which tells its address to the peers, and
+// stops after the traffic, so that a planned stop can be followed.
+func (b *Builder) core(admin func(*registrar.Registrar, metrics.Registry) medlargw.Part) *registrar.Registrar {
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
 	dec := decider.New(b.Settings, b.deciderTools(), newTag)
@@ -67,8 +78,13 @@
 	}
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
+	registry := metrics.NewRegistry()
+	report := reporter.New(reg, registry, time.Now())
+	reg.Add(dispatcher.New(b.Log, dec, b.Sender, registry, report), report)
+	if admin != nil {
+		reg.Add(admin(reg, registry))
+	}
 	reg.Add(
-		dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
 		watcher.New(b.Log, reg, b.Store),
 		b.messenger(reg),
@@ -102,6 +118,14 @@
 	}
 }
 
+// level returns the level of the log that operators may change.
+func (b *Builder) level() zap.AtomicLevel {
+	if b.Level == (zap.AtomicLevel{}) {
+		return zap.NewAtomicLevel()
+	}
+	return b.Level
+}
+
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
 func (b *Builder) reachPlatform() {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -130,7 +130,7 @@
 		t.view.self.Addr = a.Addr()
 	}
 	t.view.self.Admin = t.settings.Listen.Admin
-	if a, err := registrar.Find[addressed](t.registry, "administrator"); err == nil && t.view.self.Admin.Port() != 0 {
+	if a, err := registrar.Find[addressed](t.registry, "administrator"); err == nil {
 		t.view.self.Admin = a.Addr()
 	}
 	t.view.hint(t.settings.Peers)
