Let what falls due at the same instant happen before a keeper test goes on

Cause: TestFate slept until the exact instant at which an answer expires, so its timer raced the keeper's. Ruled out: a fault of the keeper, since its own timer was due in the same instant. Change: the test waits until the bubble is idle; assertions stay as they were.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -140,14 +140,18 @@
 func TestFate(t *testing.T) {
 	submit, get, cancel := medlargw.ForwardSubmit, medlargw.ForwardGet, medlargw.ForwardCancel
 	type step struct {
-		name   string
 		do     func(t *testing.T, w *world) // Done before the request.
 		other  bool                         // Asks the other entry.
 		verb   medlargw.ForwardVerb
 		code   string // Empty is complete.
 		notRun bool
 	}
-	wait := func(d time.Duration) func(*testing.T, *world) { return func(*testing.T, *world) { <-time.After(d) } }
+	wait := func(d time.Duration) func(*testing.T, *world) {
+		return func(*testing.T, *world) {
+			<-time.After(d)
+			synctest.Wait() // What falls due at the same instant has happened.
+		}
+	}
 	lose := func(_ *testing.T, w *world) { delete(w.peers, homeAddr) }
 	restart := func(t *testing.T, w *world) {
 		w.home = w.start(t, "h", 9, &stub{name: "dispatcher"})
