--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -146,7 +146,12 @@
 		code   string // Empty is complete.
 		notRun bool
 	}
-	wait := func(d time.Duration) func(*testing.T, *world) { return func(*testing.T, *world) { <-time.After(d) } }
+	wait := func(d time.Duration) func(*testing.T, *world) {
+		return func(*testing.T, *world) {
+			<-time.After(d)
+			synctest.Wait() // What falls due at the same instant has happened.
+		}
+	}
 	lose := func(_ *testing.T, w *world) { delete(w.peers, homeAddr) }
 	restart := func(t *testing.T, w *world) {
 		w.home = w.start(t, "h", 9, &stub{name: "dispatcher"})
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -42,7 +42,7 @@
 		Host:   medlargw.HostName(p.Need("host")),
 		Zone:   medlargw.ZoneName(p.Need("zone")),
 		Listen: listen(p.Object("listen")),
-		Store:  p.AddrPort("store"),
+		Store:  addr(p, "store", "127.0.0.1:7800"),
 		Peers:  l.peers(p),
 		Key:    secret(p, "key"),
 		Admin:  secret(p, "admin"),
@@ -52,6 +52,9 @@
 		Group:  group(p.Object("group")),
 		TLS:    tls(p.Object("tls")),
 	}
+	if shortest := s.Group.Notice + s.Intake.Deadline; s.Group.Drain < shortest {
+		p.Fault("group", "got drain %s, want at least notice and intake.deadline, %s", s.Group.Drain, shortest)
+	}
 	p.Close()
 	return s, l.findings.Err()
 }
@@ -89,10 +92,17 @@
 func listen(p *parser.Parser) medlargw.ListenSettings {
 	defer p.Close()
 	return medlargw.ListenSettings{
-		Callers: p.AddrPort("callers"),
-		Peers:   p.AddrPort("peers"),
-		Admin:   p.AddrPort("admin"),
+		Callers: addr(p, "callers", "127.0.0.1:8080"),
+		Peers:   addr(p, "peers", "127.0.0.1:8081"),
+		Admin:   addr(p, "admin", "127.0.0.1:8082"),
+	}
+}
+
+func addr(p *parser.Parser, name, byDefault string) netip.AddrPort {
+	if a := p.AddrPort(name); a.IsValid() {
+		return a
 	}
+	return netip.MustParseAddrPort(byDefault)
 }
 
 func intake(p *parser.Parser) medlargw.IntakeSettings {
@@ -129,7 +139,8 @@
 		Gone:    p.Duration("gone", 10*time.Second, 100*time.Millisecond, time.Hour),
 		Term:    p.Duration("term", 2*time.Second, 50*time.Millisecond, time.Minute),
 		Margin:  p.Duration("margin", 200*time.Millisecond, 5*time.Millisecond, time.Minute),
-		Drain:   p.Duration("drain", 30*time.Second, time.Second, time.Hour),
+		Notice:  p.Duration("notice", 5*time.Second, 0, time.Hour),
+		Drain:   p.Duration("drain", 75*time.Second, time.Second, time.Hour),
 	}
 }
 
