--- a/driver/driver.go
+++ b/driver/driver.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -39,6 +38,8 @@
 	report medlargw.LoadReport
 	ratios map[string]*hdrhistogram.Histogram // Hundredths of the ideal, by class.
 	all    *hdrhistogram.Histogram
+	added  *hdrhistogram.Histogram // Microseconds.
+	direct *direct                 // Nil sends to the entries.
 }
 
 // New returns a driver of the load. Task numbers start after the given one.
@@ -48,6 +49,10 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConns}},
 		ratios: map[string]*hdrhistogram.Histogram{},
 		all:    newHistogram(),
+		added:  newHistogram(),
+	}
+	if len(load.Direct) > 0 {
+		d.direct = newDirect(load.Direct)
 	}
 	d.next.Store(after)
 	return d
@@ -103,8 +108,10 @@
 
 func (d *Driver) draw(random *rand.Rand, n int) *job {
 	j := &job{
-		kind:  d.load.Kinds[random.IntN(len(d.load.Kinds))],
-		entry: d.load.Entries[n%len(d.load.Entries)],
+		kind: d.load.Kinds[random.IntN(len(d.load.Kinds))],
+	}
+	if len(d.load.Entries) > 0 {
+		j.entry = d.load.Entries[n%len(d.load.Entries)]
 	}
 	for range 1 + random.IntN(2*j.kind.Tasks-1) {
 		j.numbers = append(j.numbers, d.next.Add(1))
@@ -122,33 +129,66 @@
 	return longest + trip
 }
 
+// result is how a job ended, as its caller sees it.
+type result int
+
+const (
+	resultWhole result = iota
+	resultWrong
+	resultRefused
+	resultFailed
+	resultCutOff
+)
+
 func (d *Driver) submit(ctx context.Context, j *job) {
 	began := time.Now()
-	status, body, err := d.post(ctx, j)
+	var end result
+	if d.direct != nil {
+		end = d.direct.run(ctx, j)
+	} else {
+		end = d.request(ctx, j)
+	}
 	took := time.Since(began)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.report.Jobs++
 	d.report.Tasks += len(j.numbers)
-	switch {
-	case err != nil:
+	switch end {
+	case resultWhole:
+		d.report.Whole++
+		d.record(j, took)
+	case resultWrong:
+		d.report.Wrong++
+	case resultRefused:
+		d.report.Refused++
+	case resultFailed:
+		d.report.Failed++
+	case resultCutOff:
 		d.report.CutOff++
 		d.report.Failed++
+	}
+}
+
+// request sends the job to its entry.
+func (d *Driver) request(ctx context.Context, j *job) result {
+	status, body, err := d.post(ctx, j)
+	switch {
+	case err != nil:
+		return resultCutOff
 	case status == http.StatusOK && whole(j, body):
-		d.report.Whole++
-		d.record(j.kind.Class, took, j.ideal(d.trip))
+		return resultWhole
 	case status == http.StatusOK:
-		d.report.Wrong++
+		return resultWrong
 	case notRun(body):
-		d.report.Refused++
-	default:
-		d.report.Failed++
+		return resultRefused
 	}
+	return resultFailed
 }
 
-func (d *Driver) record(class string, took, ideal time.Duration) {
-	ratio := int64(math.Round(100 * float64(took) / float64(ideal)))
+func (d *Driver) record(j *job, took time.Duration) {
+	ratio := int64(math.Round(100 * float64(took) / float64(j.ideal(d.trip))))
 	ratio = min(max(ratio, 1), maxRatio)
+	class := j.kind.Class
 	h := d.ratios[class]
 	if h == nil {
 		h = newHistogram()
@@ -156,6 +196,7 @@
 	}
 	_ = h.RecordValue(ratio) // Within the histogram's bounds.
 	_ = d.all.RecordValue(ratio)
+	_ = d.added.RecordValue(min(max((took-j.ideal(0)).Microseconds(), 1), maxRatio))
 }
 
 func (d *Driver) post(ctx context.Context, j *job) (int, []byte, error) {
@@ -185,11 +226,11 @@
 // trips is the number of requests from which the round trip is taken.
 const trips = 20
 
-// roundTrip returns the shortest round trip to the first entry.
+// roundTrip returns the shortest round trip to the first entry or target.
 func (d *Driver) roundTrip(ctx context.Context) (time.Duration, error) {
 	shortest := time.Hour
+	url := "http://" + d.first()
 	for range trips {
-		url := "http://" + d.load.Entries[0].String() + "/healthz"
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 		if err != nil {
 			return 0, fmt.Errorf("build request: %w", err)
@@ -203,9 +244,21 @@
 	return shortest, nil
 }
 
+// first returns the address and path that a round trip is taken from.
+func (d *Driver) first() string {
+	if d.direct != nil {
+		return d.load.Direct[0].Addr.String() + "/none"
+	}
+	return d.load.Entries[0].String() + "/healthz"
+}
+
 func (d *Driver) summary() medlargw.LoadReport {
 	r := d.report
 	r.Ratio = ratioOf(d.all)
+	r.Added = medlargw.Added{
+		Median: time.Duration(d.added.ValueAtQuantile(50)) * time.Microsecond,
+		P99:    time.Duration(d.added.ValueAtQuantile(99)) * time.Microsecond,
+	}
 	r.Classes = map[string]medlargw.Ratio{}
 	for class, h := range d.ratios {
 		r.Classes[class] = ratioOf(h)
@@ -216,71 +269,3 @@
 func ratioOf(h *hdrhistogram.Histogram) medlargw.Ratio {
 	return medlargw.Ratio{Mean: h.Mean() / 100, P99: float64(h.ValueAtQuantile(99)) / 100}
 }
-
-type jobWire struct {
-	Service    string     `json:"service"`
-	Idempotent bool       `json:"idempotent"`
-	Deadline   string     `json:"deadline"`
-	Runtime    string     `json:"runtime"`
-	Tasks      []taskWire `json:"tasks"`
-}
-
-type taskWire struct {
-	ID      string      `json:"id"`
-	Payload payloadWire `json:"payload"`
-}
-
-type payloadWire struct {
-	Number uint64 `json:"number"`
-	Run    int64  `json:"run"` // Microseconds.
-}
-
-type answerWire struct {
-	NotRun bool         `json:"notrun"`
-	Tasks  []resultWire `json:"tasks"`
-}
-
-type resultWire struct {
-	ID     string `json:"id"`
-	Answer struct {
-		Number uint64 `json:"number"`
-	} `json:"answer"`
-}
-
-func encode(j *job) ([]byte, error) {
-	wire := jobWire{
-		Service:  j.kind.Service,
-		Deadline: j.kind.Deadline.String(),
-		Runtime:  j.kind.Run.String(),
-	}
-	for i, n := range j.numbers {
-		wire.Tasks = append(wire.Tasks, taskWire{
-			ID:      fmt.Sprintf("t%d", i),
-			Payload: payloadWire{Number: n, Run: j.runs[i].Microseconds()},
-		})
-	}
-	body, err := json.Marshal(wire)
-	if err != nil {
-		return nil, fmt.Errorf("encode job: %w", err)
-	}
-	return body, nil
-}
-
-// whole reports whether the answer holds each task's own result once.
-func whole(j *job, body []byte) bool {
-	var wire answerWire
-	if json.Unmarshal(body, &wire) != nil || len(wire.Tasks) != len(j.numbers) {
-		return false
-	}
-	for i, r := range wire.Tasks {
-		if r.ID != fmt.Sprintf("t%d", i) || r.Answer.Number != j.numbers[i] {
-			return false
-		}
-	}
-	return true
-}
-
-func notRun(body []byte) bool {
-	var wire answerWire
-	return json.Unmarshal(body, &wire) == nil && wire.NotRun
-}
--- a/load.go
+++ b/load.go
@@ -8,6 +8,7 @@
 // Load is what the load tool sends.
 type Load struct {
 	Entries []netip.AddrPort
+	Direct  []Target // Sends straight to these and keeps their slots; empty sends to the entries.
 	Kinds   []LoadKind
 	Rate    float64       // Jobs per second.
 	Time    time.Duration // How long jobs are sent.
@@ -35,6 +36,14 @@
 	CutOff  int // Ended without an HTTP answer; also counted as failed.
 	Ratio   Ratio
 	Classes map[string]Ratio
+	Added   Added
+}
+
+// Added is the response time less the longest run time of the job's tasks, of
+// jobs that were answered whole.
+type Added struct {
+	Median time.Duration
+	P99    time.Duration
 }
 
 // Ratio is the response time divided by the ideal.
--- /dev/null
+++ b/rehearser/load.go
@@ -0,0 +1,191 @@
+package rehearser
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/driver"
+	"medlargw.example/medlargw/executor"
+)
+
+// loadFlags are the flags of the load tool.
+type loadFlags struct {
+	entries []string
+	store   string
+	kinds   []string
+	pids    []int
+	rate    float64
+	seconds int
+	seed    uint64
+	direct  bool
+}
+
+func loadCommand() *cobra.Command {
+	var f loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send jobs to entries, or straight to the targets, and count at the targets",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&f.entries, "entry", nil, "address of an entry; may be repeated")
+	flags.StringVar(&f.store, "store", "127.0.0.1:7800", "address of the stand-in store, which lists the targets")
+	flags.StringArrayVar(&f.kinds, "kind", nil, "SERVICE,CLASS,TOKEN,TASKS,RUN,DEADLINE of one kind of job; may be repeated")
+	flags.IntSliceVar(&f.pids, "pid", nil, "process whose processor time and memory is reported; may be repeated")
+	flags.Float64Var(&f.rate, "rate", 100, "jobs a second")
+	flags.IntVar(&f.seconds, "seconds", 10, "how long jobs are sent")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the load")
+	flags.BoolVar(&f.direct, "direct", false, "send straight to the targets and keep their slots")
+	return cmd
+}
+
+func (f *loadFlags) run(cmd *cobra.Command) error {
+	ctx := cmd.Context()
+	load, targets, err := f.load(ctx)
+	if err != nil {
+		return err
+	}
+	before, err := countsOf(ctx, targets)
+	if err != nil {
+		return err
+	}
+	usage, err := startUsage(f.pids)
+	if err != nil {
+		return err
+	}
+	report, err := driver.New(load, lastNumber(&before)).Run(ctx)
+	if err != nil {
+		return err
+	}
+	used := usage.end(report.Tasks)
+	after, err := countsOf(ctx, targets)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(used)
+	if err != nil {
+		return fmt.Errorf("encode usage: %w", err)
+	}
+	cmd.PrintErrln("processes:", string(line))
+	return printSummary(cmd, true, report, since(after, &before))
+}
+
+// load returns what to send, and the targets.
+func (f *loadFlags) load(ctx context.Context) (medlargw.Load, []medlargw.Target, error) {
+	load := medlargw.Load{Rate: f.rate, Time: time.Duration(f.seconds) * time.Second, Seed: f.seed}
+	store, err := netip.ParseAddrPort(f.store)
+	if err != nil {
+		return load, nil, fmt.Errorf("store: %w", err)
+	}
+	list, err := accessor.New(store).Hosts(ctx)
+	if err != nil {
+		return load, nil, fmt.Errorf("read targets: %w", err)
+	}
+	if f.direct {
+		load.Direct = list.Targets
+	}
+	for _, text := range f.entries {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return load, nil, fmt.Errorf("entry: %w", err)
+		}
+		load.Entries = append(load.Entries, addr)
+	}
+	for _, text := range f.kinds {
+		kind, err := kindOf(text)
+		if err != nil {
+			return load, nil, err
+		}
+		load.Kinds = append(load.Kinds, kind)
+	}
+	if len(load.Kinds) == 0 || len(list.Targets) == 0 || (len(load.Entries) == 0 && !f.direct) {
+		return load, nil, fmt.Errorf("got %d kinds, %d targets and %d entries, want at least one each",
+			len(load.Kinds), len(list.Targets), len(load.Entries))
+	}
+	return load, list.Targets, nil
+}
+
+// kindFields is the number of values of one kind.
+const kindFields = 6
+
+func kindOf(text string) (medlargw.LoadKind, error) {
+	values := strings.Split(text, ",")
+	if len(values) != kindFields {
+		return medlargw.LoadKind{}, fmt.Errorf("kind %q: got %d values, want %d", text, len(values), kindFields)
+	}
+	tasks, err := strconv.Atoi(values[3])
+	if err != nil || tasks < 1 {
+		return medlargw.LoadKind{}, fmt.Errorf("kind %q: got %q tasks, want at least 1", text, values[3])
+	}
+	run, err := time.ParseDuration(values[4])
+	if err != nil || run <= 0 {
+		return medlargw.LoadKind{}, fmt.Errorf("kind %q: got run time %q, want one such as \"50ms\"", text, values[4])
+	}
+	deadline, err := time.ParseDuration(values[5])
+	if err != nil {
+		return medlargw.LoadKind{}, fmt.Errorf("kind %q: %w", text, err)
+	}
+	return medlargw.LoadKind{
+		Service: values[0], Class: values[1], Token: values[2], Tasks: tasks, Run: run, Deadline: deadline,
+	}, nil
+}
+
+func countsOf(ctx context.Context, targets []medlargw.Target) (medlargw.TargetCounts, error) {
+	var all medlargw.TargetCounts
+	for i := range targets {
+		url := "http://" + targets[i].Addr.String() + "/counts"
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return all, fmt.Errorf("build request: %w", err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return all, fmt.Errorf("read counts: %w", err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return all, fmt.Errorf("read counts: %w", err)
+		}
+		counts, err := executor.DecodeCounts(body)
+		if err != nil {
+			return all, fmt.Errorf("decode counts: %w", err)
+		}
+		all.Add(counts)
+	}
+	return all, nil
+}
+
+// lastNumber returns the highest number of a task that any target knows.
+func lastNumber(c *medlargw.TargetCounts) uint64 {
+	var last uint64
+	for n := range c.Starts {
+		last = max(last, n)
+	}
+	return last
+}
+
+// since takes what was counted before from the counts.
+func since(c medlargw.TargetCounts, before *medlargw.TargetCounts) medlargw.TargetCounts {
+	c.Requests -= before.Requests
+	c.Started -= before.Started
+	c.NotStarted -= before.NotStarted
+	c.Answered -= before.Answered
+	c.Stopped -= before.Stopped
+	for n := range before.Starts {
+		delete(c.Starts, n)
+	}
+	return c
+}
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,10 +13,10 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
-	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/demonstrator"
 	"medlargw.example/medlargw/executor"
 	"medlargw.example/medlargw/storer"
@@ -42,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(targetCommand(), storeCommand(), demoCommand())
+	root.AddCommand(targetCommand(), storeCommand(), loadCommand(), demoCommand())
 	return &Rehearser{root: root}
 }
 
@@ -59,15 +58,16 @@
 
 func targetCommand() *cobra.Command {
 	var listen string
-	var slots int
+	var slots, count int
 	cmd := &cobra.Command{
 		Use:   "target",
-		Short: "Serve as a target whose tasks sleep",
+		Short: "Serve as one or more targets whose tasks sleep",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, executor.New(slots).Handler())
+			return serveTargets(cmd.Context(), listen, slots, count)
 		},
 	}
+	cmd.Flags().IntVar(&count, "count", 1, "targets, on ports that follow each other")
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7900", "address to serve")
 	cmd.Flags().IntVar(&slots, "slots", 8, "tasks that run side by side")
 	return cmd
@@ -87,6 +87,22 @@
 	return cmd
 }
 
+// serveTargets serves the targets until the context ends.
+func serveTargets(ctx context.Context, listen string, slots, count int) error {
+	addr, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return fmt.Errorf("parse address: %w", err)
+	}
+	serving := pool.New().WithContext(ctx).WithCancelOnError()
+	for n := range count {
+		next := netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(n))
+		serving.Go(func(ctx context.Context) error {
+			return serve(ctx, next.String(), executor.New(slots).Handler())
+		})
+	}
+	return serving.Wait()
+}
+
 // serve serves until the context ends.
 func serve(ctx context.Context, listen string, h http.Handler) error {
 	addr, err := netip.ParseAddrPort(listen)
@@ -124,78 +140,3 @@
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object as the last line")
 	return cmd
 }
-
-type summaryWire struct {
-	Jobs            int                  `json:"jobs"`
-	Whole           int                  `json:"whole"`
-	Failed          int                  `json:"failed"`
-	Refused         int                  `json:"refused"`
-	Wrong           int                  `json:"wrong"`
-	Twice           int                  `json:"twice"`
-	CutOff          int                  `json:"cut_off"`
-	ResponseMean    float64              `json:"response_ratio_mean"`
-	ResponseP99     float64              `json:"response_ratio_p99"`
-	MessagesPerTask float64              `json:"messages_per_task"`
-	WastedMessages  int                  `json:"wasted_messages"`
-	Classes         map[string]ratioWire `json:"classes"`
-}
-
-type ratioWire struct {
-	Mean float64 `json:"response_ratio_mean"`
-	P99  float64 `json:"response_ratio_p99"`
-}
-
-// messagesPerAttempt counts an attempt and its answer.
-const messagesPerAttempt = 2
-
-func summaryOf(r medlargw.LoadReport, c medlargw.TargetCounts) summaryWire {
-	s := summaryWire{
-		Jobs:           r.Jobs,
-		Whole:          r.Whole,
-		Failed:         r.Failed,
-		Refused:        r.Refused,
-		Wrong:          r.Wrong,
-		Twice:          c.Twice(),
-		CutOff:         r.CutOff,
-		ResponseMean:   r.Ratio.Mean,
-		ResponseP99:    r.Ratio.P99,
-		WastedMessages: messagesPerAttempt * (c.Requests - c.Answered),
-		Classes:        map[string]ratioWire{},
-	}
-	if c.Started > 0 {
-		s.MessagesPerTask = float64(messagesPerAttempt*c.Requests) / float64(c.Started)
-	}
-	for class, ratio := range r.Classes {
-		s.Classes[class] = ratioWire{Mean: ratio.Mean, P99: ratio.P99}
-	}
-	return s
-}
-
-// printSummary prints what was seen; its error says that a promise was broken.
-func printSummary(cmd *cobra.Command, asJSON bool, r medlargw.LoadReport, c medlargw.TargetCounts) error {
-	s := summaryOf(r, c)
-	if asJSON {
-		line, err := json.Marshal(s)
-		if err != nil {
-			return fmt.Errorf("encode summary: %w", err)
-		}
-		fmt.Fprintln(cmd.OutOrStdout(), string(line))
-	} else {
-		printText(cmd, &s)
-	}
-	if s.Wrong > 0 || s.Twice > 0 {
-		return errBroken
-	}
-	return nil
-}
-
-func printText(cmd *cobra.Command, s *summaryWire) {
-	w := cmd.OutOrStdout()
-	fmt.Fprintf(w, "jobs %d, whole %d, failed %d, refused %d, wrong %d, twice %d\n",
-		s.Jobs, s.Whole, s.Failed, s.Refused, s.Wrong, s.Twice)
-	fmt.Fprintf(w, "response / ideal: mean %.3f, p99 %.3f\n", s.ResponseMean, s.ResponseP99)
-	for class, ratio := range s.Classes {
-		fmt.Fprintf(w, "  %-10s mean %.3f, p99 %.3f\n", class, ratio.Mean, ratio.P99)
-	}
-	fmt.Fprintf(w, "messages per task %.3f, wasted messages %d\n", s.MessagesPerTask, s.WastedMessages)
-}
--- /dev/null
+++ b/rehearser/summary.go
@@ -0,0 +1,91 @@
+package rehearser
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"medlargw.example/medlargw"
+)
+
+type summaryWire struct {
+	Jobs            int                  `json:"jobs"`
+	Whole           int                  `json:"whole"`
+	Failed          int                  `json:"failed"`
+	Refused         int                  `json:"refused"`
+	Wrong           int                  `json:"wrong"`
+	Twice           int                  `json:"twice"`
+	CutOff          int                  `json:"cut_off"`
+	ResponseMean    float64              `json:"response_ratio_mean"`
+	ResponseP99     float64              `json:"response_ratio_p99"`
+	MessagesPerTask float64              `json:"messages_per_task"`
+	WastedMessages  int                  `json:"wasted_messages"`
+	Tasks           int                  `json:"tasks"`
+	AddedMedian     int64                `json:"added_median_us"` // Response less the longest run time.
+	AddedP99        int64                `json:"added_p99_us"`
+	Classes         map[string]ratioWire `json:"classes"`
+}
+
+type ratioWire struct {
+	Mean float64 `json:"response_ratio_mean"`
+	P99  float64 `json:"response_ratio_p99"`
+}
+
+// messagesPerAttempt counts an attempt and its answer.
+const messagesPerAttempt = 2
+
+func summaryOf(r medlargw.LoadReport, c medlargw.TargetCounts) summaryWire {
+	s := summaryWire{
+		Jobs:           r.Jobs,
+		Whole:          r.Whole,
+		Failed:         r.Failed,
+		Refused:        r.Refused,
+		Wrong:          r.Wrong,
+		Twice:          c.Twice(),
+		CutOff:         r.CutOff,
+		ResponseMean:   r.Ratio.Mean,
+		ResponseP99:    r.Ratio.P99,
+		WastedMessages: messagesPerAttempt * (c.Requests - c.Answered),
+		Tasks:          r.Tasks,
+		AddedMedian:    r.Added.Median.Microseconds(),
+		AddedP99:       r.Added.P99.Microseconds(),
+		Classes:        map[string]ratioWire{},
+	}
+	if c.Started > 0 {
+		s.MessagesPerTask = float64(messagesPerAttempt*c.Requests) / float64(c.Started)
+	}
+	for class, ratio := range r.Classes {
+		s.Classes[class] = ratioWire{Mean: ratio.Mean, P99: ratio.P99}
+	}
+	return s
+}
+
+// printSummary prints what was seen; its error says that a promise was broken.
+func printSummary(cmd *cobra.Command, asJSON bool, r medlargw.LoadReport, c medlargw.TargetCounts) error {
+	s := summaryOf(r, c)
+	if asJSON {
+		line, err := json.Marshal(s)
+		if err != nil {
+			return fmt.Errorf("encode summary: %w", err)
+		}
+		fmt.Fprintln(cmd.OutOrStdout(), string(line))
+	} else {
+		printText(cmd, &s)
+	}
+	if s.Wrong > 0 || s.Twice > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func printText(cmd *cobra.Command, s *summaryWire) {
+	w := cmd.OutOrStdout()
+	fmt.Fprintf(w, "jobs %d, whole %d, failed %d, refused %d, wrong %d, twice %d\n",
+		s.Jobs, s.Whole, s.Failed, s.Refused, s.Wrong, s.Twice)
+	fmt.Fprintf(w, "response / ideal: mean %.3f, p99 %.3f\n", s.ResponseMean, s.ResponseP99)
+	for class, ratio := range s.Classes {
+		fmt.Fprintf(w, "  %-10s mean %.3f, p99 %.3f\n", class, ratio.Mean, ratio.P99)
+	}
+	fmt.Fprintf(w, "messages per task %.3f, wasted messages %d\n", s.MessagesPerTask, s.WastedMessages)
+}
