--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -207,6 +208,11 @@
 	Aside *bool `json:"aside"`
 }
 
+type targetAnswer struct {
+	Aside bool `json:"aside"`
+	Known bool `json:"known"` // Whether this entry uses the target now.
+}
+
 func (a *Administrator) setTarget(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	var wire targetAction
 	if !a.read(w, r, &wire) {
@@ -222,15 +228,11 @@
 		a.fail(w, err)
 		return
 	}
-	for i := range s.Core.Targets {
-		if s.Core.Targets[i].Target.Name == name {
-			a.inspector.SetAside(name, *wire.Aside)
-			a.log.Info("target set aside or back", zap.String("target", string(name)), zap.Bool("aside", *wire.Aside))
-			a.answerJSON(w, wire)
-			return
-		}
-	}
-	a.refuse(w, http.StatusNotFound, codeUnknown, "this entry uses no target of that name")
+	known := slices.ContainsFunc(s.Core.Targets, func(t medlargw.TargetStatus) bool { return t.Target.Name == name })
+	// A target that this entry doesn't use now may come to it later.
+	a.inspector.SetAside(name, *wire.Aside)
+	a.log.Info("target set aside or back", zap.String("target", string(name)), zap.Bool("aside", *wire.Aside))
+	a.answerJSON(w, targetAnswer{Aside: *wire.Aside, Known: known})
 }
 
 // read decodes the body, or answers what is wrong with it.
--- a/commander/entries.go
+++ b/commander/entries.go
@@ -33,6 +33,7 @@
 	cmd.Flags().StringSliceVar(&f.admin, "admin", nil, "administration address of an entry; one is enough")
 	cmd.Flags().StringVar(&f.key, keyFlag, os.Getenv(adminVariable), "administration key; by default that of "+adminVariable)
 	cmd.Flags().Lookup(keyFlag).DefValue = ""
+	cmd.Flags().StringVar(&f.store, "store", "", "address of the store, whose host list names the entries")
 	cmd.Flags().StringVar(&f.ca, "ca", "", "file with the certificates to trust; reaches the entries by TLS")
 }
 
@@ -84,8 +85,25 @@
 	return all, nil
 }
 
+// open returns who asks the entries and where to begin. The caller closes it.
+func (f *entryFlags) open(ctx context.Context) (*gatherer.Gatherer, []netip.AddrPort, error) {
+	g, err := f.gatherer()
+	if err != nil {
+		return nil, nil, err
+	}
+	addrs, err := f.addrs(ctx)
+	if err == nil && len(addrs) == 0 {
+		err = errNobody
+	}
+	if err != nil {
+		g.Close()
+		return nil, nil, err
+	}
+	return g, addrs, nil
+}
+
 // errNobody says that no entry could be asked.
-var errNobody = errors.New("no entry to ask: want --admin ADDR")
+var errNobody = errors.New("no entry to ask: want --admin ADDR or --store ADDR")
 
 // errSilent says that the output lacks entries.
 var errSilent = errors.New("not all entries answered")
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -47,7 +47,6 @@
 			return f.publish(cmd, files)
 		},
 	}
-	cmd.Flags().StringVar(&f.store, "store", "", "address of the store")
 	cmd.Flags().StringVar(&f.owner, "key", os.Getenv(keyVariable), "publishing key; by default that of "+keyVariable)
 	f.register(cmd, "admin-key")
 	cmd.Flags().DurationVar(&f.wait, "wait", 0, "wait up to that long until the entries have it in force; alone, 19s")
--- a/commander/report.go
+++ b/commander/report.go
@@ -40,25 +40,17 @@
 		},
 	}
 	f.register(cmd, "key")
-	cmd.Flags().StringVar(&f.store, "store", "", "address of the store, whose host list names the entries")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
 	cmd.Flags().StringVar(&page, "html", "", "file to write a page with a plot to")
 	return cmd
 }
 
 func (f *entryFlags) burn(cmd *cobra.Command) (medlargw.BurnReport, error) {
-	g, err := f.gatherer()
+	g, addrs, err := f.open(cmd.Context())
 	if err != nil {
 		return medlargw.BurnReport{}, err
 	}
 	defer g.Close()
-	addrs, err := f.addrs(cmd.Context())
-	if err != nil {
-		return medlargw.BurnReport{}, err
-	}
-	if len(addrs) == 0 {
-		return medlargw.BurnReport{}, errNobody
-	}
 	var s summarizer.Summarizer
 	return s.Summarize(g.Burn(cmd.Context(), addrs), time.Now()), nil
 }
--- a/commander/status.go
+++ b/commander/status.go
@@ -18,18 +18,11 @@
 			"when an entry did not answer; what the others said is shown all the same.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			g, err := f.gatherer()
+			g, addrs, err := f.open(cmd.Context())
 			if err != nil {
 				return err
 			}
 			defer g.Close()
-			addrs, err := f.addrs(cmd.Context())
-			if err != nil {
-				return err
-			}
-			if len(addrs) == 0 {
-				return errNobody
-			}
 			answers := g.Status(cmd.Context(), addrs)
 			var p presenter.Presenter
 			if asJSON {
@@ -44,7 +37,6 @@
 		},
 	}
 	f.register(cmd, "key")
-	cmd.Flags().StringVar(&f.store, "store", "", "address of the store, whose host list names the entries")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
 	return cmd
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -14,7 +14,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -121,6 +123,37 @@
 	return all
 }
 
+// SetAside has all entries take a target out of use, or back into it. The
+// answers hold the status from before.
+func (g *Gatherer) SetAside(
+	ctx context.Context,
+	addrs []netip.AddrPort,
+	target medlargw.TargetName,
+	aside bool,
+) []medlargw.EntryAnswer {
+	body := fmt.Sprintf(`{"aside": %t}`, aside)
+	return g.act(ctx, addrs, "/admin/v1/targets/"+url.PathEscape(string(target)), body)
+}
+
+// SetLevel has all entries change the level of their log.
+func (g *Gatherer) SetLevel(ctx context.Context, addrs []netip.AddrPort, level string) []medlargw.EntryAnswer {
+	return g.act(ctx, addrs, "/admin/v1/log", fmt.Sprintf(`{"level": %q}`, level))
+}
+
+// act puts the body to all entries that answer.
+func (g *Gatherer) act(ctx context.Context, addrs []netip.AddrPort, path, body string) []medlargw.EntryAnswer {
+	all := g.Status(ctx, addrs)
+	p := pool.New().WithMaxGoroutines(maxAtOnce)
+	for i := range all {
+		a := &all[i]
+		if a.Err == nil {
+			p.Go(func() { _, a.Err = g.call(ctx, http.MethodPut, a.Addr, path, strings.NewReader(body)) })
+		}
+	}
+	p.Wait()
+	return all
+}
+
 // adminAddrs returns where the members serve operators. Those that are gone
 // are left out, for the list keeps them for a while.
 func adminAddrs(s *medlargw.EntryStatus) []netip.AddrPort {
@@ -176,10 +209,19 @@
 }
 
 func (g *Gatherer) get(ctx context.Context, addr netip.AddrPort, path string) ([]byte, error) {
+	return g.call(ctx, http.MethodGet, addr, path, http.NoBody)
+}
+
+func (g *Gatherer) call(
+	ctx context.Context,
+	method string,
+	addr netip.AddrPort,
+	path string,
+	send io.Reader,
+) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
-	url := g.scheme + "://" + addr.String() + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, method, g.scheme+"://"+addr.String()+path, send)
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
--- /dev/null
+++ b/gatherer/gatherer_test.go
@@ -0,0 +1,107 @@
+package gatherer
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/describer"
+)
+
+// entry is a fake entry that shows a fixed status.
+type entry struct {
+	server *httptest.Server
+	status medlargw.EntryStatus
+	puts   []string
+}
+
+func newEntry(t *testing.T, host string) *entry {
+	t.Helper()
+	e := &entry{status: medlargw.EntryStatus{Self: medlargw.Member{Host: medlargw.HostName(host)}}}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer key" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		if r.Method == http.MethodPut {
+			e.puts = append(e.puts, r.URL.Path)
+			return
+		}
+		var d describer.Describer
+		body, _ := d.EncodeStatus(&e.status)
+		if strings.HasSuffix(r.URL.Path, "/burn") {
+			body, _ = d.EncodeBurn(&medlargw.BurnStatus{Other: 3})
+		}
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *entry) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(e.server.Listener.Addr().String())
+}
+
+func (e *entry) knows(host string, admin netip.AddrPort, state medlargw.MemberState) {
+	m := medlargw.Member{Host: medlargw.HostName(host), Admin: admin, State: state}
+	e.status.Members = append(e.status.Members, m)
+}
+
+// closedAddr returns an address that nobody serves.
+func closedAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func summary(answers []medlargw.EntryAnswer) string {
+	var lines []string
+	for _, a := range answers {
+		lines = append(lines, fmt.Sprintf("%s %v", a.Host, a.Err))
+	}
+	return strings.Join(lines, "; ")
+}
+
+func TestAllEntriesAreFoundFromOne(t *testing.T) {
+	a, b, c := newEntry(t, "a"), newEntry(t, "b"), newEntry(t, "c")
+	a.knows("a", a.addr(), medlargw.MemberLive)
+	a.knows("b", b.addr(), medlargw.MemberLive)
+	b.knows("c", c.addr(), medlargw.MemberSuspect)
+	b.knows("dead", closedAddr(t), medlargw.MemberLive)
+	b.knows("gone", closedAddr(t), medlargw.MemberGone)
+	b.knows("hidden", netip.AddrPort{}, medlargw.MemberJoining)
+	g := New("key", nil)
+	defer g.Close()
+	got := summary(g.Status(t.Context(), []netip.AddrPort{a.addr()}))
+	want := "a <nil>; b <nil>; c <nil>; dead connect: connection refused; hidden its administration address is not known"
+	if got != want {
+		t.Errorf("answers: got %s, want %s", got, want)
+	}
+	burn := g.Burn(t.Context(), []netip.AddrPort{a.addr()})
+	if got, want := burn[1].Burn.Other, uint64(3); got != want {
+		t.Errorf("burn of b: got %d, want %d", got, want)
+	}
+	g.SetAside(t.Context(), []netip.AddrPort{a.addr()}, "t/1", true)
+	if got, want := fmt.Sprint(c.puts), "[/admin/v1/targets/t/1]"; got != want {
+		t.Errorf("puts: got %s, want %s", got, want)
+	}
+}
+
+func TestWrongKeyIsNoAnswer(t *testing.T) {
+	a := newEntry(t, "a")
+	g := New("other", nil)
+	defer g.Close()
+	got := summary(g.Status(t.Context(), []netip.AddrPort{a.addr(), a.addr()}))
+	if want := " got status 401, want 200"; got != want {
+		t.Errorf("answers: got %q, want %q", got, want)
+	}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -198,12 +199,15 @@
 	}
 	var n float64
 	if err := json.Unmarshal([]byte(literal), &n); err != nil || n < low || n > high {
-		p.Fault(name, "got %s, want %g to %g", string(literal), low, high)
+		p.Fault(name, "got %s, want %s to %s", string(literal), plain(low), plain(high))
 		return byDefault
 	}
 	return n
 }
 
+// plain returns a number without an exponent.
+func plain(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 // Int returns a whole number between the bounds, or the default.
 func (p *Parser) Int(name string, byDefault, low, high int) int {
 	n := p.Number(name, float64(byDefault), float64(low), float64(high))
