Publish reads all values by one call

Cause: a publish read each team's value by a call of its own, 360 and more at the design size, and then listed all values once more to find orphans. Change: one list of the values fills the cache and gives the orphans; what it lacks is read one by one.

--- a/publisher/collect.go
+++ b/publisher/collect.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -31,7 +30,7 @@
 	kept := slices.DeleteFunc(slices.Clone(head.Retired), func(r medlargw.RetiredVersion) bool {
 		return slices.Contains(gone, r.Version)
 	})
-	return p.addOrphans(ctx, head, kept, now)
+	return p.addOrphans(head, kept, now)
 }
 
 // deleteOld deletes values that the snapshot's head lists as retired, and
@@ -69,21 +68,17 @@
 	return err == nil && entry.Revision == s.revision
 }
 
+// addOrphans adds the values that no head names. One that another publisher is
+// about to name may be among them: whichever of the two swaps comes second
+// fails, and its publisher reads the head again.
 func (p *Publisher) addOrphans(
-	ctx context.Context,
 	head medlargw.Head,
 	kept []medlargw.RetiredVersion,
 	now time.Time,
 ) []medlargw.RetiredVersion {
-	all, err := p.store.List(ctx, converter.TeamPrefix)
-	if err != nil {
-		return kept
-	}
-	for _, entry := range all {
-		team, hash, ok := strings.Cut(strings.TrimPrefix(entry.Key, converter.TeamPrefix), "/")
-		v := medlargw.TeamVersion{Team: medlargw.TeamName(team), Hash: hash}
+	for _, v := range p.listed {
 		listed := slices.ContainsFunc(head.Retired, func(r medlargw.RetiredVersion) bool { return r.Version == v })
-		if !ok || listed || slices.Contains(head.Teams, v) || len(kept) >= maxRetired {
+		if listed || slices.Contains(head.Teams, v) || len(kept) >= maxRetired {
 			continue
 		}
 		kept = append(kept, medlargw.RetiredVersion{Version: v, At: now})
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -49,6 +49,7 @@
 	compare comparer.Comparer
 	id      string
 	values  map[medlargw.TeamVersion]medlargw.TeamConfig
+	listed  []medlargw.TeamVersion                     // All values of the store, once read.
 	base    map[medlargw.TeamName]medlargw.TeamVersion // First seen, for the teams to publish.
 	highest uint64                                     // Generation seen in the store.
 	doubt   uint64                                     // Generation of a swap whose reply was lost; zero is none.
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -325,3 +325,38 @@
 		}
 	})
 }
+
+// TestCallsAtDesignSize bounds what one change of one team costs the store.
+func TestCallsAtDesignSize(t *testing.T) {
+	const teams, mostCalls, mostHead = 360, 6, 64 << 10
+	s := newFakeStore()
+	var names []medlargw.TeamName
+	var all []medlargw.TeamConfig
+	for n := range teams {
+		name := medlargw.TeamName(fmt.Sprintf("team-%03d", n))
+		names = append(names, name)
+		all = append(all, team(name, 1, "slip-"+string(name), "cure-"+string(name)))
+	}
+	mustPublish(t, s, 1, append(all, operators(names...))...)
+	for n := range 40 {
+		s.calls = 0
+		mustPublish(t, s, uint64(n+2), team("team-007", 2-n%2, "slip-team-007", "cure-team-007"))
+	}
+	if got := s.calls; got > mostCalls {
+		t.Errorf("calls of one publish: got %d, want at most %d", got, mostCalls)
+	}
+	value := s.entries[converter.HeadKey].Value
+	if got := len(value); got > mostHead {
+		t.Errorf("bytes of the head: got %d, want at most %d", got, mostHead)
+	}
+	t.Logf("%d calls, head of %d bytes, team value of %d bytes", s.calls, len(value), valueSize(s, "team/team-008/"))
+}
+
+func valueSize(s *fakeStore, prefix string) int {
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			return len(e.Value)
+		}
+	}
+	return 0
+}
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/converter"
@@ -33,6 +34,7 @@
 	if err := p.checkBehind(s.head.Generation); err != nil {
 		return nil, err
 	}
+	p.readAll(ctx, s)
 	for _, v := range s.head.Teams {
 		t, err := p.readTeam(ctx, v)
 		if err != nil {
@@ -56,6 +58,34 @@
 	return &medlargw.PublishError{Message: message}
 }
 
+// readAll fills the cache by one call, the first time that it lacks a value. It
+// is best effort: readTeam reads what is missing still.
+func (p *Publisher) readAll(ctx context.Context, s *snapshot) {
+	missing := func(v medlargw.TeamVersion) bool {
+		_, ok := p.values[v]
+		return !ok
+	}
+	if p.listed != nil || !slices.ContainsFunc(s.head.Teams, missing) {
+		return
+	}
+	all, err := p.store.List(ctx, converter.TeamPrefix)
+	if err != nil {
+		return
+	}
+	p.listed = []medlargw.TeamVersion{}
+	for i := range all {
+		team, hash, ok := strings.Cut(strings.TrimPrefix(all[i].Key, converter.TeamPrefix), "/")
+		if !ok {
+			continue
+		}
+		v := medlargw.TeamVersion{Team: medlargw.TeamName(team), Hash: hash}
+		p.listed = append(p.listed, v)
+		if t, err := p.conv.DecodeTeam(all[i].Value); err == nil {
+			p.values[v] = t
+		}
+	}
+}
+
 func (p *Publisher) readTeam(ctx context.Context, v medlargw.TeamVersion) (medlargw.TeamConfig, error) {
 	if t, ok := p.values[v]; ok {
 		return t, nil
