Measure the decision core on a virtual clock; hold slow targets back

Cause: order, placement, quarantine and cost were unmeasured. Change: a harness drives the real decider with fake targets; a target three times slower than expected is held back and probed; evidence to shut a target out is 16; cancelled jobs are ended a few per event.

--- a/builder/builder.go
+++ b/builder/builder.go
@@ -29,6 +29,12 @@
 	"medlargw.example/medlargw/watcher"
 )
 
+const (
+	shutEvidence  = 16 // Six failures in a row of tasks that succeed elsewhere.
+	breakFailures = 8
+	slowRatio     = 3
+)
+
 // Builder holds what the parts of one entry are made of.
 type Builder struct {
 	Log      *zap.Logger
@@ -60,7 +66,7 @@
 	est := estimator.New()
 	return medlargw.DeciderTools{
 		Scheduler:  scheduler.New(medlargw.OrderLeast),
-		Placer:     placer.New(est),
+		Placer:     placer.New(est, medlargw.QuarantineRules{Evidence: shutEvidence, Failures: breakFailures, Slow: slowRatio}),
 		Limiter:    limiter.New(),
 		Estimator:  est,
 		Accountant: accountant.New(b.Settings.Intake.Bytes),
--- /dev/null
+++ b/decider/cost_test.go
@@ -0,0 +1,179 @@
+package decider_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// size is the state that a decision is taken in.
+type size struct{ waiting, teams, targets int }
+
+var fullSize = size{waiting: 10000, teams: 360, targets: 550}
+
+// filled returns a decider that has no free slot and that many waiting tasks,
+// in jobs of ten, and the running attempts.
+func filled(t testing.TB, n size) (*bench, []medlargw.Attempt) {
+	t.Helper()
+	s := settings()
+	s.Intake.Waiting = 1 << 30
+	s.Intake.Team = 1 << 30
+	b := newBench(t, 1, s, tools(medlargw.OrderLeast))
+	b.decider.Configure(b.now, config(n.teams))
+	var all []medlargw.Capacity
+	for i := range n.targets {
+		target := medlargw.Target{Name: targetName(i), Slots: 8, Memory: int64(1+i%3) << 30}
+		all = append(all, medlargw.Capacity{Target: target, Slots: 8})
+	}
+	b.decider.SetCapacity(b.now, all)
+	var running []medlargw.Attempt
+	for i := 0; i < (n.waiting+8*n.targets)/10; i++ {
+		b.decider.Submit(b.now, tenTasks(i, n.teams, b.now))
+		running = append(running, b.decider.Actions().Starts...)
+		b.decider.Actions().Reset()
+	}
+	return b, running
+}
+
+func tenTasks(i, teams int, now time.Time) *medlargw.Job {
+	return &medlargw.Job{
+		ID:       medlargw.JobID(i + 1),
+		Team:     teamName(i % teams),
+		Class:    className(i % 3),
+		Service:  medlargw.ServiceName(fmt.Sprint("service", i%teams%1024, "-", i%3)),
+		Tasks:    make([]medlargw.Task, 10),
+		Runtime:  time.Duration(1+i%teams%50) * 10 * time.Millisecond,
+		Size:     int64(i%4) << 28,
+		Arrived:  now,
+		Deadline: now.Add(time.Hour),
+	}
+}
+
+// BenchmarkDecision measures the end of one attempt and the start of the next
+// task that it allows, and now and then a new job, so that the number of
+// waiting tasks stays.
+func BenchmarkDecision(b *testing.B) {
+	sizes := []size{
+		fullSize,
+		{4 * fullSize.waiting, fullSize.teams, fullSize.targets},
+		{16 * fullSize.waiting, fullSize.teams, fullSize.targets},
+		{fullSize.waiting, 4 * fullSize.teams, fullSize.targets},
+		{fullSize.waiting, 16 * fullSize.teams, fullSize.targets},
+		{fullSize.waiting, fullSize.teams, 4 * fullSize.targets},
+		{fullSize.waiting, fullSize.teams, 16 * fullSize.targets},
+	}
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("waiting=%d/teams=%d/targets=%d", n.waiting, n.teams, n.targets), func(b *testing.B) {
+			run, running := filled(b, n)
+			jobs := make([]*medlargw.Job, b.N/10+1)
+			for i := range jobs {
+				jobs[i] = tenTasks(1<<20+i, n.teams, run.now)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			decide(run, running, jobs, b.N)
+		})
+	}
+}
+
+// decide ends n attempts, each of which lets the next task start, and submits a
+// job after each tenth.
+func decide(b *bench, running []medlargw.Attempt, jobs []*medlargw.Job, n int) {
+	end := medlargw.AttemptEnd{Kind: medlargw.EndSucceeded}
+	actions := b.decider.Actions()
+	for i := range n {
+		at := i % len(running)
+		b.now = b.now.Add(time.Microsecond)
+		end.Elapsed = running[at].Job.Runtime
+		b.decider.Ended(b.now, &running[at], &end)
+		running[at] = actions.Starts[0]
+		actions.Reset()
+		if i%10 == 9 {
+			b.decider.Submit(b.now, jobs[i/10])
+			actions.Reset()
+		}
+	}
+}
+
+func TestDecisionAllocates(t *testing.T) {
+	b, running := filled(t, fullSize)
+	const n = 20000
+	jobs := make([]*medlargw.Job, n)
+	for i := range jobs {
+		jobs[i] = tenTasks(1<<20+i, fullSize.teams, b.now)
+	}
+	used := 0
+	got := testing.AllocsPerRun(1000, func() {
+		decide(b, running, jobs[used:], 10)
+		used++
+	}) / 10
+	if got > 2 {
+		t.Errorf("got %.1f allocations per decision, want at most 2", got)
+	}
+}
+
+// turn is the number of messages that the control goroutine handles before it
+// looks at its timer.
+const turn = 64
+
+// BenchmarkCancelWave measures how long a job that arrives behind 5,000
+// cancellations waits for its start, with a turn of the timer's work after each
+// turn of messages.
+func BenchmarkCancelWave(b *testing.B) {
+	var waits []time.Duration
+	for range b.N {
+		run, running := filled(b, size{waiting: 60000, teams: 360, targets: 550})
+		first := run.decider.Jobs() - 5000
+		end := medlargw.AttemptEnd{Kind: medlargw.EndSucceeded, Elapsed: running[0].Job.Runtime}
+		urgent := tenTasks(1<<20, 360, run.now)
+		urgent.Class = className(0)
+		runtime.GC() // Of the preparation.
+		start := time.Now()
+		for i := range 5000 {
+			run.decider.Cancel(run.now, medlargw.JobID(first+i))
+			if i%turn == 0 {
+				run.decider.Tick(run.now)
+				run.decider.Actions().Reset()
+			}
+		}
+		run.decider.Ended(run.now, &running[0], &end)
+		run.decider.Submit(run.now, urgent)
+		waits = append(waits, time.Since(start))
+		run.decider.Actions().Reset()
+	}
+	slices.Sort(waits)
+	b.ReportMetric(float64(waits[len(waits)/2].Microseconds()), "median-us")
+	b.ReportMetric(float64(waits[len(waits)-1].Microseconds()), "worst-us")
+}
+
+func TestCancelWaveIsBounded(t *testing.T) {
+	b, _ := filled(t, size{waiting: 60000, teams: 360, targets: 550})
+	jobs := b.decider.Jobs()
+	actions := b.decider.Actions()
+	for i := range jobs {
+		b.decider.Cancel(b.now, medlargw.JobID(i+1))
+	}
+	ended := 0
+	for range jobs {
+		b.decider.Tick(b.now)
+		if got := len(actions.Finishes); got > 100 {
+			t.Fatalf("got %d jobs ended by one event, want at most 100", got)
+		}
+		ended += len(actions.Finishes)
+		if len(actions.Starts) > 0 {
+			t.Fatal("a task of a cancelled job was started")
+		}
+		wake := actions.Wake
+		actions.Reset()
+		if ended < jobs && !wake.Equal(b.now) {
+			t.Fatalf("got wake at %v with %d of %d jobs ended, want now", wake, ended, jobs)
+		}
+	}
+	if ended != jobs {
+		t.Errorf("got %d jobs ended, want %d", ended, jobs)
+	}
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -146,7 +146,7 @@
 	}
 	state.cancelled = true
 	d.cancelled = append(d.cancelled, id)
-	d.dispatch(now)
+	d.actions.Wake = now
 }
 
 // Tick ends the jobs whose deadline has passed and starts what time allows.
--- a/decider/dispatch.go
+++ b/decider/dispatch.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	maxDrops = 64  // Jobs that one event ends besides its own.
-	maxSteps = 512 // Tasks that one event starts or passes over.
+	maxDrops   = 64  // Jobs that one event ends in place of starting a task.
+	maxCancels = 4   // Cancelled jobs that one event ends.
+	maxSteps   = 512 // Tasks that one event starts or passes over.
 )
 
 // dispatch starts waiting tasks in order of precedence while slots are free.
@@ -37,7 +38,7 @@
 		}
 		d.tryStart(now, c)
 	}
-	d.endCancelled(maxDrops - drops)
+	d.endCancelled()
 	d.setWake(now)
 }
 
@@ -78,9 +79,9 @@
 	d.fail(s, medlargw.CodeCancelled, "the job was cancelled", 0)
 }
 
-// endCancelled ends up to n of the jobs that were cancelled.
-func (d *Decider) endCancelled(n int) {
-	n = min(n, len(d.cancelled))
+// endCancelled ends some of the jobs that were cancelled.
+func (d *Decider) endCancelled() {
+	n := min(maxCancels, len(d.cancelled))
 	for _, id := range d.cancelled[:n] {
 		if state := d.jobs[id]; state != nil {
 			d.failCancelled(state)
--- /dev/null
+++ b/decider/harness_test.go
@@ -0,0 +1,367 @@
+package decider_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/accountant"
+	"medlargw.example/medlargw/decider"
+	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/limiter"
+	"medlargw.example/medlargw/placer"
+	"medlargw.example/medlargw/scheduler"
+)
+
+// roundTrip is the time from an entry to a target and back.
+const roundTrip = time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fake is a target on the virtual clock.
+type fake struct {
+	slots  int
+	used   int
+	factor float64 // Of the run times.
+	fails  bool    // Fails all tasks in one millisecond.
+}
+
+// work is a job with what the decider does not know of it.
+type work struct {
+	job    *medlargw.Job
+	class  int
+	run    []time.Duration
+	starts []int
+	bad    bool // Its tasks fail everywhere.
+	ended  int
+}
+
+func (w *work) ideal() time.Duration { return slices.Max(w.run) + roundTrip }
+
+// event is something that happens at a time.
+type event struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
+
+func (h eventHeap) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].sequence, h[j].sequence)) < 0
+}
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// bench drives a real decider with fake targets on a virtual clock.
+type bench struct {
+	t        testing.TB
+	rng      *rand.Rand
+	now      time.Time
+	events   eventHeap
+	sequence int
+	decider  *decider.Decider
+	tools    medlargw.DeciderTools
+	targets  map[medlargw.TargetName]*fake
+	jobs     map[medlargw.JobID]*work
+	live     map[medlargw.Tag]bool // Attempts that have not ended; false is stopped.
+	outcomes []result
+	messages int
+	wasted   int
+	tags     int
+	wake     time.Time
+	onEnd    func(w *work, a *medlargw.Attempt, failed bool)
+}
+
+type result struct {
+	work    *work
+	outcome medlargw.Outcome
+	at      time.Time
+	ratio   float64
+}
+
+func settings() medlargw.Settings {
+	return medlargw.Settings{
+		Intake: medlargw.IntakeSettings{Waiting: 20000, Team: 10000, Bytes: 1 << 30},
+		Task:   medlargw.TaskSettings{Tries: 8, Lease: time.Minute},
+	}
+}
+
+func rules() medlargw.QuarantineRules {
+	return medlargw.QuarantineRules{Evidence: 16, Failures: 8, Slow: 3}
+}
+
+func tools(order medlargw.JobOrder) medlargw.DeciderTools {
+	est := estimator.New()
+	return medlargw.DeciderTools{
+		Scheduler:  scheduler.New(order),
+		Placer:     placer.New(est, rules()),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(settings().Intake.Bytes),
+	}
+}
+
+func newBench(t testing.TB, seed uint64, s medlargw.Settings, tools medlargw.DeciderTools) *bench {
+	b := &bench{
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		now:     epoch,
+		tools:   tools,
+		targets: map[medlargw.TargetName]*fake{},
+		jobs:    map[medlargw.JobID]*work{},
+		live:    map[medlargw.Tag]bool{},
+	}
+	b.decider = decider.New(s, tools, func() medlargw.Tag {
+		b.tags++
+		return medlargw.Tag(strconv.Itoa(b.tags))
+	})
+	return b
+}
+
+// config has three classes, the teams of each, and one service per team and
+// class.
+func config(teams int) *medlargw.Config {
+	cfg := &medlargw.Config{Generation: 1}
+	for rank := range 3 {
+		cfg.Classes = append(cfg.Classes, medlargw.Class{Name: className(rank), Rank: rank})
+	}
+	for i := range teams {
+		cfg.Teams = append(cfg.Teams, medlargw.Team{Name: teamName(i), Weight: 1})
+	}
+	return cfg
+}
+
+func className(rank int) medlargw.ClassName { return medlargw.ClassName(fmt.Sprint("class", rank)) }
+func teamName(i int) medlargw.TeamName      { return medlargw.TeamName(fmt.Sprint("team", i)) }
+
+func targetName(i int) medlargw.TargetName { return medlargw.TargetName(fmt.Sprint("target", i)) }
+
+// grow gives the decider that many targets of 8 slots.
+func (b *bench) grow(n int) {
+	var all []medlargw.Capacity
+	for i := range n {
+		name := targetName(i)
+		if b.targets[name] == nil {
+			b.targets[name] = &fake{slots: 8, factor: 1}
+		}
+		all = append(all, medlargw.Capacity{Target: medlargw.Target{Name: name, Slots: 8}, Slots: 8})
+	}
+	b.decider.SetCapacity(b.now, all)
+	b.act()
+}
+
+func (b *bench) at(at time.Time, do func()) {
+	b.sequence++
+	heap.Push(&b.events, &event{at: at, sequence: b.sequence, do: do})
+}
+
+// run lets all events happen, in the order of their times.
+func (b *bench) run() {
+	for len(b.events) > 0 {
+		e, _ := heap.Pop(&b.events).(*event)
+		b.now = e.at
+		e.do()
+		b.act()
+	}
+}
+
+func (b *bench) act() {
+	actions := b.decider.Actions()
+	for i := range actions.Starts {
+		b.start(actions.Starts[i])
+	}
+	for _, tag := range actions.Stops {
+		b.live[tag] = false
+	}
+	for _, f := range actions.Finishes {
+		w := b.jobs[f.Job.ID]
+		w.ended++
+		response := b.now.Sub(f.Job.Arrived)
+		b.outcomes = append(b.outcomes, result{work: w, outcome: f.Outcome, at: b.now, ratio: float64(response) / float64(w.ideal())})
+	}
+	wake := actions.Wake
+	actions.Reset()
+	if !wake.IsZero() && !wake.Equal(b.wake) {
+		b.wake = wake
+		b.at(wake, func() { b.decider.Tick(b.now) })
+	}
+}
+
+func (b *bench) start(a medlargw.Attempt) {
+	w := b.jobs[a.Job.ID]
+	target := b.targets[a.Target]
+	target.used++
+	b.live[a.Tag] = true
+	b.messages += 2
+	w.starts[a.Index]++
+	if target.used > target.slots {
+		b.t.Fatalf("target %s: got %d tasks, want at most %d", a.Target, target.used, target.slots)
+	}
+	if w.starts[a.Index] > 1 || w.ended > 0 {
+		b.t.Fatalf("job %d task %d: started %d times, job ended %d times", a.Job.ID, a.Index, w.starts[a.Index], w.ended)
+	}
+	failed := target.fails || w.bad
+	run := time.Duration(float64(w.run[a.Index]) * target.factor)
+	if failed {
+		run = time.Millisecond
+	}
+	b.at(b.now.Add(run+roundTrip), func() { b.end(w, &a, failed, run) })
+}
+
+func (b *bench) end(w *work, a *medlargw.Attempt, failed bool, run time.Duration) {
+	b.targets[a.Target].used--
+	end := medlargw.AttemptEnd{Elapsed: run + roundTrip, Body: []byte("answer")}
+	if failed {
+		end.Kind = medlargw.EndFailed
+	}
+	if !b.live[a.Tag] {
+		end = medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: medlargw.ReasonCancelled}
+		b.wasted += 2
+	}
+	delete(b.live, a.Tag)
+	if b.onEnd != nil {
+		b.onEnd(w, a, failed)
+	}
+	b.decider.Ended(b.now, a, &end)
+}
+
+func (b *bench) submit(w *work) {
+	w.job.ID = medlargw.JobID(len(b.jobs) + 1)
+	w.job.Arrived = b.now
+	if w.job.Deadline.IsZero() {
+		w.job.Deadline = b.now.Add(time.Hour)
+	}
+	w.starts = make([]int, len(w.job.Tasks))
+	b.jobs[w.job.ID] = w
+	b.decider.Submit(b.now, w.job)
+}
+
+// balanced fails the test unless all jobs ended once and nothing is reserved.
+func (b *bench) balanced() {
+	b.t.Helper()
+	for id, w := range b.jobs {
+		if w.ended != 1 {
+			b.t.Fatalf("job %d: got %d ends, want 1", id, w.ended)
+		}
+	}
+	s := b.decider.Status()
+	if s.Jobs != 0 || s.Bytes != 0 || len(s.Queues) != 0 || len(s.Leaks) != 0 {
+		b.t.Fatalf("got %d jobs, %d bytes, %v waiting, leaks %v, want none", s.Jobs, s.Bytes, s.Queues, s.Leaks)
+	}
+	for _, target := range s.Targets {
+		if target.Used != 0 {
+			b.t.Fatalf("target %s: got %d slots in use, want none", target.Target.Name, target.Used)
+		}
+	}
+	for _, limit := range s.Limits {
+		if limit.Running != 0 {
+			b.t.Fatalf("team %s: got %d running, want none", limit.Team, limit.Running)
+		}
+	}
+}
+
+// load describes random jobs.
+type load struct {
+	teams  int
+	shares [3]float64 // Of the slots that each class keeps busy.
+	last   time.Duration
+	off    float64 // Declared run times are off by up to this factor.
+	limit  time.Duration
+}
+
+const (
+	meanTasks = 8.0
+	meanRun   = 0.207 // Seconds, of the run times that job draws.
+)
+
+// offer schedules the arrivals of the load.
+func (b *bench) offer(l load, slots int) {
+	for class, share := range l.shares {
+		rate := share * float64(slots) / (meanTasks * meanRun)
+		for at := b.rng.ExpFloat64() / rate; at < l.last.Seconds() && rate > 0; at += b.rng.ExpFloat64() / rate {
+			w := b.job(l, class)
+			when := b.now.Add(time.Duration(at * float64(time.Second)))
+			b.at(when, func() {
+				if l.limit > 0 {
+					w.job.Deadline = b.now.Add(l.limit)
+				}
+				b.submit(w)
+			})
+		}
+	}
+}
+
+// job draws a job: the number of tasks is geometric, the run time of the job
+// log-normal, and that of its tasks within a fifth of it.
+func (b *bench) job(l load, class int) *work {
+	n := min(290, 1+int(math.Log(1-b.rng.Float64())/math.Log(1-1/meanTasks)))
+	mean := min(5, max(0.02, 0.15*math.Exp(0.8*b.rng.NormFloat64())))
+	w := &work{class: class, run: make([]time.Duration, n)}
+	for i := range w.run {
+		w.run[i] = time.Duration(mean * (0.8 + 0.4*b.rng.Float64()) * float64(time.Second))
+	}
+	declared := mean * math.Pow(max(1, l.off), 2*b.rng.Float64()-1)
+	team := b.rng.IntN(l.teams)
+	w.job = &medlargw.Job{
+		Team:       teamName(team),
+		Class:      className(class),
+		Service:    medlargw.ServiceName(fmt.Sprint("service", team, "-", class)),
+		Tasks:      make([]medlargw.Task, n),
+		Runtime:    time.Duration(declared * float64(time.Second)),
+		Idempotent: true,
+	}
+	return w
+}
+
+// summary is the response divided by the ideal.
+type summary struct {
+	n               int
+	mean, p99, most float64
+	wait            time.Duration // The longest response beyond the ideal.
+}
+
+func (s summary) String() string {
+	return fmt.Sprintf("%6d jobs  mean %6.3f  p99 %7.2f  worst wait %v", s.n, s.mean, s.p99, s.wait.Round(time.Millisecond))
+}
+
+// summarise covers the whole answers to the jobs of a class that arrived in
+// the load's second half or later.
+func (b *bench) summarise(class int, from time.Duration) summary {
+	var ratios []float64
+	var s summary
+	for i := range b.outcomes {
+		r := &b.outcomes[i]
+		if r.work.class != class || !r.outcome.Complete || r.work.job.Arrived.Before(epoch.Add(from)) {
+			continue
+		}
+		ratios = append(ratios, r.ratio)
+		s.mean += r.ratio
+		s.wait = max(s.wait, r.at.Sub(r.work.job.Arrived)-r.work.ideal())
+	}
+	if len(ratios) == 0 {
+		return s
+	}
+	slices.Sort(ratios)
+	s.n = len(ratios)
+	s.mean /= float64(s.n)
+	s.p99 = ratios[s.n*99/100]
+	s.most = ratios[s.n-1]
+	return s
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -11,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/decider"
+	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/scheduler"
@@ -40,7 +42,14 @@
 	}
 	tags := 0
 	newTag := func() medlargw.Tag { tags++; return medlargw.Tag(strconv.Itoa(tags)) }
-	dec := decider.New(settings, scheduler.New(), placer.New(), limiter.New(), newTag)
+	est := estimator.New()
+	dec := decider.New(settings, medlargw.DeciderTools{
+		Scheduler:  scheduler.New(medlargw.OrderLeast),
+		Placer:     placer.New(est, medlargw.QuarantineRules{Evidence: 16, Failures: 8, Slow: 3}),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(settings.Intake.Bytes),
+	}, newTag)
 	return New(zap.NewNop(), dec, s, metrics.NewRegistry(), nil)
 }
 
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -76,7 +76,7 @@
 
 // trusted reports whether declarations tell more than the mean does.
 func (r *record) trusted() bool {
-	return r.declared.n >= minSamples && r.declared.value <= r.learned.value+tolerance
+	return r.declared.n >= minSamples-1 && r.declared.value <= r.learned.value+tolerance
 }
 
 func (r *record) scaled(declared time.Duration) time.Duration {
@@ -92,12 +92,12 @@
 	}
 	r := e.record(job.Service)
 	x := elapsed.Seconds()
-	if r.run.n >= minSamples {
+	if r.run.n > 0 {
 		r.learned.add(math.Abs(math.Log(x / r.run.value)))
 	}
 	if job.Runtime > 0 {
 		off := math.Log(x / job.Runtime.Seconds())
-		if r.bias.n >= minSamples {
+		if r.bias.n > 0 {
 			r.declared.add(math.Abs(off - r.bias.value))
 		}
 		r.bias.add(off)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,6 +24,7 @@
 // Placer implements medlargw.Placer.
 type Placer struct {
 	estimator medlargw.Estimator
+	rules     medlargw.QuarantineRules
 	targets   map[medlargw.TargetName]*target
 	tiers     []*tier // In ascending order of size.
 	timers    ranker.Ranker[*timer]
@@ -46,11 +47,12 @@
 }
 
 // New returns a placer without targets.
-func New(estimator medlargw.Estimator) *Placer {
+func New(estimator medlargw.Estimator, rules medlargw.QuarantineRules) *Placer {
 	return &Placer{
 		estimator: estimator,
+		rules:     rules,
 		targets:   map[medlargw.TargetName]*target{},
-		services:  newServices(),
+		services:  newServices(rules.Failures),
 	}
 }
 
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// shutEvidence is the log-likelihood ratio at which a target is shut out.
-	shutEvidence = 11.5
 	// brokenRate is the assumed failure rate of a broken target.
 	brokenRate = 0.9
 	// clearRate is the failure rate of a service elsewhere above which its
@@ -21,6 +19,10 @@
 	// shutShare is the share of the known targets that may be shut out.
 	shutShare = 0.5
 
+	// slowShare is the share of the known targets that may be held back for
+	// their speed. With the ratio it bounds the throughput that is given up.
+	slowShare = 0.1
+
 	probeFirst = time.Second
 	probeMax   = time.Minute
 	probeAgain = 100 * time.Millisecond // After a probe that went well.
@@ -36,6 +38,7 @@
 	evidence float64
 	job      medlargw.JobID // The last that failed here, or the probe.
 	shut     bool
+	slow     bool // It is shut out for its speed only.
 	probing  bool
 	good     int // Probes that went well in a row.
 	wait     time.Duration
@@ -99,9 +102,24 @@
 func (p *Placer) succeeded(now time.Time, t *target, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
 	rate := p.services.failureRate(a.Job.Service, t)
 	p.services.ended(now, a.Job, t, false, p.known)
-	t.learnSpeed(end.Elapsed, p.estimator.Estimate(a.Job))
+	expected := p.estimator.Estimate(a.Job)
+	t.learnSpeed(end.Elapsed, expected)
 	t.quarantine.evidence = max(0, t.quarantine.evidence-math.Log((1-min(rate, clearRate))/(1-brokenRate)))
+	if t.quarantine.slow && float64(end.Elapsed) > p.rules.Slow/2*float64(expected) {
+		p.probed(now, t, a, probeBad)
+		return
+	}
 	p.probed(now, t, a, probeGood)
+	p.holdBack(now, t)
+}
+
+// holdBack takes a target that is far slower than others out of use.
+func (p *Placer) holdBack(now time.Time, t *target) {
+	slow := t.slowdown.n >= speedSamples && t.slowdown.value >= p.rules.Slow
+	if t.quarantine.shut || !slow || float64(p.shut+1) > slowShare*float64(p.known) {
+		return
+	}
+	t.quarantine = quarantine{shut: true, slow: true, since: now, reason: "is far slower than others", wait: probeFirst, next: now.Add(probeFirst)}
 }
 
 // blame counts a failure against the target by how rare it is elsewhere. Only
@@ -117,7 +135,7 @@
 	}
 	q.job = a.Job.ID
 	q.evidence += math.Log(brokenRate / rate)
-	if q.evidence < shutEvidence || float64(p.shut+1) > shutShare*float64(p.known) {
+	if q.evidence < p.rules.Evidence || float64(p.shut+1) > shutShare*float64(p.known) {
 		return
 	}
 	*q = quarantine{shut: true, since: now, reason: reason, wait: probeFirst, next: now.Add(probeFirst)}
@@ -151,6 +169,8 @@
 		q.next = now.Add(probeAgain)
 		if q.good >= probesGood {
 			*q = quarantine{}
+			t.slowdown = average{}
+			t.speed = 0
 		}
 	}
 }
--- a/placer/service.go
+++ b/placer/service.go
@@ -11,15 +11,15 @@
 	maxServices  = 4096 // Services that are remembered.
 	ringLength   = 16   // Targets whose last word on a service is kept.
 	breakTargets = 4    // Targets that must agree that a service fails.
-	breakRun     = 8    // Failures in a row that open the breaker.
 	breakFirst   = time.Second
 	breakMax     = 30 * time.Second
 )
 
 // services is what is known of the services, the latest used first.
 type services struct {
-	byName map[medlargw.ServiceName]*service
-	recent *list.List // Of *service.
+	byName   map[medlargw.ServiceName]*service
+	recent   *list.List // Of *service.
+	failures int        // In a row, that open the breaker.
 }
 
 // service is what is known of one service.
@@ -40,8 +40,8 @@
 	failed bool
 }
 
-func newServices() services {
-	return services{byName: map[medlargw.ServiceName]*service{}, recent: list.New()}
+func newServices(failures int) services {
+	return services{byName: map[medlargw.ServiceName]*service{}, recent: list.New(), failures: failures}
 }
 
 func (s *services) find(name medlargw.ServiceName) *service {
@@ -95,7 +95,7 @@
 		v.probe = 0
 		v.wait = min(2*v.wait, breakMax)
 		v.open = now.Add(v.wait)
-	case v.wait == 0 && v.run >= breakRun && v.failsOn(min(breakTargets, targets)):
+	case v.wait == 0 && v.run >= s.failures && v.failsOn(min(breakTargets, targets)):
 		v.wait = breakFirst
 		v.open = now.Add(v.wait)
 	}
--- a/precedence.go
+++ b/precedence.go
@@ -70,3 +70,14 @@
 	Estimator  Estimator
 	Accountant Accountant
 }
+
+// QuarantineRules say when a target or a service is refused new tasks.
+type QuarantineRules struct {
+	// Evidence is the log-likelihood ratio at which a target is shut out.
+	Evidence float64
+	// Failures is how often a service fails in a row before it is refused.
+	Failures int
+	// Slow is the run time, as a multiple of the estimate, at which a target is
+	// held back.
+	Slow float64
+}
