--- a/member.go
+++ b/member.go
@@ -43,8 +43,10 @@
 	Waiting    []ClassDemand
 }
 
-// ClassDemand is the number of tasks of a class that wait for a slot.
+// ClassDemand is the number of tasks of a class that wait for a slot, and of
+// those that hold one.
 type ClassDemand struct {
-	Rank  int
-	Tasks int
+	Rank    int
+	Tasks   int
+	Running int
 }
