Lender: the pure machine that owns, lends and borrows

Cause: two entries of a zone can't use each other's slots, and team limits hold per entry only. Requests carry the hash of the borrower's view. Not wired yet. Conclusion: builds; tests and wiring follow, nothing measured.

--- /dev/null
+++ b/lender/borrow.go
@@ -0,0 +1,301 @@
+package lender
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// creditor is what this entry, as a borrower, knows of a peer.
+type creditor struct {
+	peer    medlargw.Peer
+	number  uint64 // Of the latest request.
+	pending bool   // It has no reply yet.
+	sent    time.Time
+	any     int       // Slots asked for in it.
+	told    uint64    // The view that it was sent under.
+	keys    []key     // Claimed in it.
+	renewAt time.Time // Zero when nothing is held.
+	askAt   time.Time // No slots are asked for before.
+	unitsAt time.Time // No units are asked for before.
+	fails   int       // Requests in vain, one after the other.
+	report  bool      // It must be told what is used of its resources.
+	reportAt time.Time // Not before.
+	yield   bool      // Its own work has precedence over what runs on its loans.
+}
+
+// holding is what this entry may use of one resource by one lender's loan.
+type holding struct {
+	amount int
+	starts float64
+	until  time.Time
+	peak   int // The most that was in use since the last request.
+	target medlargw.Target
+}
+
+func (l *Lender) setCreditors(now time.Time) {
+	kept := map[medlargw.HostName]bool{}
+	for _, p := range l.group.Entries {
+		if p.Host == l.host {
+			continue
+		}
+		kept[p.Host] = true
+		c := l.creditors[p.Host]
+		if c == nil {
+			c = &creditor{}
+			l.creditors[p.Host] = c
+		}
+		if c.peer.Incarnation != p.Incarnation {
+			*c = creditor{number: c.number}
+			c.askAt = now
+		}
+		c.peer = p
+	}
+	for host := range l.creditors {
+		if !kept[host] {
+			delete(l.creditors, host)
+		}
+	}
+}
+
+// right returns what may be used of the resource by loans.
+func (l *Lender) right(k key) int {
+	sum := 0
+	for _, h := range l.holdings[k] {
+		sum += h.amount
+	}
+	return sum
+}
+
+func (l *Lender) notePeaks() {
+	for k, from := range l.holdings {
+		for _, h := range from {
+			h.peak = max(h.peak, min(h.amount, l.used[k]))
+		}
+	}
+}
+
+func (l *Lender) expireHoldings(now time.Time) {
+	for k, from := range l.holdings {
+		for host, h := range from {
+			if !now.Before(h.until) {
+				delete(from, host)
+			}
+		}
+		if len(from) == 0 {
+			delete(l.holdings, k)
+		}
+	}
+}
+
+// short reports whether tasks wait and no slot is free.
+func (l *Lender) short() bool { return l.waiting() > 0 && l.freeSlots() == 0 }
+
+func (l *Lender) waiting() int {
+	sum := 0
+	for _, c := range l.demand.Classes {
+		sum += c.Tasks
+	}
+	return sum
+}
+
+// freeSlots returns the free slots that this entry may use as last published.
+func (l *Lender) freeSlots() int {
+	sum := 0
+	for i := range l.last {
+		c := &l.last[i]
+		if !c.Target.Leaving {
+			sum += max(0, c.Slots-l.used[targetKey(c.Target.Name)])
+		}
+	}
+	return sum
+}
+
+// borrow sends the requests that are due.
+func (l *Lender) borrow(now time.Time) {
+	l.refill(now)
+	missing := 0
+	if l.short() {
+		missing = l.waiting()
+	}
+	for _, c := range l.creditors {
+		if c.pending {
+			missing -= c.any
+		}
+	}
+	for _, c := range l.byPromise() {
+		if c.pending && now.Sub(c.sent) < l.term {
+			continue
+		}
+		any := 0
+		if missing > 0 && l.worthAsking(now, c) {
+			any = c.ask(missing)
+		}
+		units := l.unitsDue(now, c)
+		renew := !c.renewAt.IsZero() && !now.Before(c.renewAt)
+		wanted := any > 0 || units
+		report := c.report && !now.Before(c.reportAt)
+		if !renew && !report && (!wanted || l.tokens < 1) {
+			continue
+		}
+		missing -= any
+		l.call(now, c, any)
+	}
+}
+
+// refill lets the number of requests per second stay within the pace.
+func (l *Lender) refill(now time.Time) {
+	if l.filled.IsZero() {
+		l.tokens = l.pace.burst
+	} else {
+		l.tokens = min(l.pace.burst, l.tokens+now.Sub(l.filled).Seconds()*l.pace.rate)
+	}
+	l.filled = now
+}
+
+// byPromise returns the creditors, those first that are likely to lend most.
+func (l *Lender) byPromise() []*creditor {
+	all := make([]*creditor, 0, len(l.creditors))
+	for _, c := range l.creditors {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *creditor) int {
+		return cmp.Or(
+			cmp.Compare(b.near(l), a.near(l)),
+			cmp.Compare(b.peer.Digest.Free, a.peer.Digest.Free),
+			a.askAt.Compare(b.askAt),
+			cmp.Compare(a.peer.Host, b.peer.Host),
+		)
+	})
+	return all
+}
+
+func (c *creditor) near(l *Lender) int {
+	if c.peer.Zone == l.zone {
+		return 1
+	}
+	return 0
+}
+
+// ask returns how many of the missing slots to ask for.
+func (c *creditor) ask(missing int) int {
+	if free := c.peer.Digest.Free; c.peer.Heard && free > 0 {
+		return min(missing, free)
+	}
+	return missing
+}
+
+// worthAsking reports whether the peer may have slots for what waits here.
+func (l *Lender) worthAsking(now time.Time, c *creditor) bool {
+	if now.Before(c.askAt) || c.near(l) == 0 {
+		return false
+	}
+	d := &c.peer.Digest
+	if !c.peer.Heard || d.Free > 0 || len(l.pools[slotPool].names) == 0 {
+		return true
+	}
+	return l.moreUrgent(d.Waiting)
+}
+
+// moreUrgent reports whether this entry has far more work waiting than the
+// peer, in the highest class that waits here and those above.
+func (l *Lender) moreUrgent(peer []medlargw.ClassDemand) bool {
+	for _, c := range l.demand.Classes {
+		if c.Tasks == 0 {
+			continue
+		}
+		theirs := 0
+		for _, p := range peer {
+			if p.Rank <= c.Rank {
+				theirs += p.Tasks
+			}
+		}
+		return c.Tasks > 2*theirs
+	}
+	return false
+}
+
+// call sends one request. From here on no more is used than it claims.
+func (l *Lender) call(now time.Time, c *creditor, any int) {
+	l.tokens--
+	c.number++
+	c.pending = true
+	c.sent = now
+	c.any = any
+	c.told = l.view
+	c.keys = c.keys[:0]
+	r := medlargw.BorrowRequest{Host: l.host, Incarnation: l.incarnation, Number: c.number, View: l.view, Any: any}
+	r.Waiting = slices.Clone(l.demand.Classes)
+	for _, k := range l.claimable(c) {
+		claim := l.claim(c, k)
+		if claim.Held == 0 && claim.Want == 0 {
+			continue
+		}
+		c.keys = append(c.keys, k)
+		if k.unit {
+			r.Units = append(r.Units, claim)
+		} else {
+			r.Slots = append(r.Slots, claim)
+		}
+	}
+	c.yield = false
+	l.actions.Calls = append(l.actions.Calls, medlargw.BorrowCall{To: c.peer.Host, Addr: c.peer.Addr, Request: r})
+}
+
+// claimable returns what the creditor owns or has lent, and this entry uses,
+// in order.
+func (l *Lender) claimable(c *creditor) []key {
+	var keys []key
+	add := func(k key) {
+		if l.owners[k] == c.peer.Host || l.holdings[k][c.peer.Host] != nil {
+			keys = append(keys, k)
+		}
+	}
+	for k := range l.holdings {
+		add(k)
+	}
+	for k, used := range l.used {
+		if used > 0 {
+			add(k)
+		}
+	}
+	for _, t := range l.demand.Teams {
+		if t.Waiting > 0 {
+			add(teamKey(t.Team))
+		}
+	}
+	slices.SortFunc(keys, func(a, b key) int { return cmp.Compare(a.name, b.name) })
+	return slices.Compact(keys)
+}
+
+// claim states what is held of the resource and returns what isn't needed.
+func (l *Lender) claim(c *creditor, k key) medlargw.Claim {
+	right, used := l.right(k), l.used[k]
+	want := right
+	if k.unit {
+		want = l.unitsWanted(k)
+	} else if !l.short() {
+		want = l.peak(k)
+	}
+	if c.yield && !k.unit {
+		want = 0
+	}
+	kept := min(right, want)
+	for _, h := range l.holdings[k] {
+		h.amount = min(h.amount, kept)
+		kept -= h.amount
+		h.peak = min(h.amount, used)
+	}
+	held := max(l.right(k), used)
+	return medlargw.Claim{Name: k.name, Held: held, Want: want, Returned: max(0, right-held)}
+}
+
+func (l *Lender) peak(k key) int {
+	sum := 0
+	for _, h := range l.holdings[k] {
+		sum += h.peak
+	}
+	return sum
+}
--- /dev/null
+++ b/lender/pace.go
@@ -0,0 +1,50 @@
+package lender
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// pace is how eagerly an entry borrows.
+type pace struct {
+	turn     time.Duration // Between two looks at what is short.
+	patience time.Duration // That a request waits for more than a part of its wish.
+	park     time.Duration // That a request waits for anything.
+	rate     float64       // Requests per second.
+	burst    float64       // Requests at once.
+	drain    time.Duration // Between two reports of what is in use without a right.
+	renewals int           // Of a loan in a term.
+	backoff  time.Duration // After a first request in vain.
+}
+
+// maxBackoff bounds the time between two requests to a lender without slots.
+const maxBackoff = time.Second
+
+func paceOf(f medlargw.Favour) pace {
+	if f == medlargw.FavourMessages {
+		return pace{
+			turn:     25 * time.Millisecond,
+			patience: 25 * time.Millisecond,
+			park:     250 * time.Millisecond,
+			rate:     4,
+			burst:    8,
+			drain:    200 * time.Millisecond,
+			renewals: 2,
+			backoff:  200 * time.Millisecond,
+		}
+	}
+	return pace{
+		turn:     5 * time.Millisecond,
+		patience: 5 * time.Millisecond,
+		park:     100 * time.Millisecond,
+		rate:     10,
+		burst:    20,
+		drain:    50 * time.Millisecond,
+		renewals: 4,
+		backoff:  20 * time.Millisecond,
+	}
+}
+
+// renew returns the time between two renewals of a loan.
+func (p *pace) renew(term time.Duration) time.Duration { return term / time.Duration(p.renewals) }
--- a/loan.go
+++ b/loan.go
@@ -8,16 +8,18 @@
 // Group is what an entry knows of the hosts that act together.
 type Group struct {
 	Targets []Target // Of all zones.
-	Entries []Peer   // Those that may own something, this entry included.
+	Entries []Peer   // Live and leaving ones, this entry included.
 }
 
 // Peer is one entry and what it last said of itself.
 type Peer struct {
-	Host   HostName
-	Zone   ZoneName
-	Addr   netip.AddrPort
-	Digest Digest
-	Heard  bool // The digest holds something.
+	Host        HostName
+	Zone        ZoneName
+	Addr        netip.AddrPort
+	Incarnation Incarnation
+	Leaving     bool // It owns nothing any more, and still reports what it uses.
+	Digest      Digest
+	Heard       bool // The digest holds something.
 }
 
 // Demand is what an entry uses and what waits for more.
--- a/message.go
+++ b/message.go
@@ -19,6 +19,7 @@
 	Host        HostName
 	Incarnation Incarnation
 	Number      uint64 // Rises with each request of one borrower; older ones are ignored.
+	View        uint64 // Hash of the entries of its zone as the borrower sees them.
 	Waiting     []ClassDemand
 	Any         int // Slots wanted of any target of the lender.
 	Slots       []Claim
