Entries of a zone share their targets by loans

Cause: an entry could use only the targets that it owns. Change: the dispatcher drives the lender; the assigner hands it the hosts and entries; requests are answered at once or when slots come free. Loans name a target only, since every entry has the host list. A deterministic group of lenders drives the pure machine in tests. Conclusion: slots are shared; the demo still starts with overlapping views until its list has the entries' addresses.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -1,14 +1,13 @@
 // Package assigner follows the platform's list of hosts and tells the
-// dispatcher which targets this entry owns.
+// dispatcher which targets and entries there are.
 //
 // Two entries of each zone read the list; the others learn from the digests of
 // heartbeats that it has changed, and fetch it from a peer. When the readers
 // don't reach the platform, all entries of the zone try. Only a higher version
 // is taken, whatever its source.
 //
-// Each target of the zone belongs to the entry of the zone with the highest
-// rendezvous hash of both names, so that the loss of an entry moves only its
-// own targets.
+// From the list and the membership, the dispatcher derives who owns which
+// target.
 package assigner
 
 import (
@@ -25,9 +24,9 @@
 	"medlargw.example/medlargw/registrar"
 )
 
-// sink takes the slots that this entry may use.
+// sink takes the hosts that act together.
 type sink interface {
-	SetCapacity(all []medlargw.Capacity)
+	SetGroup(g medlargw.Group)
 }
 
 // hinter learns at which addresses to look for entries.
@@ -35,7 +34,7 @@
 	Hint(addrs []netip.AddrPort)
 }
 
-// Assigner is the part that assigns targets to entries.
+// Assigner is the part that knows the hosts.
 type Assigner struct {
 	log       *zap.Logger
 	registry  *registrar.Registrar
@@ -166,16 +165,16 @@
 	return addrs
 }
 
-// MembersChanged assigns the targets anew.
+// MembersChanged lets the dispatcher assign the targets anew.
 func (a *Assigner) MembersChanged([]medlargw.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.assign(a.members.Members()) // The newest, whichever call comes first.
 }
 
-// assign tells the dispatcher what this entry owns. The lock is held.
+// assign tells the dispatcher who acts together. The lock is held.
 func (a *Assigner) assign(members []medlargw.Member) {
 	if list := a.list.Load(); list != nil {
-		a.sink.SetCapacity(owned(list, members))
+		a.sink.SetGroup(groupOf(list, members))
 	}
 }
--- a/assigner/reading.go
+++ b/assigner/reading.go
@@ -124,3 +124,20 @@
 	body, err := accessor.EncodeHosts(list)
 	return medlargw.FetchReply{Version: list.Version, Body: body}, err
 }
+
+// serving returns the names of the zone's entries that may own something. When
+// there is none, this entry is left, whatever its own state.
+func serving(all []medlargw.Member) []string {
+	self := &all[0]
+	var names []string
+	for i := range all {
+		joining := i == 0 && all[i].State == medlargw.MemberJoining
+		if all[i].Zone == self.Zone && (all[i].Serving() || joining) {
+			names = append(names, string(all[i].Host))
+		}
+	}
+	if names == nil {
+		names = append(names, string(self.Host))
+	}
+	return names
+}
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -19,6 +19,7 @@
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/placer"
@@ -60,12 +61,15 @@
 	if b.Sender == nil {
 		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	}
+	incarnation := newIncarnation()
+	disp := dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil)
+	disp.UseLender(reg, lender.New(&b.Settings, incarnation), b.Settings.Group.Term)
 	reg.Add(
-		dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil),
+		disp,
 		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
 		b.messenger(reg),
-		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
+		tracker.New(b.Log, reg, b.Settings, incarnation),
 	)
 	return reg
 }
--- a/decider/demand.go
+++ b/decider/demand.go
@@ -2,6 +2,11 @@
 
 import "medlargw.example/medlargw"
 
+// Short reports whether tasks wait for a slot or for a unit.
+func (d *Decider) Short() bool {
+	return d.total > 0 && (d.placer.Free() == 0 || len(d.blocked) > 0)
+}
+
 // Demand returns what is in use and what waits for a slot or a unit. The
 // classes hold only tasks that their teams' limits let start.
 func (d *Decider) Demand() medlargw.Demand {
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/driver"
 )
 
 func TestDemoEndsEveryJob(t *testing.T) {
@@ -25,3 +28,39 @@
 		t.Errorf("tasks started: got %d, want %d", got, want)
 	}
 }
+
+func TestBurstAtOneEntryUsesTheZone(t *testing.T) {
+	d := New(zap.NewNop())
+	if err := d.start(t.Context()); err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	burst := medlargw.Load{
+		Entries: d.addrs[:1],
+		Kinds: []medlargw.LoadKind{{
+			Service: "slip-check", Class: "urgent", Token: deskToken,
+			Tasks: 100, Run: 100 * time.Millisecond, Deadline: 30 * time.Second,
+		}},
+		Rate: 20, Time: 300 * time.Millisecond, Seed: 1,
+	}
+	report, err := driver.New(burst, 0).Run(t.Context())
+	if err != nil {
+		t.Errorf("run: %v", err)
+	}
+	if err := d.stop(t.Context()); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	if got, want := report.Whole, report.Jobs; got != want || got == 0 {
+		t.Errorf("whole jobs: got %d, want %d and more than none", got, want)
+	}
+	for n, e := range d.targets[:targetsPerZone] {
+		if counts := e.Counts(); counts.Started == 0 {
+			t.Errorf("target %d of the entry's zone: got no task, want some", n)
+		}
+	}
+	if got := d.Counts.Twice(); got != 0 {
+		t.Errorf("tasks started twice: got %d, want 0", got)
+	}
+	if got, want := d.Counts.Requests, report.Tasks; got != want {
+		t.Errorf("requests to targets: got %d, want %d, so none wasted", got, want)
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,6 +43,7 @@
 	cancels map[medlargw.Tag]context.CancelFunc
 	timer   *time.Timer
 	drained bool
+	lending *lending // Nil shares nothing.
 }
 
 var (
@@ -99,6 +100,9 @@
 
 // Start starts the control goroutine.
 func (d *Dispatcher) Start(context.Context) error {
+	if err := d.lending.find(); err != nil {
+		return err
+	}
 	d.timer = time.NewTimer(time.Hour)
 	d.traffic.Go(d.run)
 	return nil
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -18,16 +18,17 @@
 	for !d.drained || d.decider.Jobs() > 0 || len(d.cancels) > 0 {
 		select {
 		case e := <-d.ends:
-			e.apply(d, time.Now())
+			e.apply(d, d.clock())
 		case m := <-d.messages:
-			m.apply(d, time.Now())
+			m.apply(d, d.clock())
 		case <-d.timer.C:
-			d.decider.Tick(time.Now())
+			d.decider.Tick(d.clock())
 		case <-stopping:
 			d.drained = true
 			stopping = nil
 		}
 		d.handleMore()
+		d.lend(time.Now())
 		d.act()
 	}
 }
@@ -64,8 +65,8 @@
 	for i := range actions.Finishes {
 		d.finish(&actions.Finishes[i])
 	}
-	if !actions.Wake.IsZero() {
-		d.timer.Reset(time.Until(actions.Wake))
+	if wake := d.nextWake(actions.Wake); !wake.IsZero() {
+		d.timer.Reset(time.Until(wake))
 	}
 	actions.Reset()
 }
@@ -74,6 +75,7 @@
 func (d *Dispatcher) start(a medlargw.Attempt) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancels[a.Tag] = cancel
+	d.lending.noteStart(&a)
 	d.traffic.Go(func() {
 		end := d.sender.Send(ctx, &a)
 		cancel()
@@ -100,12 +102,16 @@
 
 func (m cancelMessage) apply(d *Dispatcher, now time.Time) { d.decider.Cancel(now, m.job) }
 
-func (m configMessage) apply(d *Dispatcher, now time.Time) { d.decider.Configure(now, m.cfg) }
+func (m configMessage) apply(d *Dispatcher, now time.Time) {
+	d.decider.Configure(now, m.cfg)
+	d.lending.configure(now, m.cfg)
+}
 
 func (m capacityMessage) apply(d *Dispatcher, now time.Time) { d.decider.SetCapacity(now, m.all) }
 
 func (m endMessage) apply(d *Dispatcher, now time.Time) {
 	delete(d.cancels, m.attempt.Tag)
 	d.observeEnd(&m.end)
+	d.lending.noteEnd(m.attempt.Tag)
 	d.decider.Ended(now, m.attempt, &m.end)
 }
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -40,6 +40,9 @@
 func (m statusMessage) apply(d *Dispatcher, _ time.Time) {
 	s := d.decider.Status()
 	s.Running = len(d.cancels)
+	if d.lending != nil {
+		s.Lent, s.Held = d.lending.lender.Status()
+	}
 	m.reply <- s
 }
 
--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -10,20 +10,22 @@
 
 // creditor is what this entry, as a borrower, knows of a peer.
 type creditor struct {
-	peer    medlargw.Peer
-	number  uint64 // Of the latest request.
-	pending bool   // It has no reply yet.
-	sent    time.Time
-	any     int       // Slots asked for in it.
-	told    uint64    // The view that it was sent under.
-	keys    []key     // Claimed in it.
-	renewAt time.Time // Zero when nothing is held.
-	askAt   time.Time // No slots are asked for before.
-	unitsAt time.Time // No units are asked for before.
-	fails   int       // Requests in vain, one after the other.
-	report  bool      // It must be told what is used of its resources.
+	peer     medlargw.Peer
+	digest   medlargw.Digest // What it last said of itself.
+	heard    bool            // The digest holds something.
+	number   uint64          // Of the latest request.
+	pending  bool            // It has no reply yet.
+	sent     time.Time
+	any      int       // Slots asked for in it.
+	told     uint64    // The view that it was sent under.
+	keys     []key     // Claimed in it.
+	renewAt  time.Time // Zero when nothing is held.
+	askAt    time.Time // No slots are asked for before.
+	unitsAt  time.Time // No units are asked for before.
+	fails    int       // Requests in vain, one after the other.
+	report   bool      // It must be told what is used of its resources.
 	reportAt time.Time // Not before.
-	yield   bool      // Its own work has precedence over what runs on its loans.
+	yield    bool      // Its own work has precedence over what runs on its loans.
 }
 
 // holding is what this entry may use of one resource by one lender's loan.
@@ -32,7 +34,6 @@
 	starts float64
 	until  time.Time
 	peak   int // The most that was in use since the last request.
-	target medlargw.Target
 }
 
 func (l *Lender) setCreditors(now time.Time) {
@@ -48,8 +49,7 @@
 			l.creditors[p.Host] = c
 		}
 		if c.peer.Incarnation != p.Incarnation {
-			*c = creditor{number: c.number}
-			c.askAt = now
+			*c = creditor{number: c.number, askAt: now}
 		}
 		c.peer = p
 	}
@@ -90,8 +90,8 @@
 	}
 }
 
-// short reports whether tasks wait and no slot is free.
-func (l *Lender) short() bool { return l.waiting() > 0 && l.freeSlots() == 0 }
+// short reports whether more tasks wait than slots are free.
+func (l *Lender) short() bool { return l.waiting() > l.freeSlots() }
 
 func (l *Lender) waiting() int {
 	sum := 0
@@ -116,33 +116,42 @@
 // borrow sends the requests that are due.
 func (l *Lender) borrow(now time.Time) {
 	l.refill(now)
-	missing := 0
-	if l.short() {
-		missing = l.waiting()
-	}
-	for _, c := range l.creditors {
-		if c.pending {
-			missing -= c.any
-		}
-	}
+	missing := l.missing()
 	for _, c := range l.byPromise() {
 		if c.pending && now.Sub(c.sent) < l.term {
 			continue
 		}
-		any := 0
+		slots := 0
 		if missing > 0 && l.worthAsking(now, c) {
-			any = c.ask(missing)
+			slots = c.ask(missing)
 		}
-		units := l.unitsDue(now, c)
-		renew := !c.renewAt.IsZero() && !now.Before(c.renewAt)
-		wanted := any > 0 || units
-		report := c.report && !now.Before(c.reportAt)
-		if !renew && !report && (!wanted || l.tokens < 1) {
+		wanted := slots > 0 || l.unitsDue(now, c)
+		if !c.mustCall(now) && (!wanted || l.tokens < 1) {
 			continue
 		}
-		missing -= any
-		l.call(now, c, any)
+		missing -= slots
+		l.call(now, c, slots)
+	}
+}
+
+// missing returns the slots that this entry is short of and has not asked for.
+func (l *Lender) missing() int {
+	if !l.short() {
+		return 0
+	}
+	n := l.waiting() - l.freeSlots()
+	for _, c := range l.creditors {
+		if c.pending {
+			n -= c.any
+		}
 	}
+	return n
+}
+
+// mustCall reports whether a renewal or a report is due.
+func (c *creditor) mustCall(now time.Time) bool {
+	renew := !c.renewAt.IsZero() && !now.Before(c.renewAt)
+	return renew || c.report && !now.Before(c.reportAt)
 }
 
 // refill lets the number of requests per second stay within the pace.
@@ -164,7 +173,7 @@
 	slices.SortFunc(all, func(a, b *creditor) int {
 		return cmp.Or(
 			cmp.Compare(b.near(l), a.near(l)),
-			cmp.Compare(b.peer.Digest.Free, a.peer.Digest.Free),
+			cmp.Compare(b.digest.Free, a.digest.Free),
 			a.askAt.Compare(b.askAt),
 			cmp.Compare(a.peer.Host, b.peer.Host),
 		)
@@ -181,7 +190,7 @@
 
 // ask returns how many of the missing slots to ask for.
 func (c *creditor) ask(missing int) int {
-	if free := c.peer.Digest.Free; c.peer.Heard && free > 0 {
+	if free := c.digest.Free; c.heard && free > 0 {
 		return min(missing, free)
 	}
 	return missing
@@ -192,8 +201,8 @@
 	if now.Before(c.askAt) || c.near(l) == 0 {
 		return false
 	}
-	d := &c.peer.Digest
-	if !c.peer.Heard || d.Free > 0 || len(l.pools[slotPool].names) == 0 {
+	d := &c.digest
+	if !c.heard || d.Free > 0 || len(l.pools[slotPool].names) == 0 {
 		return true
 	}
 	return l.moreUrgent(d.Waiting)
@@ -218,15 +227,15 @@
 }
 
 // call sends one request. From here on no more is used than it claims.
-func (l *Lender) call(now time.Time, c *creditor, any int) {
+func (l *Lender) call(now time.Time, c *creditor, slots int) {
 	l.tokens--
 	c.number++
 	c.pending = true
 	c.sent = now
-	c.any = any
+	c.any = slots
 	c.told = l.view
 	c.keys = c.keys[:0]
-	r := medlargw.BorrowRequest{Host: l.host, Incarnation: l.incarnation, Number: c.number, View: l.view, Any: any}
+	r := medlargw.BorrowRequest{Host: l.host, Incarnation: l.incarnation, Number: c.number, View: l.view, Any: slots}
 	r.Waiting = slices.Clone(l.demand.Classes)
 	for _, k := range l.claimable(c) {
 		claim := l.claim(c, k)
--- /dev/null
+++ b/lender/group_test.go
@@ -0,0 +1,422 @@
+package lender
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// group is a deterministic model of entries, targets and the network between
+// them. Time passes only in run.
+type group struct {
+	tb      testing.TB
+	now     time.Duration // Since the beginning.
+	queue   eventQueue
+	order   int
+	random  *rand.Rand
+	entries []*entry
+	targets []medlargw.Target
+	cfg     *medlargw.Config
+	loss    float64
+	double  float64
+	least   time.Duration // Bounds of the delay of one message.
+	most    time.Duration
+	cut     func(from, to medlargw.HostName) bool
+	running map[medlargw.TargetName]int
+	teams   map[medlargw.TeamName]int // Running tasks.
+	over    int                       // The most by which rights and use passed a target's slots.
+	busy    int                       // Starts that a target refused.
+	calls   int
+	ended   []*work
+}
+
+// entry is one lender with a plain scheduler: strict classes, first come first.
+type entry struct {
+	g        *group
+	peer     medlargw.Peer
+	l        *Lender
+	rate     float64 // Of its clock.
+	paused   bool
+	dead     bool
+	offered  []medlargw.Capacity
+	shares   map[medlargw.TeamName]medlargw.Share
+	used     map[medlargw.TargetName]int
+	teams    map[medlargw.TeamName]int
+	waiting  [3][]*work
+	active   [3]int
+	last     time.Time
+	wake     time.Duration
+	inFlight map[uint64]bool
+}
+
+// work is one task.
+type work struct {
+	rank    int
+	team    medlargw.TeamName
+	run     time.Duration
+	arrived time.Duration
+	began   time.Duration
+	ended   time.Duration
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].order, q[j].order)) < 0
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) } //nolint:errcheck // Only events.
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// newGroup returns entries and targets of one zone each per given size.
+func newGroup(tb testing.TB, seed uint64, favour medlargw.Favour, entries, targets, slots int, zones ...medlargw.ZoneName) *group {
+	tb.Helper()
+	g := &group{
+		tb: tb, random: rand.New(rand.NewPCG(seed, seed)),
+		least: 300 * time.Microsecond, most: 700 * time.Microsecond,
+		running: map[medlargw.TargetName]int{}, teams: map[medlargw.TeamName]int{},
+		cfg: &medlargw.Config{},
+	}
+	for _, zone := range zones {
+		for n := range targets {
+			name := medlargw.TargetName(fmt.Sprintf("%s-target-%d", zone, n))
+			g.targets = append(g.targets, medlargw.Target{Name: name, Zone: zone, Slots: slots})
+		}
+		for n := range entries {
+			host := medlargw.HostName(fmt.Sprintf("%s-%d", zone, n))
+			g.entries = append(g.entries, &entry{
+				g: g, rate: 1, peer: medlargw.Peer{Host: host, Zone: zone, Incarnation: 1},
+			})
+		}
+	}
+	for _, e := range g.entries {
+		e.start(favour)
+	}
+	return g
+}
+
+// start begins the run of the entry's incarnation.
+func (e *entry) start(favour medlargw.Favour) {
+	s := medlargw.Settings{
+		Host: e.peer.Host, Zone: e.peer.Zone, Favour: favour,
+		Group: medlargw.GroupSettings{Term: 2 * time.Second, Margin: 200 * time.Millisecond},
+	}
+	e.l = New(&s, e.peer.Incarnation)
+	e.offered = nil
+	e.shares = map[medlargw.TeamName]medlargw.Share{}
+	e.used = map[medlargw.TargetName]int{}
+	e.teams = map[medlargw.TeamName]int{}
+	e.inFlight = map[uint64]bool{}
+}
+
+// setView gives all entries, or the named ones, a view of the entries that
+// live, and those that the others see.
+func (g *group) setView(who ...*entry) {
+	if who == nil {
+		who = g.entries
+	}
+	for _, e := range who {
+		if e.dead || e.paused {
+			continue
+		}
+		view := medlargw.Group{Targets: g.targets}
+		for _, other := range g.entries {
+			if !other.dead && (other == e || g.cut == nil || !g.cut(e.peer.Host, other.peer.Host)) {
+				view.Entries = append(view.Entries, other.peer)
+			}
+		}
+		e.l.Configure(e.clock(), g.cfg)
+		e.l.SetGroup(e.clock(), &view)
+		e.step()
+	}
+}
+
+func (g *group) after(d time.Duration, do func()) {
+	g.order++
+	heap.Push(&g.queue, event{at: g.now + d, order: g.order, do: do})
+}
+
+// run lets the time pass and checks the rights after each event.
+func (g *group) run(d time.Duration) {
+	end := g.now + d
+	for len(g.queue) > 0 && g.queue[0].at <= end {
+		e := heap.Pop(&g.queue).(event) //nolint:errcheck // Only events.
+		g.now = e.at
+		e.do()
+		g.check()
+	}
+	g.now = end
+}
+
+// check notes by how much rights and use pass a target's slots.
+func (g *group) check() {
+	sums := map[medlargw.TargetName]int{}
+	for _, e := range g.entries {
+		if e.dead {
+			continue
+		}
+		rights := maps.Clone(e.used)
+		for _, c := range e.offered {
+			if !e.paused && (c.Until.IsZero() || e.clock().Before(c.Until)) {
+				rights[c.Target.Name] = max(rights[c.Target.Name], c.Slots)
+			}
+		}
+		for name, n := range rights {
+			sums[name] += n
+		}
+	}
+	for _, t := range g.targets {
+		g.over = max(g.over, sums[t.Name]-t.Slots)
+	}
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func (e *entry) clock() time.Time {
+	return epoch.Add(time.Duration(float64(e.g.now) * e.rate))
+}
+
+func (e *entry) demand() *medlargw.Demand {
+	d := &medlargw.Demand{}
+	for rank := range e.waiting {
+		waiting := 0
+		for _, w := range e.waiting[rank] {
+			if e.allowed(w.team) {
+				waiting++
+			}
+		}
+		d.Classes = append(d.Classes, medlargw.ClassDemand{Rank: rank, Tasks: waiting, Running: e.active[rank]})
+	}
+	for name, n := range e.used {
+		d.Targets = append(d.Targets, medlargw.TargetUse{Target: name, Used: n})
+	}
+	for _, t := range e.g.cfg.Teams {
+		use := medlargw.TeamUse{Team: t.Name, Running: e.teams[t.Name]}
+		for rank := range e.waiting {
+			for _, w := range e.waiting[rank] {
+				if w.team == t.Name {
+					use.Waiting++
+				}
+			}
+		}
+		d.Teams = append(d.Teams, use)
+	}
+	return d
+}
+
+func (e *entry) allowed(team medlargw.TeamName) bool {
+	s, ok := e.shares[team]
+	return !ok || !s.None && (s.Limit.Running == 0 || e.teams[team] < s.Limit.Running)
+}
+
+// step lets the lender act as the dispatcher does.
+func (e *entry) step() {
+	now := e.clock()
+	e.last = now
+	e.l.SetDemand(now, e.demand())
+	e.l.Tick(now)
+	actions := e.l.Actions()
+	for _, c := range actions.Calls {
+		e.send(c)
+	}
+	for _, a := range actions.Answers {
+		e.answer(a)
+	}
+	if actions.Moved {
+		e.offered = actions.Capacities
+	}
+	for _, s := range actions.Shares {
+		e.shares[s.Team] = s
+	}
+	wake := time.Duration(float64(actions.Wake.Sub(epoch))/e.rate) + time.Microsecond
+	actions.Reset()
+	e.wakeAt(wake)
+	e.dispatch()
+}
+
+// lendPause is the dispatcher's shortest time between two looks at the loans.
+const lendPause = 2 * time.Millisecond
+
+func (e *entry) wakeAt(wake time.Duration) {
+	if e.wake > e.g.now && e.wake <= wake {
+		return
+	}
+	e.wake = wake
+	e.g.after(wake-e.g.now, func() {
+		if e.wake == wake && !e.paused && !e.dead {
+			e.step()
+		}
+	})
+}
+
+// turn starts what can start, and lets the lender act if tasks wait.
+func (e *entry) turn() {
+	if e.dead || e.paused {
+		return
+	}
+	if e.dispatch(); !e.short() {
+		return
+	}
+	if e.clock().Sub(e.last) >= lendPause {
+		e.step()
+		return
+	}
+	e.wakeAt(e.g.now + lendPause)
+}
+
+func (e *entry) short() bool { return len(e.waiting[0])+len(e.waiting[1])+len(e.waiting[2]) > 0 }
+
+func (e *entry) dispatch() {
+	for rank := range e.waiting {
+		for i := 0; i < len(e.waiting[rank]); {
+			w := e.waiting[rank][i]
+			if !e.allowed(w.team) {
+				i++
+				continue
+			}
+			target, ok := e.pick()
+			if !ok {
+				return
+			}
+			e.waiting[rank] = slices.Delete(e.waiting[rank], i, i+1)
+			e.run(w, target)
+		}
+	}
+}
+
+func (e *entry) pick() (medlargw.TargetName, bool) {
+	for _, c := range e.offered {
+		if e.used[c.Target.Name] < c.Slots && (c.Until.IsZero() || !e.clock().After(c.Until)) {
+			return c.Target.Name, true
+		}
+	}
+	return "", false
+}
+
+// run carries a task to its target; a full target refuses it.
+func (e *entry) run(w *work, name medlargw.TargetName) {
+	g := e.g
+	e.used[name]++
+	e.teams[w.team]++
+	e.active[w.rank]++
+	end := func() {
+		e.used[name]--
+		e.teams[w.team]--
+		e.active[w.rank]--
+		e.turn()
+	}
+	if g.running[name] >= g.slots(name) {
+		g.busy++
+		g.after(time.Millisecond, func() {
+			e.waiting[w.rank] = append([]*work{w}, e.waiting[w.rank]...)
+			end()
+		})
+		return
+	}
+	g.running[name]++
+	g.teams[w.team]++
+	w.began = g.now
+	g.after(w.run, func() {
+		g.running[name]--
+		g.teams[w.team]--
+		w.ended = g.now
+		g.ended = append(g.ended, w)
+		end()
+	})
+}
+
+func (g *group) slots(name medlargw.TargetName) int {
+	for _, t := range g.targets {
+		if t.Name == name {
+			return t.Slots
+		}
+	}
+	return 0
+}
+
+func (g *group) find(host medlargw.HostName) *entry {
+	for _, e := range g.entries {
+		if e.peer.Host == host {
+			return e
+		}
+	}
+	return nil
+}
+
+// carry delivers a message, perhaps late, twice or never.
+func (g *group) carry(from, to medlargw.HostName, deliver func(e *entry)) {
+	g.calls++
+	times := 1
+	if g.random.Float64() < g.double {
+		times = 2
+	}
+	if g.random.Float64() < g.loss || g.cut != nil && g.cut(from, to) {
+		times = 0
+	}
+	for range times {
+		delay := g.least + time.Duration(g.random.Int64N(int64(g.most-g.least)+1))
+		var arrive func()
+		arrive = func() {
+			e := g.find(to)
+			switch {
+			case e.dead:
+			case e.paused:
+				g.after(10*time.Millisecond, arrive) // The kernel keeps it.
+			default:
+				deliver(e)
+			}
+		}
+		g.after(delay, arrive)
+	}
+}
+
+func (e *entry) send(c medlargw.BorrowCall) {
+	l, from, number := e.l, e.peer.Host, c.Request.Number
+	e.g.carry(from, c.To, func(peer *entry) {
+		peer.l.SetDemand(peer.clock(), peer.demand())
+		peer.l.Handle(peer.clock(), &c.Request)
+		peer.step()
+	})
+	e.g.after(time.Second, func() {
+		if e.l == l && !e.dead && !e.paused {
+			e.l.Failed(e.clock(), c.To, number)
+			e.step()
+		}
+	})
+}
+
+func (e *entry) answer(a medlargw.BorrowAnswer) {
+	from := e.peer.Host
+	e.g.carry(from, a.To, func(peer *entry) {
+		peer.l.SetDemand(peer.clock(), peer.demand())
+		peer.l.Replied(peer.clock(), from, &a.Reply)
+		peer.step()
+	})
+}
+
+// submit lets n tasks wait at the entry.
+func (e *entry) submit(n, rank int, team medlargw.TeamName, run time.Duration) {
+	for range n {
+		e.waiting[rank] = append(e.waiting[rank], &work{rank: rank, team: team, run: run, arrived: e.g.now})
+	}
+	e.turn()
+}
--- a/lender/handle.go
+++ b/lender/handle.go
@@ -15,7 +15,7 @@
 	number      uint64                 // Of the latest request.
 	view        uint64                 // That it was sent under.
 	answer      *medlargw.BorrowReply  // To the latest request; nil while it is parked.
-	slots       []medlargw.Claim // Of the latest request.
+	slots       []medlargw.Claim       // Of the latest request.
 	units       []medlargw.Claim
 	until       time.Time // The claims count as long.
 	parked      *medlargw.BorrowRequest
@@ -218,7 +218,7 @@
 		}
 		res := p.resources[name]
 		res.give(host, max(n, res.lentTo(host)), now.Add(l.term+l.margin))
-		loans = append(loans, medlargw.Loan{Name: name, Amount: n, Term: l.term, Target: res.target})
+		loans = append(loans, medlargw.Loan{Name: name, Amount: n, Term: l.term})
 	}
 	return loans
 }
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -64,7 +64,7 @@
 }
 
 // slotPool is the key of the pool of all owned targets.
-var slotPool = key{} //nolint:gochecknoglobals // A constant that Go can't express.
+var slotPool = key{}
 
 func targetKey(name medlargw.TargetName) key { return key{name: string(name)} }
 
@@ -78,7 +78,7 @@
 		incarnation: incarnation,
 		term:        s.Group.Term,
 		margin:      s.Group.Margin,
-		pace:        paceOf(s.Favour),
+		pace:        paceOf(s.Favour, s.Group.Term),
 		config:      &medlargw.Config{},
 		owners:      map[key]medlargw.HostName{},
 		targets:     map[medlargw.TargetName]medlargw.Target{},
@@ -119,8 +119,9 @@
 	}
 	l.expireHoldings(now)
 	l.answerParked(now)
-	l.borrow(now)
 	l.publish(now)
+	l.borrow(now)
+	l.publish(now) // A request gives up what it returns.
 	l.actions.Wake = l.wake(now)
 }
 
@@ -141,6 +142,9 @@
 // open opens what this entry came to own once every other entry of the zone
 // has said what it uses of it, under the same view of who owns what.
 func (l *Lender) open(now time.Time) {
+	if l.group.Unheard {
+		return
+	}
 	for host, c := range l.creditors {
 		if c.peer.Zone != l.zone {
 			continue
--- a/lender/ownership.go
+++ b/lender/ownership.go
@@ -16,6 +16,14 @@
 // maxUnits bounds the units that one team's limit is cut into.
 const maxUnits = 1000
 
+// Heard takes what a peer last said of itself.
+func (l *Lender) Heard(_ time.Time, from medlargw.HostName, d medlargw.Digest) {
+	if c := l.creditors[from]; c != nil {
+		c.digest = d
+		c.heard = true
+	}
+}
+
 // SetGroup derives who owns what.
 func (l *Lender) SetGroup(now time.Time, g *medlargw.Group) {
 	l.group = *g
--- a/lender/pace.go
+++ b/lender/pace.go
@@ -21,20 +21,19 @@
 // maxBackoff bounds the time between two requests to a lender without slots.
 const maxBackoff = time.Second
 
-func paceOf(f medlargw.Favour) pace {
+func paceOf(f medlargw.Favour, term time.Duration) pace {
+	p := latencyPace
 	if f == medlargw.FavourMessages {
-		return pace{
-			turn:     25 * time.Millisecond,
-			patience: 25 * time.Millisecond,
-			park:     250 * time.Millisecond,
-			rate:     4,
-			burst:    8,
-			drain:    200 * time.Millisecond,
-			renewals: 2,
-			backoff:  200 * time.Millisecond,
-		}
+		p = messagesPace
 	}
-	return pace{
+	p.park = min(p.park, term/8)
+	p.patience = min(p.patience, p.park)
+	return p
+}
+
+// The paces at the ends of the setting "favour".
+var (
+	latencyPace = pace{
 		turn:     5 * time.Millisecond,
 		patience: 5 * time.Millisecond,
 		park:     100 * time.Millisecond,
@@ -44,7 +43,17 @@
 		renewals: 4,
 		backoff:  20 * time.Millisecond,
 	}
-}
+	messagesPace = pace{
+		turn:     25 * time.Millisecond,
+		patience: 25 * time.Millisecond,
+		park:     250 * time.Millisecond,
+		rate:     4,
+		burst:    8,
+		drain:    200 * time.Millisecond,
+		renewals: 2,
+		backoff:  200 * time.Millisecond,
+	}
+)
 
 // renew returns the time between two renewals of a loan.
 func (p *pace) renew(term time.Duration) time.Duration { return term / time.Duration(p.renewals) }
--- a/lender/reply.go
+++ b/lender/reply.go
@@ -20,11 +20,15 @@
 	}
 	extra := 0
 	for i := range r.Slots {
-		extra += l.hold(c, targetKey(r.Slots[i].Target.Name), &r.Slots[i])
+		extra += l.hold(c, key{name: r.Slots[i].Name}, &r.Slots[i])
 	}
 	for i := range r.Units {
 		l.hold(c, key{unit: true, name: r.Units[i].Name}, &r.Units[i])
 	}
+	c.digest.Free = max(0, c.digest.Free-extra)
+	if extra < c.any {
+		c.digest.Free = 0
+	}
 	l.backOff(now, c, extra > 0)
 	c.unitsAt = now.Add(l.unitsPause(c))
 	l.planRenewal(now, c)
@@ -52,7 +56,6 @@
 		starts: loan.Starts,
 		until:  c.sent.Add(min(loan.Term, l.term) - l.margin),
 		peak:   min(loan.Amount, l.used[k]),
-		target: loan.Target,
 	}
 	return fresh
 }
--- a/loan.go
+++ b/loan.go
@@ -9,17 +9,16 @@
 type Group struct {
 	Targets []Target // Of all zones.
 	Entries []Peer   // Live and leaving ones, this entry included.
+	Unheard bool     // Entries of the zone are listed that this entry never heard of.
 }
 
-// Peer is one entry and what it last said of itself.
+// Peer is one entry that acts together with others.
 type Peer struct {
 	Host        HostName
 	Zone        ZoneName
 	Addr        netip.AddrPort
 	Incarnation Incarnation
 	Leaving     bool // It owns nothing any more, and still reports what it uses.
-	Digest      Digest
-	Heard       bool // The digest holds something.
 }
 
 // Demand is what an entry uses and what waits for more.
@@ -91,6 +90,8 @@
 	Configure(now time.Time, cfg *Config)
 	// SetGroup derives who owns what.
 	SetGroup(now time.Time, g *Group)
+	// Heard takes what a peer last said of itself.
+	Heard(now time.Time, from HostName, d Digest)
 	// SetDemand sets what this entry uses. It precedes each of the calls below.
 	SetDemand(now time.Time, d *Demand)
 	// Handle takes a peer's request. The answer may come with a later action,
--- a/message.go
+++ b/message.go
@@ -50,7 +50,6 @@
 	Amount int
 	Starts float64 // Starts per second, for units of a team's limit.
 	Term   time.Duration
-	Target Target // For slots.
 }
 
 // FetchKind is what a peer asks for.
--- a/messenger/loans.go
+++ b/messenger/loans.go
@@ -88,10 +88,6 @@
 			Amount: int32(l.Amount),
 			Starts: l.Starts,
 			TermMs: l.Term.Milliseconds(),
-			Addr:   encodeAddr(l.Target.Addr),
-			Slots:  int32(l.Target.Slots),
-			Memory: l.Target.Memory,
-			Zone:   string(l.Target.Zone),
 		})
 	}
 	return loans
@@ -100,22 +96,12 @@
 func decodeLoans(all []*wire.Loan) []medlargw.Loan {
 	var loans []medlargw.Loan
 	for _, l := range all {
-		loan := medlargw.Loan{
+		loans = append(loans, medlargw.Loan{
 			Name:   l.GetName(),
 			Amount: int(l.GetAmount()),
 			Starts: l.GetStarts(),
 			Term:   time.Duration(l.GetTermMs()) * time.Millisecond,
-		}
-		if addr := decodeAddr(l.GetAddr()); addr.IsValid() {
-			loan.Target = medlargw.Target{
-				Name:   medlargw.TargetName(l.GetName()),
-				Zone:   medlargw.ZoneName(l.GetZone()),
-				Addr:   addr,
-				Slots:  int(l.GetSlots()),
-				Memory: l.GetMemory(),
-			}
-		}
-		loans = append(loans, loan)
+		})
 	}
 	return loans
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -68,7 +68,6 @@
 		Incarnation: 4, Number: 5, Owner: true,
 		Slots: []medlargw.Loan{{
 			Name: "t", Amount: 2, Term: 2 * time.Second,
-			Target: medlargw.Target{Name: "t", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:9"), Slots: 8, Memory: 1 << 33},
 		}},
 		Units: []medlargw.Loan{{Name: "team", Amount: 3, Starts: 1.5, Term: time.Second}},
 	}
