--- a/builder/builder.go
+++ b/builder/builder.go
@@ -16,9 +16,11 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
+	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
@@ -57,13 +59,13 @@
 func (b *Builder) Core() *registrar.Registrar {
 	b.reachPlatform()
 	reg := registrar.New(b.Log)
-	dec := decider.New(b.Settings, scheduler.New(), placer.New(), limiter.New(), newTag)
+	dec := decider.New(b.Settings, b.deciderTools(), newTag)
 	if b.Sender == nil {
 		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	}
 	incarnation := newIncarnation()
 	disp := dispatcher.New(b.Log, dec, b.Sender, metrics.NewRegistry(), nil)
-	disp.UseLender(reg, lender.New(&b.Settings, incarnation), b.Settings.Group.Term)
+	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
 	reg.Add(
 		disp,
 		watcher.New(b.Log, reg, b.Store),
@@ -87,6 +89,17 @@
 	return medlargw.Incarnation(binary.LittleEndian.Uint64(random[:]))
 }
 
+func (b *Builder) deciderTools() medlargw.DeciderTools {
+	est := estimator.New()
+	return medlargw.DeciderTools{
+		Scheduler:  scheduler.New(medlargw.OrderLeast),
+		Placer:     placer.New(est),
+		Limiter:    limiter.New(),
+		Estimator:  est,
+		Accountant: accountant.New(b.Settings.Intake.Bytes),
+	}
+}
+
 func newTag() medlargw.Tag { return medlargw.Tag(rand.Text()) }
 
 func (b *Builder) reachPlatform() {
--- a/decider/demand.go
+++ b/decider/demand.go
@@ -1,19 +1,21 @@
 package decider
 
-import "medlargw.example/medlargw"
+import (
+	"math"
 
-// Short reports whether tasks wait for a slot or for a unit.
+	"medlargw.example/medlargw"
+)
+
+// Short reports whether tasks wait for a slot or for a unit of a limit.
 func (d *Decider) Short() bool {
-	return d.total > 0 && (d.placer.Free() == 0 || len(d.blocked) > 0)
+	return d.total > 0 && (d.placer.Free() == 0 || len(d.pauses) > 0)
 }
 
 // Demand returns what is in use and what waits for a slot or a unit. The
 // classes hold only tasks that their teams' limits let start.
 func (d *Decider) Demand() medlargw.Demand {
 	demand := medlargw.Demand{Classes: d.scheduler.Waiting()}
-	if len(d.blocked) > 0 {
-		d.deductBlocked(demand.Classes)
-	}
+	d.deductHeldBack(demand.Classes)
 	for _, t := range d.placer.Status() {
 		if t.Used > 0 {
 			demand.Targets = append(demand.Targets, medlargw.TargetUse{Target: t.Target.Name, Used: t.Used})
@@ -28,15 +30,21 @@
 	return demand
 }
 
-func (d *Decider) deductBlocked(classes []medlargw.ClassDemand) {
-	for _, q := range d.scheduler.Queues() {
-		if _, ok := d.blocked[q.Team]; !ok {
-			continue
-		}
+// deductHeldBack leaves out what no slot would help.
+func (d *Decider) deductHeldBack(classes []medlargw.ClassDemand) {
+	if len(d.pauses) == 0 {
+		return
+	}
+	_, some := d.scheduler.Peek(math.MaxInt64)
+	if !some {
 		for i := range classes {
-			if classes[i].Rank == q.Rank {
-				classes[i].Tasks -= q.Tasks
-			}
+			classes[i].Tasks = 0
+		}
+		return
+	}
+	for _, q := range d.scheduler.Queues() {
+		if d.pauses[medlargw.Lane{Team: q.Team}] != nil {
+			classes[q.Rank].Tasks -= q.Tasks
 		}
 	}
 }
--- a/dispatcher/lending.go
+++ b/dispatcher/lending.go
@@ -23,6 +23,7 @@
 	registry  *registrar.Registrar
 	lender    medlargw.Lender
 	messenger medlargw.Messenger
+	zone      medlargw.ZoneName
 	term      time.Duration
 	ranks     map[medlargw.ClassName]int
 	started   map[medlargw.Tag]int // Ranks of the attempts that have not ended.
@@ -69,11 +70,12 @@
 
 // UseLender makes the dispatcher share targets and limits with its peers. It
 // must precede Start.
-func (d *Dispatcher) UseLender(reg *registrar.Registrar, l medlargw.Lender, term time.Duration) {
+func (d *Dispatcher) UseLender(reg *registrar.Registrar, l medlargw.Lender, s *medlargw.Settings) {
 	d.lending = &lending{
 		registry: reg,
 		lender:   l,
-		term:     term,
+		zone:     s.Zone,
+		term:     s.Group.Term,
 		ranks:    map[medlargw.ClassName]int{},
 		started:  map[medlargw.Tag]int{},
 		waiters:  map[medlargw.HostName][]borrowWaiter{},
@@ -184,6 +186,9 @@
 	for i := range actions.Calls {
 		d.callBorrow(actions.Calls[i])
 	}
+	for _, s := range actions.Shares {
+		d.decider.SetShare(now, s.Team, s.Limit)
+	}
 	if actions.Moved {
 		d.decider.SetCapacity(now, actions.Capacities)
 	}
@@ -219,9 +224,27 @@
 
 func (m groupMessage) apply(d *Dispatcher, now time.Time) {
 	d.lending.lender.SetGroup(now, &m.group)
+	d.decider.SetReach(m.reach(d.lending.zone))
 	d.lendNow(now)
 }
 
+// reach returns the slots that an entry of the zone can expect when all of them
+// are busy.
+func (m groupMessage) reach(zone medlargw.ZoneName) int {
+	slots, entries := 0, 0
+	for i := range m.group.Targets {
+		if m.group.Targets[i].Zone == zone {
+			slots += m.group.Targets[i].Slots
+		}
+	}
+	for _, e := range m.group.Entries {
+		if e.Zone == zone && !e.Leaving {
+			entries++
+		}
+	}
+	return slots / max(1, entries)
+}
+
 func (m heardMessage) apply(d *Dispatcher, now time.Time) {
 	d.lending.lender.Heard(now, m.from, m.digest)
 }
@@ -274,13 +297,9 @@
 
 // configure takes the ranks of the classes over.
 func (l *lending) configure(now time.Time, cfg *medlargw.Config) {
-	if l == nil {
-		return
-	}
 	clear(l.ranks)
 	for _, c := range cfg.Classes {
 		l.ranks[c.Name] = c.Rank
 	}
 	l.lender.Configure(now, cfg)
-	l.due = true
 }
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -103,8 +103,12 @@
 func (m cancelMessage) apply(d *Dispatcher, now time.Time) { d.decider.Cancel(now, m.job) }
 
 func (m configMessage) apply(d *Dispatcher, now time.Time) {
+	if d.lending != nil {
+		// The shares come first, so that no team starts on its whole limit.
+		d.lending.configure(now, m.cfg)
+		d.lendNow(now)
+	}
 	d.decider.Configure(now, m.cfg)
-	d.lending.configure(now, m.cfg)
 }
 
 func (m capacityMessage) apply(d *Dispatcher, now time.Time) { d.decider.SetCapacity(now, m.all) }
--- a/lender/group_test.go
+++ b/lender/group_test.go
@@ -225,7 +225,7 @@
 
 func (e *entry) allowed(team medlargw.TeamName) bool {
 	s, ok := e.shares[team]
-	return !ok || !s.None && (s.Limit.Running == 0 || e.teams[team] < s.Limit.Running)
+	return !ok || e.teams[team] < s.Limit.Running
 }
 
 // step lets the lender act as the dispatcher does.
--- a/lender/publish.go
+++ b/lender/publish.go
@@ -97,6 +97,5 @@
 	if limit.Running > 0 {
 		s.Limit.Running = units
 	}
-	s.None = units == 0
 	return s
 }
--- a/loan.go
+++ b/loan.go
@@ -44,8 +44,7 @@
 // Share is what this entry may use of a team's limit.
 type Share struct {
 	Team  TeamName
-	Limit Limit
-	None  bool // Nothing may be used; the limit's zero fields would say no bound.
+	Limit Limit // Zero allows nothing where the team's limit is a bound.
 }
 
 // BorrowCall is a request to send to a peer.
