--- a/builder/builder.go
+++ b/builder/builder.go
@@ -68,8 +68,8 @@
 	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
 	reg.Add(
 		disp,
-		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		watcher.New(b.Log, reg, b.Store),
 		b.messenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
 	)
