--- a/builder/builder.go
+++ b/builder/builder.go
@@ -24,6 +24,7 @@
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/keeper"
+	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/minter"
@@ -86,7 +87,9 @@
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	registry := metrics.NewRegistry()
 	report := reporter.New(reg, registry, time.Now())
-	reg.Add(dispatcher.New(b.Log, dec, b.Sender, registry, report), report)
+	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
+	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
+	reg.Add(disp, report)
 	if admin != nil {
 		reg.Add(admin(reg, registry))
 	}
