--- a/builder/builder.go
+++ b/builder/builder.go
@@ -23,8 +23,11 @@
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/keeper"
+	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
+	"medlargw.example/medlargw/minter"
 	"medlargw.example/medlargw/placer"
 	"medlargw.example/medlargw/receiver"
 	"medlargw.example/medlargw/registrar"
@@ -35,6 +38,12 @@
 	"medlargw.example/medlargw/watcher"
 )
 
+const (
+	shutEvidence  = 16 // Six failures in a row of tasks that succeed elsewhere.
+	breakFailures = 8
+	slowRatio     = 3
+)
+
 // Builder holds what the parts of one entry are made of.
 type Builder struct {
 	Log      *zap.Logger
@@ -74,17 +83,22 @@
 	if b.Sender == nil {
 		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
 	}
+	incarnation := newIncarnation()
+	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	registry := metrics.NewRegistry()
 	report := reporter.New(reg, registry, time.Now())
-	reg.Add(dispatcher.New(b.Log, dec, b.Sender, registry, report), report)
+	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
+	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
+	reg.Add(disp, report)
 	if admin != nil {
 		reg.Add(admin(reg, registry))
 	}
 	reg.Add(
-		watcher.New(b.Log, reg, b.Store),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		watcher.New(b.Log, reg, b.Store),
 		b.messenger(reg),
-		tracker.New(b.Log, reg, b.Settings, newIncarnation()),
+		tracker.New(b.Log, reg, b.Settings, incarnation),
+		keeper.New(b.Log, reg, b.Settings, mint),
 	)
 	return reg
 }
@@ -106,7 +120,7 @@
 	est := estimator.New()
 	return medlargw.DeciderTools{
 		Scheduler:  scheduler.New(medlargw.OrderLeast),
-		Placer:     placer.New(est),
+		Placer:     placer.New(est, medlargw.QuarantineRules{Evidence: shutEvidence, Failures: breakFailures, Slow: slowRatio}),
 		Limiter:    limiter.New(),
 		Estimator:  est,
 		Accountant: accountant.New(b.Settings.Intake.Bytes),
