--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -91,7 +91,7 @@
 	now := time.Now()
 	reg := registrar.New(zap.NewNop())
 	registry := metrics.NewRegistry()
-	report := reporter.New(reg, registry, now)
+	report := reporter.New(zap.NewNop(), reg, registry, now)
 	core := &fakePart{name: "dispatcher", now: now}
 	for _, name := range []string{"watcher", "tracker", "keeper"} {
 		reg.Add(&fakePart{name: name, now: now})
@@ -100,6 +100,7 @@
 	if err := report.Start(t.Context()); err != nil {
 		t.Fatalf("start reporter: %v", err)
 	}
+	t.Cleanup(func() { _ = report.Stop(context.Background()) })
 	metrics.GetOrRegisterCounter("jobs.complete", registry).Inc(2)
 	for _, complete := range []bool{true, false} {
 		report.JobEnded(medlargw.JobEnd{
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -141,6 +141,8 @@
 	for state, n := range states {
 		a.gauge("targets."+string(state), n)
 	}
+	a.gauge("loans.lent", amount(s.Core.Lent))
+	a.gauge("loans.held", amount(s.Core.Held))
 	a.gauge("entry.jobs", s.Core.Jobs)
 	a.gauge("entry.running", s.Core.Running)
 	a.gauge("entry.free", s.Core.Free)
@@ -149,6 +151,14 @@
 	return nil
 }
 
+func amount(loans []medlargw.LoanStatus) int {
+	n := 0
+	for _, l := range loans {
+		n += l.Amount
+	}
+	return n
+}
+
 func (a *Administrator) gauge(name string, n int) {
 	metrics.GetOrRegisterGauge(name, a.metrics).Update(int64(n))
 }
--- /dev/null
+++ b/auditor/auditor_test.go
@@ -0,0 +1,85 @@
+package auditor
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/registrar"
+)
+
+// fixedState shows a state that the test changes.
+type fixedState struct {
+	core    medlargw.CoreStatus
+	members []medlargw.Member
+}
+
+func (f *fixedState) Status(context.Context) (medlargw.CoreStatus, error) { return f.core, nil }
+func (*fixedState) SetAside(medlargw.TargetName, bool)                    {}
+func (f *fixedState) Self() medlargw.Member                               { return f.members[0] }
+func (f *fixedState) Members() []medlargw.Member                          { return f.members }
+
+func TestEachChangeIsLoggedOnce(t *testing.T) {
+	target := func(state medlargw.TargetState) []medlargw.TargetStatus {
+		return []medlargw.TargetStatus{{Target: medlargw.Target{Name: "t1"}, State: state, Reason: "why"}}
+	}
+	member := func(state medlargw.MemberState) []medlargw.Member {
+		return []medlargw.Member{{Host: "a", State: state}}
+	}
+	limit := func(blocked bool) []medlargw.LimitStatus {
+		return []medlargw.LimitStatus{{Team: "desk", Blocked: blocked}}
+	}
+	steps := []struct {
+		targets []medlargw.TargetStatus
+		members []medlargw.Member
+		limits  []medlargw.LimitStatus
+		want    string
+	}{
+		{
+			targets: target(medlargw.TargetServing), members: member(medlargw.MemberLive), limits: limit(false),
+			want: "[entry changed its state]",
+		},
+		{
+			targets: target(medlargw.TargetServing), members: member(medlargw.MemberLive), limits: limit(false),
+			want: "[]",
+		},
+		{
+			targets: target(medlargw.TargetQuarantined), members: member(medlargw.MemberSuspect), limits: limit(true),
+			want: "[target changed its state entry changed its state team reached its limit]",
+		},
+		{
+			targets: target(medlargw.TargetQuarantined), members: member(medlargw.MemberSuspect), limits: limit(true),
+			want: "[]",
+		},
+		{
+			targets: target(medlargw.TargetServing), members: member(medlargw.MemberSuspect), limits: limit(false),
+			want: "[target changed its state team is below its limit again]",
+		},
+	}
+	core, logs := observer.New(zapcore.InfoLevel)
+	registry := metrics.NewRegistry()
+	a := New(zap.New(core), registrar.New(zap.NewNop()), registry)
+	state := &fixedState{}
+	a.inspector, a.members = state, state
+	for i, step := range steps {
+		state.core = medlargw.CoreStatus{Targets: step.targets, Limits: step.limits}
+		state.members = step.members
+		a.look(t.Context())
+		messages := []string{}
+		for _, entry := range logs.TakeAll() {
+			messages = append(messages, entry.Message)
+		}
+		if got := fmt.Sprint(messages); got != step.want {
+			t.Errorf("step %d: got %s, want %s", i, got, step.want)
+		}
+	}
+	if got, want := metrics.GetOrRegisterCounter("target-changes.quarantined", registry).Count(), int64(1); got != want {
+		t.Errorf("quarantines counted: got %d, want %d", got, want)
+	}
+}
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -20,6 +20,7 @@
 	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/administrator"
 	"medlargw.example/medlargw/assigner"
+	"medlargw.example/medlargw/auditor"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
@@ -86,10 +87,10 @@
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	registry := metrics.NewRegistry()
-	report := reporter.New(reg, registry, time.Now())
+	report := reporter.New(b.Log, reg, registry, time.Now())
 	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
 	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
-	reg.Add(disp, report)
+	reg.Add(report, disp, auditor.New(b.Log, reg, registry))
 	if admin != nil {
 		reg.Add(admin(reg, registry))
 	}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/registrar"
@@ -23,6 +25,7 @@
 // Bounds of the memory.
 const (
 	maxSeries     = 2048
+	maxFailures   = 256   // Ends that wait to be logged.
 	sampleSize    = 1028  // Response times kept per class.
 	sampleRecency = 0.015 // Weight of recent samples; about the last five minutes.
 )
@@ -32,10 +35,13 @@
 
 // Reporter is the part that observes the ends of jobs.
 type Reporter struct {
+	log        *zap.Logger
 	registry   *registrar.Registrar
 	metrics    metrics.Registry
 	configured medlargw.Configured // Set by Start.
 	since      time.Time
+	failures   chan medlargw.JobEnd // To be logged.
+	running    conc.WaitGroup
 	done       chan struct{}
 
 	mu     sync.Mutex
@@ -56,11 +62,13 @@
 )
 
 // New returns a reporter whose history begins at the given time.
-func New(reg *registrar.Registrar, registry metrics.Registry, now time.Time) *Reporter {
+func New(log *zap.Logger, reg *registrar.Registrar, registry metrics.Registry, now time.Time) *Reporter {
 	return &Reporter{
+		log:      log.Named("reporter"),
 		registry: reg,
 		metrics:  registry,
 		since:    now,
+		failures: make(chan medlargw.JobEnd, maxFailures),
 		done:     make(chan struct{}),
 		series:   map[key]*series{},
 	}
@@ -69,7 +77,7 @@
 // Name returns "reporter".
 func (*Reporter) Name() string { return "reporter" }
 
-// Start finds the configuration.
+// Start finds the configuration and begins to log.
 func (r *Reporter) Start(context.Context) error {
 	configured, err := registrar.Find[medlargw.Configured](r.registry, "watcher")
 	if err != nil {
@@ -78,21 +86,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.configured = configured
+	r.running.Go(r.logFailures)
 	return nil
 }
 
-// Stop ends the part.
+// Stop ends the part. The control goroutine must have ended before.
 func (r *Reporter) Stop(context.Context) error {
 	close(r.done)
+	r.running.Wait()
 	return nil
 }
 
+// logFailures logs the jobs that were not answered, so that the control
+// goroutine never waits for the log.
+func (r *Reporter) logFailures() {
+	for {
+		select {
+		case end := <-r.failures:
+			// The log is sampled by message.
+			r.log.Info("job ended: "+string(end.Code),
+				zap.String("team", string(end.Team)),
+				zap.String("service", string(end.Service)),
+				zap.String("class", string(end.Class)),
+				zap.Duration("response", end.Response))
+		case <-r.done:
+			return
+		}
+	}
+}
+
+// note has a failure logged, unless too many wait already.
+func (r *Reporter) note(end medlargw.JobEnd) {
+	select {
+	case r.failures <- end:
+	default:
+		metrics.GetOrRegisterCounter("log.dropped", r.metrics).Inc(1)
+	}
+}
+
 // Done is closed when the part has ended.
 func (r *Reporter) Done() <-chan struct{} { return r.done }
 
 // JobEnded counts the end of a job. A job that its caller cancelled is no
 // promise missed and isn't counted.
 func (r *Reporter) JobEnded(end medlargw.JobEnd) {
+	if !end.Complete {
+		r.note(end)
+	}
 	if end.Code == medlargw.CodeCancelled {
 		return
 	}
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -23,7 +23,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newReporter() *Reporter {
-	r := New(registrar.New(zap.NewNop()), metrics.NewRegistry(), start)
+	r := New(zap.NewNop(), registrar.New(zap.NewNop()), metrics.NewRegistry(), start)
 	r.configured = fixedConfig{}
 	return r
 }
