Tell a job that would end too late from a caller that sends too slowly

Cause: admission refused a job whose expected wait ends after its deadline with the code and status of a slow sender (too-slow, 408), so a program could not tell its own fault from a busy system. Change: a code of its own, too-late, with 503 and Retry-After. Conclusion: codes name whose turn it is to act.

--- a/decider/admission.go
+++ b/decider/admission.go
@@ -26,7 +26,7 @@
 	}
 	backlog := d.scheduler.Backlog(job.Class, job.Team)
 	if late := d.late(now, job, &backlog); late > 0 {
-		return medlargw.Refusal(job, medlargw.CodeTooSlow, "the expected wait ends after the deadline", retryAfter(late)), true
+		return medlargw.Refusal(job, medlargw.CodeTooLate, "the expected wait ends after the deadline", retryAfter(late)), true
 	}
 	if d.waiting[job.Team]+len(job.Tasks) > d.settings.Intake.Team {
 		return d.overloaded(job, &backlog, "too many tasks of the team wait"), true
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -32,7 +32,8 @@
 		return http.StatusUnprocessableEntity
 	case medlargw.CodeOverloaded:
 		return http.StatusTooManyRequests
-	case medlargw.CodeServiceFailing, medlargw.CodeNotReady, medlargw.CodeStopping, medlargw.CodeHomeCutOff:
+	case medlargw.CodeServiceFailing, medlargw.CodeNotReady, medlargw.CodeStopping,
+		medlargw.CodeHomeCutOff, medlargw.CodeTooLate:
 		return http.StatusServiceUnavailable
 	case medlargw.CodeDeadline:
 		return http.StatusGatewayTimeout
--- a/outcome.go
+++ b/outcome.go
@@ -42,6 +42,7 @@
 	CodeTooManyTasks   Code = "too-many-tasks"
 	CodeTooLarge       Code = "too-large"
 	CodeTooSlow        Code = "too-slow"
+	CodeTooLate        Code = "too-late"
 	CodeNeverFits      Code = "never-fits"
 	CodeOverloaded     Code = "overloaded"
 	CodeServiceFailing Code = "service-failing"
