--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/describer"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/reporter"
 )
@@ -221,3 +222,31 @@
 		t.Errorf("session:\ngot  %s\nwant %s", got, want)
 	}
 }
+
+// BenchmarkStatusOfDesignSize encodes what one of 27 entries shows when it uses
+// a ninth of 550 targets and has work of 360 teams.
+func BenchmarkStatusOfDesignSize(b *testing.B) {
+	var s medlargw.EntryStatus
+	for n := range 360 {
+		team := medlargw.TeamName(fmt.Sprint("team-", n))
+		s.Core.Queues = append(s.Core.Queues, medlargw.QueueStatus{Team: team, Tasks: n})
+		s.Core.Limits = append(s.Core.Limits, medlargw.LimitStatus{Team: team, Running: n})
+	}
+	for n := range 550 / 9 {
+		target := medlargw.Target{Name: medlargw.TargetName(fmt.Sprint("target-", n)), Zone: "detroit"}
+		s.Core.Targets = append(s.Core.Targets, medlargw.TargetStatus{Target: target, Slots: 8})
+	}
+	for n := range 27 {
+		s.Members = append(s.Members, medlargw.Member{Host: medlargw.HostName(fmt.Sprint("host-", n))})
+	}
+	var d describer.Describer
+	size := 0
+	for b.Loop() {
+		body, err := d.EncodeStatus(&s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(body)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -83,3 +83,25 @@
 		t.Errorf("quarantines counted: got %d, want %d", got, want)
 	}
 }
+
+// BenchmarkLookOfDesignSize compares 61 targets, 27 entries and 360 teams.
+func BenchmarkLookOfDesignSize(b *testing.B) {
+	state := &fixedState{}
+	for n := range 550 / 9 {
+		target := medlargw.Target{Name: medlargw.TargetName(fmt.Sprint("target-", n))}
+		state.core.Targets = append(state.core.Targets, medlargw.TargetStatus{Target: target, State: medlargw.TargetServing})
+	}
+	for n := range 27 {
+		state.members = append(state.members, medlargw.Member{Host: medlargw.HostName(fmt.Sprint("host-", n))})
+	}
+	for n := range 360 {
+		team := medlargw.TeamName(fmt.Sprint("team-", n))
+		state.core.Limits = append(state.core.Limits, medlargw.LimitStatus{Team: team})
+	}
+	a := New(zap.NewNop(), registrar.New(zap.NewNop()), metrics.NewRegistry())
+	a.inspector, a.members = state, state
+	b.ReportAllocs()
+	for b.Loop() {
+		a.look(b.Context())
+	}
+}
--- a/checker/check.go
+++ b/checker/check.go
@@ -79,6 +79,7 @@
 }
 
 func (c *Checker) checkClasses(u *union) {
+	var floors float64
 	for i, d := range c.classes {
 		if owner, ok := u.classes[d.class.Name]; ok {
 			u.findings.Add(d.place, "name: class %s is declared already by team %s", d.class.Name, owner)
@@ -86,6 +87,9 @@
 		if u.claimed && d.team != medlargw.DeploymentTeam {
 			u.findings.Add(d.place, "classes: only team %s declares classes", medlargw.DeploymentTeam)
 		}
+		if floors += d.class.Floor; floors > 1 && floors-d.class.Floor <= 1 {
+			u.findings.Add(d.place, "floor: got floors of %g in all up to class %s, want at most 1", floors, d.class.Name)
+		}
 		for _, first := range c.classes[:i] {
 			if first.class.Rank == d.class.Rank {
 				u.findings.Add(d.rank, "rank: class %s has rank %d already at %s", first.class.Name, d.class.Rank, first.rank)
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -111,6 +111,13 @@
 				"e:1:27: teams: only team deployment declares teams",
 			},
 		},
+		{
+			name: "floors of more than all starts",
+			files: []file{{name: "d", text: `{"team": "desk", "classes": [
+ {"name": "a", "rank": 0, "floor": 0.75},
+ {"name": "b", "rank": 1, "floor": 0.5}]}`}},
+			want: []string{"d:3:11: floor: got floors of 1.25 in all up to class b, want at most 1"},
+		},
 		{
 			name:  "no JSON",
 			files: []file{{name: "d", text: "{\n\"team\": }"}},
--- a/commander/check.go
+++ b/commander/check.go
@@ -68,28 +68,32 @@
 	return accessor.New(addr), nil
 }
 
-// readFiles reads the *.medlargw files below the directories.
+// readFiles reads the *.medlargw files below the directories, each file once.
 func readFiles(dirs []string) (*checker.Checker, error) {
 	c := checker.New()
-	found := 0
+	found := map[string]bool{}
 	for _, dir := range dirs {
 		err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || filepath.Ext(path) != extension {
 				return err
 			}
+			whole, err := filepath.Abs(path)
+			if err != nil || found[whole] {
+				return err
+			}
+			found[whole] = true
 			text, err := os.ReadFile(path) //nolint:gosec // The operator names the directory.
 			if err != nil {
 				return err
 			}
 			c.Add(path, text)
-			found++
 			return nil
 		})
 		if err != nil {
 			return nil, fmt.Errorf("read declarations: %w", err)
 		}
 	}
-	if found == 0 {
+	if len(found) == 0 {
 		return nil, fmt.Errorf("read declarations: no *%s file below %q", extension, dirs)
 	}
 	return c, nil
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -105,3 +105,23 @@
 		t.Errorf("answers: got %q, want %q", got, want)
 	}
 }
+
+func TestEntriesAreReachedByTLS(t *testing.T) {
+	var d describer.Describer
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		body, _ := d.EncodeStatus(&medlargw.EntryStatus{Self: medlargw.Member{Host: "a"}})
+		_, _ = w.Write(body)
+	}))
+	defer server.Close()
+	addrs := []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}
+	trusting := New("key", server.Client().Transport.(*http.Transport))
+	defer trusting.Close()
+	if got, want := summary(trusting.Status(t.Context(), addrs)), "a <nil>"; got != want {
+		t.Errorf("with the certificate: got %s, want %s", got, want)
+	}
+	other := New("key", &http.Transport{})
+	defer other.Close()
+	if got := summary(other.Status(t.Context(), addrs)); !strings.Contains(got, "certificate") {
+		t.Errorf("without the certificate: got %s, want a fault of it", got)
+	}
+}
--- a/publisher/fake_test.go
+++ b/publisher/fake_test.go
@@ -15,6 +15,7 @@
 	faultNone  fault = iota
 	faultDown        // The call has no effect and fails.
 	faultLost        // The call takes effect and fails.
+	faultLate        // The call fails, and takes effect before the next one.
 	faultCrash       // The publisher ends before the call.
 	faultAfter       // The publisher ends after the call.
 )
@@ -32,6 +33,7 @@
 	at       int // Call that meets the fault, from 1; zero is none.
 	lasting  int // Calls that meet it.
 	fault    fault
+	late     func() // Write that is still under way.
 	before   func() // Called before a write of the head, once.
 	after    func() // Called after a lost reply, once.
 }
@@ -43,6 +45,10 @@
 // meet counts the call and returns its fault.
 func (s *fakeStore) meet() fault {
 	s.calls++
+	if late := s.late; late != nil {
+		s.late = nil
+		late()
+	}
 	if s.at == 0 || s.calls < s.at || s.calls >= s.at+max(1, s.lasting) {
 		return faultNone
 	}
@@ -86,15 +92,25 @@
 		before()
 	}
 	f := s.meet()
-	if f == faultDown {
+	switch f {
+	case faultDown:
+		return 0, errDown
+	case faultLate:
+		s.late = func() { _, _ = s.write(key, value, revision) }
 		return 0, errDown
 	}
+	written, err := s.write(key, value, revision)
+	return written, s.end(f, err)
+}
+
+// write writes without a fault.
+func (s *fakeStore) write(key string, value []byte, revision uint64) (uint64, error) {
 	if s.entries[key].Revision != revision {
-		return 0, s.end(f, medlargw.ErrConflict)
+		return 0, medlargw.ErrConflict
 	}
 	s.revision++
 	s.entries[key] = medlargw.Entry{Key: key, Value: value, Revision: s.revision}
-	return s.revision, s.end(f, nil)
+	return s.revision, nil
 }
 
 func (s *fakeStore) Delete(_ context.Context, key string, revision uint64) error {
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -112,6 +112,8 @@
 		{name: "outage of six calls", fault: faultDown, lasting: 6},
 		{name: "lost reply", fault: faultLost},
 		{name: "three lost replies", fault: faultLost, lasting: 3},
+		{name: "late write", fault: faultLate},
+		{name: "three late writes", fault: faultLate, lasting: 3},
 		{name: "crash before", fault: faultCrash},
 		{name: "crash after", fault: faultAfter},
 	}
@@ -153,6 +155,21 @@
 	return calls
 }
 
+func TestOutageAfterALostReplyIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustPublish(t, s, 1, operators("desk"), team("desk", 1))
+		s.before = func() { s.at, s.fault = s.calls+1, faultLost }
+		s.after = func() { s.at, s.fault, s.lasting = s.calls+1, faultDown, 1000 }
+		_, err, _ := publish(t, s, "desk", team("desk", 2))
+		if got, want := fmt.Sprint(err), "unknown whether generation 2 is in force"; !strings.Contains(got, want) {
+			t.Errorf("error: got %s, want %s", got, want)
+		}
+		s.at = 0
+		mustPublish(t, s, 2, team("desk", 2)) // Finds out, and changes nothing.
+	})
+}
+
 func TestNothingChangedWritesNothing(t *testing.T) {
 	s := newFakeStore()
 	mustPublish(t, s, 1, operators("desk"), team("desk", 1, "slip"))
