--- a/builder/builder.go
+++ b/builder/builder.go
@@ -20,10 +20,12 @@
 	"medlargw.example/medlargw/accountant"
 	"medlargw.example/medlargw/administrator"
 	"medlargw.example/medlargw/assigner"
+	"medlargw.example/medlargw/auditor"
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
 	"medlargw.example/medlargw/keeper"
+	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
 	"medlargw.example/medlargw/messenger"
 	"medlargw.example/medlargw/minter"
@@ -37,6 +39,12 @@
 	"medlargw.example/medlargw/watcher"
 )
 
+const (
+	shutEvidence  = 16 // Six failures in a row of tasks that succeed elsewhere.
+	breakFailures = 8
+	slowRatio     = 3
+)
+
 // Builder holds what the parts of one entry are made of.
 type Builder struct {
 	Log      *zap.Logger
@@ -79,11 +87,13 @@
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	registry := metrics.NewRegistry()
-	report := reporter.New(reg, registry, time.Now())
 	if part, ok := b.Sender.(medlargw.Part); ok {
 		reg.Add(part)
 	}
-	reg.Add(dispatcher.New(b.Log, dec, b.Sender, registry, report), report)
+	report := reporter.New(b.Log, reg, registry, time.Now())
+	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
+	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
+	reg.Add(report, disp, auditor.New(b.Log, reg, registry))
 	if admin != nil {
 		reg.Add(admin(reg, registry))
 	}
@@ -114,7 +124,7 @@
 	est := estimator.New()
 	return medlargw.DeciderTools{
 		Scheduler:  scheduler.New(medlargw.OrderLeast),
-		Placer:     placer.New(est),
+		Placer:     placer.New(est, medlargw.QuarantineRules{Evidence: shutEvidence, Failures: breakFailures, Slow: slowRatio}),
 		Limiter:    limiter.New(),
 		Estimator:  est,
 		Accountant: accountant.New(b.Settings.Intake.Bytes),
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -43,14 +43,13 @@
 	tags := 0
 	newTag := func() medlargw.Tag { tags++; return medlargw.Tag(strconv.Itoa(tags)) }
 	est := estimator.New()
-	tools := medlargw.DeciderTools{
+	dec := decider.New(settings, medlargw.DeciderTools{
 		Scheduler:  scheduler.New(medlargw.OrderLeast),
-		Placer:     placer.New(est),
+		Placer:     placer.New(est, medlargw.QuarantineRules{Evidence: 16, Failures: 8, Slow: 3}),
 		Limiter:    limiter.New(),
 		Estimator:  est,
 		Accountant: accountant.New(settings.Intake.Bytes),
-	}
-	dec := decider.New(settings, tools, newTag)
+	}, newTag)
 	return New(zap.NewNop(), dec, s, metrics.NewRegistry(), nil)
 }
 
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -103,7 +103,7 @@
 func encodeDemand(all []medlargw.ClassDemand) []*wire.Demand {
 	var demand []*wire.Demand
 	for _, d := range all {
-		demand = append(demand, &wire.Demand{Rank: int32(d.Rank), Tasks: int32(d.Tasks)})
+		demand = append(demand, &wire.Demand{Rank: int32(d.Rank), Tasks: int32(d.Tasks), Running: int32(d.Running)})
 	}
 	return demand
 }
@@ -111,7 +111,7 @@
 func decodeDemand(all []*wire.Demand) []medlargw.ClassDemand {
 	var demand []medlargw.ClassDemand
 	for _, d := range all {
-		demand = append(demand, medlargw.ClassDemand{Rank: int(d.GetRank()), Tasks: int(d.GetTasks())})
+		demand = append(demand, medlargw.ClassDemand{Rank: int(d.GetRank()), Tasks: int(d.GetTasks()), Running: int(d.GetRunning())})
 	}
 	return demand
 }
