--- a/builder/builder.go
+++ b/builder/builder.go
@@ -82,7 +82,7 @@
 	reg := registrar.New(b.Log)
 	dec := decider.New(b.Settings, b.deciderTools(), newTag)
 	if b.Sender == nil {
-		b.Sender = sender.New(b.Settings.Task, b.Settings.Task.Conns)
+		b.Sender = sender.New(b.Settings.Task, b.Settings.Zone)
 	}
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
--- a/encoder/answer.go
+++ b/encoder/answer.go
@@ -1,7 +1,6 @@
 package encoder
 
 import (
-	"encoding/json"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -65,7 +64,7 @@
 func (e *Encoder) DecodeMint(body []byte) (int, *medlargw.Refused) {
 	wire := mintWire{Count: 1}
 	if len(body) > 0 {
-		if err := json.Unmarshal(body, &wire); err != nil {
+		if err := decodeStrictly(body, &wire); err != nil {
 			return 0, refused(medlargw.CodeBadRequest, "the body is no request for tickets: %v", err)
 		}
 	}
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -4,8 +4,11 @@
 package encoder
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -54,7 +57,7 @@
 // DecodeSubmission reads a submission and checks it against the limits.
 func (e *Encoder) DecodeSubmission(body []byte) (*medlargw.Submission, *medlargw.Refused) {
 	var wire submissionWire
-	if err := json.Unmarshal(body, &wire); err != nil {
+	if err := decodeStrictly(body, &wire); err != nil {
 		return nil, refused(medlargw.CodeBadRequest, "the body is no submission: %v", err)
 	}
 	s := &medlargw.Submission{
@@ -80,6 +83,23 @@
 	return s, err
 }
 
+// errMore says that something follows the value.
+var errMore = errors.New("more than one value")
+
+// decodeStrictly decodes one value. An unknown name is an error: a misspelt
+// "ticket" must not lose its promise in silence.
+func decodeStrictly(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errMore
+	}
+	return nil
+}
+
 func (e *Encoder) tasks(wire []taskWire) ([]medlargw.Task, *medlargw.Refused) {
 	if len(wire) == 0 {
 		return nil, refused(medlargw.CodeBadRequest, "tasks: got none, want at least one")
@@ -164,6 +184,9 @@
 	wire.Status = statusOf(medlargw.Code(wire.Code))
 	wire.Type = "urn:medlargw:" + wire.Code
 	wire.Title = http.StatusText(wire.Status)
+	if wire.Status == statusClientClosed {
+		wire.Title = "Client Closed Request"
+	}
 	return wire.Status, mustMarshal(wire)
 }
 
--- a/receiver/jobs.go
+++ b/receiver/jobs.go
@@ -12,7 +12,7 @@
 // submit serves POST /v1/jobs.
 func (rc *Receiver) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	arrived := time.Now()
-	cfg, team, refused := rc.caller(r)
+	cfg, team, refused := rc.caller(w, r)
 	if refused != nil {
 		rc.refuse(w, refused)
 		return
@@ -48,12 +48,17 @@
 }
 
 // caller returns the team of the request, by the configuration in force.
-func (rc *Receiver) caller(r *http.Request) (*medlargw.Config, medlargw.TeamName, *medlargw.Refused) {
+// A body that comes with a refused key is not waited for.
+func (rc *Receiver) caller(w http.ResponseWriter, r *http.Request) (*medlargw.Config, medlargw.TeamName, *medlargw.Refused) {
 	cfg := rc.configured.Config()
 	if cfg == nil {
 		return nil, "", noConfig()
 	}
 	team, refused := authenticate(cfg, r)
+	if refused != nil && r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rc.settings.Intake.Read))
+	}
 	return cfg, team, refused
 }
 
@@ -74,7 +79,7 @@
 }
 
 func (rc *Receiver) ask(w http.ResponseWriter, r *http.Request, params httprouter.Params, verb medlargw.ForwardVerb) {
-	_, team, refused := rc.caller(r)
+	_, team, refused := rc.caller(w, r)
 	if refused != nil {
 		rc.refuse(w, refused)
 		return
@@ -84,7 +89,7 @@
 
 // mint serves POST /v1/tickets.
 func (rc *Receiver) mint(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	_, team, refused := rc.caller(r)
+	_, team, refused := rc.caller(w, r)
 	if refused != nil {
 		rc.refuse(w, refused)
 		return
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -193,21 +193,30 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(rc.settings.Intake.Read))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rc.settings.Intake.Body))
+	if err != nil {
+		// The rest of the body is not waited for, and the deadline stays, so that
+		// the server does not wait for it either.
+		w.Header().Set("Connection", "close")
+		return nil, rc.unread(err)
+	}
 	// Without a deadline again, the server notices when the caller goes away.
 	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// unread says why a body was not read.
+func (rc *Receiver) unread(err error) *medlargw.Refused {
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
-	case err == nil:
-		return body, nil
 	case errors.As(err, &tooLarge):
 		message := "the body has more than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
-		return nil, &medlargw.Refused{Code: medlargw.CodeTooLarge, Message: message}
+		return &medlargw.Refused{Code: medlargw.CodeTooLarge, Message: message}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		message := "the body did not arrive within " + rc.settings.Intake.Read.String()
-		return nil, &medlargw.Refused{Code: medlargw.CodeTooSlow, Message: message}
+		return &medlargw.Refused{Code: medlargw.CodeTooSlow, Message: message}
 	}
-	return nil, &medlargw.Refused{Code: medlargw.CodeBadRequest, Message: "the body was cut short"}
+	return &medlargw.Refused{Code: medlargw.CodeBadRequest, Message: "the body was cut short"}
 }
 
 func (rc *Receiver) refuse(w http.ResponseWriter, refused *medlargw.Refused) {
--- /dev/null
+++ b/sender/connections.go
@@ -0,0 +1,45 @@
+package sender
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// idleTimeout is how long an unused connection to a target is kept.
+const idleTimeout = 30 * time.Second
+
+// newTransport returns a transport with at most conns connections to one
+// target.
+func newTransport(task *medlargw.TaskSettings, conns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: task.Connect}
+	return &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxConnsPerHost:       conns,
+		MaxIdleConnsPerHost:   conns,
+		IdleConnTimeout:       idleTimeout,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: task.Lease + task.Connect,
+	}
+}
+
+// MembersChanged divides the connections to a target between the entries of
+// the zone that may hold some. With a new share, connections in use end with
+// their attempt and idle ones at once.
+func (s *Sender) MembersChanged(all []medlargw.Member) {
+	entries := 0
+	for i := range all {
+		if all[i].Zone == s.zone && all[i].State != medlargw.MemberGone {
+			entries++
+		}
+	}
+	share := max(s.task.Conns/max(entries, 1), 1)
+	old := s.transport.Load()
+	if old.MaxConnsPerHost == share {
+		return
+	}
+	s.transport.Store(newTransport(&s.task, share))
+	old.CloseIdleConnections()
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -38,37 +37,25 @@
 	headerNotStarted = "Medlargw-Not-Started" // The reason: busy or leaving.
 )
 
-// idleTimeout is how long an unused connection to a target is kept.
-const idleTimeout = 30 * time.Second
-
 // Sender is the part that implements medlargw.Sender.
 type Sender struct {
-	transport *http.Transport
-	answer    int64
+	task      medlargw.TaskSettings
+	zone      medlargw.ZoneName
+	transport atomic.Pointer[http.Transport]
 	done      chan struct{}
 }
 
 var (
-	_ medlargw.Part   = (*Sender)(nil)
-	_ medlargw.Sender = (*Sender)(nil)
+	_ medlargw.Part            = (*Sender)(nil)
+	_ medlargw.Sender          = (*Sender)(nil)
+	_ medlargw.MembersObserver = (*Sender)(nil)
 )
 
-// New returns a sender with at most conns connections to one target.
-func New(task medlargw.TaskSettings, conns int) *Sender {
-	dialer := &net.Dialer{Timeout: task.Connect}
-	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		MaxConnsPerHost:       conns,
-		MaxIdleConnsPerHost:   conns,
-		IdleConnTimeout:       idleTimeout,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: task.Lease + task.Connect,
-	}
-	return &Sender{
-		transport: transport,
-		answer:    task.Answer,
-		done:      make(chan struct{}),
-	}
+// New returns the sender of an entry of that zone.
+func New(task medlargw.TaskSettings, zone medlargw.ZoneName) *Sender {
+	s := &Sender{task: task, zone: zone, done: make(chan struct{})}
+	s.transport.Store(newTransport(&task, task.Conns))
+	return s
 }
 
 // Name returns "sender".
@@ -80,7 +67,7 @@
 // Stop closes the connections, which no attempt uses any more.
 func (s *Sender) Stop(context.Context) error {
 	defer close(s.done)
-	s.transport.CloseIdleConnections()
+	s.transport.Load().CloseIdleConnections()
 	return nil
 }
 
@@ -90,21 +77,31 @@
 // progress records how far a request came. The transport calls from its own
 // goroutines.
 type progress struct {
-	connected atomic.Bool
-	wrote     atomic.Bool
+	wrote atomic.Bool
+	late  atomic.Bool // The loan was over when there was a connection.
 }
 
-func (p *progress) trace() *httptrace.ClientTrace {
+func (p *progress) trace(a *medlargw.Attempt) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:          func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			// The wait for a connection may have outlasted the loan. Nothing has
+			// been written yet, and nothing can be any more.
+			if over(a.UseUpTo) {
+				p.late.Store(true)
+				_ = info.Conn.Close()
+			}
+		},
 		WroteHeaderField: func(string, []string) { p.wrote.Store(true) },
 	}
 }
 
+// over reports whether a slot may not be used any more.
+func over(useUpTo time.Time) bool { return !useUpTo.IsZero() && time.Now().After(useUpTo) }
+
 // Send carries the attempt and returns its end.
 func (s *Sender) Send(ctx context.Context, a *medlargw.Attempt) medlargw.AttemptEnd {
 	began := time.Now()
-	if !a.UseUpTo.IsZero() && began.After(a.UseUpTo) {
+	if over(a.UseUpTo) {
 		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonLoanOver}
 	}
 	end := s.exchange(ctx, a)
@@ -114,12 +111,12 @@
 
 func (s *Sender) exchange(ctx context.Context, a *medlargw.Attempt) medlargw.AttemptEnd {
 	var p progress
-	req, err := s.request(httptrace.WithClientTrace(ctx, p.trace()), a)
+	req, err := s.request(httptrace.WithClientTrace(ctx, p.trace(a)), a)
 	if err != nil {
 		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonProtocol, Message: err.Error()}
 	}
 	// A round trip follows no redirect: one is an answer like any other.
-	resp, err := s.transport.RoundTrip(req)
+	resp, err := s.transport.Load().RoundTrip(req)
 	if err != nil {
 		return endOfError(ctx, &p, err)
 	}
@@ -155,7 +152,10 @@
 // endOfError returns the end of an attempt without an answer.
 func endOfError(ctx context.Context, p *progress, err error) medlargw.AttemptEnd {
 	end := medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: medlargw.ReasonCutShort, Message: err.Error()}
-	if !p.wrote.Load() {
+	switch {
+	case p.late.Load():
+		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonLoanOver}
+	case !p.wrote.Load():
 		end.Kind = medlargw.EndNotStarted
 		end.Reason = medlargw.ReasonUnreachable
 	}
@@ -176,14 +176,14 @@
 	if reason := resp.Header.Get(headerNotStarted); reason != "" {
 		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.EndReason(strings.ToLower(reason))}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.answer+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.task.Answer+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return lost(medlargw.ReasonCancelled, err.Error())
 	case err != nil:
 		return lost(medlargw.ReasonCutShort, err.Error())
-	case int64(len(body)) > s.answer:
-		return lost(medlargw.ReasonTooLarge, fmt.Sprintf("got more than %d bytes", s.answer))
+	case int64(len(body)) > s.task.Answer:
+		return lost(medlargw.ReasonTooLarge, fmt.Sprintf("got more than %d bytes", s.task.Answer))
 	case resp.Header.Get(headerDigest) != digest(body):
 		return lost(medlargw.ReasonBadDigest, "the answer's digest is wrong")
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -107,7 +107,7 @@
 	}
 	t.forward, _ = registrar.Find[medlargw.ForwardHandler](t.registry, "keeper")
 	t.hosts, _ = registrar.Find[medlargw.HostsVersioner](t.registry, "assigner")
-	for _, name := range []string{"watcher", "assigner", "dispatcher"} {
+	for _, name := range []string{"watcher", "assigner", "dispatcher", "sender"} {
 		if o, err := registrar.Find[medlargw.BeatObserver](t.registry, name); err == nil {
 			t.observers = append(t.observers, o)
 		}
