Fault table and property test of the loans; three faults mended

They showed: request numbers began anew for a peer that went and came back, so that its lender ignored them for up to a minute; an entry that woke from a pause took reports sent before the pause for new ones; loans of zero were renewed.

--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -49,7 +49,7 @@
 			l.creditors[p.Host] = c
 		}
 		if c.peer.Incarnation != p.Incarnation {
-			*c = creditor{number: c.number, askAt: now}
+			*c = creditor{askAt: now}
 		}
 		c.peer = p
 	}
@@ -229,7 +229,8 @@
 // call sends one request. From here on no more is used than it claims.
 func (l *Lender) call(now time.Time, c *creditor, slots int) {
 	l.tokens--
-	c.number++
+	l.number++
+	c.number = l.number
 	c.pending = true
 	c.sent = now
 	c.any = slots
@@ -297,6 +298,9 @@
 		kept -= h.amount
 		h.peak = min(h.amount, used)
 	}
+	if l.right(k) == 0 {
+		delete(l.holdings, k)
+	}
 	held := max(l.right(k), used)
 	return medlargw.Claim{Name: k.name, Held: held, Want: want, Returned: max(0, right-held)}
 }
--- a/lender/group_test.go
+++ b/lender/group_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -16,44 +15,44 @@
 // group is a deterministic model of entries, targets and the network between
 // them. Time passes only in run.
 type group struct {
-	tb      testing.TB
-	now     time.Duration // Since the beginning.
-	queue   eventQueue
-	order   int
-	random  *rand.Rand
-	entries []*entry
-	targets []medlargw.Target
-	cfg     *medlargw.Config
-	loss    float64
-	double  float64
-	least   time.Duration // Bounds of the delay of one message.
-	most    time.Duration
-	cut     func(from, to medlargw.HostName) bool
-	running map[medlargw.TargetName]int
-	teams   map[medlargw.TeamName]int // Running tasks.
-	over    int                       // The most by which rights and use passed a target's slots.
-	busy    int                       // Starts that a target refused.
-	calls   int
-	ended   []*work
+	now      time.Duration // Since the beginning.
+	queue    eventQueue
+	order    int
+	random   *rand.Rand
+	entries  []*entry
+	targets  []medlargw.Target
+	cfg      *medlargw.Config
+	loss     float64
+	double   float64
+	least    time.Duration // Bounds of the delay of one message.
+	most     time.Duration
+	cut      func(from, to medlargw.HostName) bool
+	running  map[medlargw.TargetName]int
+	teams    map[medlargw.TeamName]int // Running tasks.
+	over     int                       // The most by which rights and use passed a target's slots.
+	overTeam int                       // The most by which a team's running tasks passed its limit.
+	busy     int                       // Starts that a target refused.
+	calls    int
+	ended    []*work
 }
 
 // entry is one lender with a plain scheduler: strict classes, first come first.
 type entry struct {
-	g        *group
-	peer     medlargw.Peer
-	l        *Lender
-	rate     float64 // Of its clock.
-	paused   bool
-	dead     bool
-	offered  []medlargw.Capacity
-	shares   map[medlargw.TeamName]medlargw.Share
-	used     map[medlargw.TargetName]int
-	teams    map[medlargw.TeamName]int
-	waiting  [3][]*work
-	active   [3]int
-	last     time.Time
-	wake     time.Duration
-	inFlight map[uint64]bool
+	g       *group
+	peer    medlargw.Peer
+	l       *Lender
+	rate    float64 // Of its clock.
+	paused  bool
+	dead    bool
+	offered []medlargw.Capacity
+	shares  map[medlargw.TeamName]medlargw.Share
+	used    map[medlargw.TargetName]int
+	teams   map[medlargw.TeamName]int
+	waiting [3][]*work
+	active  [3]int
+	last    time.Time
+	wake    time.Duration
+	refused map[medlargw.TargetName]time.Duration // When the target was found full.
 }
 
 // work is one task.
@@ -88,11 +87,11 @@
 }
 
 // newGroup returns entries and targets of one zone each per given size.
-func newGroup(tb testing.TB, seed uint64, favour medlargw.Favour, entries, targets, slots int, zones ...medlargw.ZoneName) *group {
+func newGroup(tb interface{ Helper() }, seed uint64, favour medlargw.Favour, entries, targets, slots int, zones ...medlargw.ZoneName) *group {
 	tb.Helper()
 	g := &group{
-		tb: tb, random: rand.New(rand.NewPCG(seed, seed)),
-		least: 300 * time.Microsecond, most: 700 * time.Microsecond,
+		random: rand.New(rand.NewPCG(seed, seed)),
+		least:  300 * time.Microsecond, most: 700 * time.Microsecond,
 		running: map[medlargw.TargetName]int{}, teams: map[medlargw.TeamName]int{},
 		cfg: &medlargw.Config{},
 	}
@@ -125,7 +124,7 @@
 	e.shares = map[medlargw.TeamName]medlargw.Share{}
 	e.used = map[medlargw.TargetName]int{}
 	e.teams = map[medlargw.TeamName]int{}
-	e.inFlight = map[uint64]bool{}
+	e.refused = map[medlargw.TargetName]time.Duration{}
 }
 
 // setView gives all entries, or the named ones, a view of the entries that
@@ -184,6 +183,9 @@
 			sums[name] += n
 		}
 	}
+	for _, t := range g.cfg.Teams {
+		g.overTeam = max(g.overTeam, g.teams[t.Name]-t.Limit.Running)
+	}
 	for _, t := range g.targets {
 		g.over = max(g.over, sums[t.Name]-t.Slots)
 	}
@@ -253,6 +255,9 @@
 	e.dispatch()
 }
 
+// busyPause is the placer's pause after a target refused a start.
+const busyPause = 20 * time.Millisecond
+
 // lendPause is the dispatcher's shortest time between two looks at the loans.
 const lendPause = 2 * time.Millisecond
 
@@ -283,7 +288,11 @@
 	e.wakeAt(e.g.now + lendPause)
 }
 
-func (e *entry) short() bool { return len(e.waiting[0])+len(e.waiting[1])+len(e.waiting[2]) > 0 }
+func (e *entry) short() bool { return e.waitingTasks() > 0 }
+
+func (e *entry) waitingTasks() int {
+	return len(e.waiting[0]) + len(e.waiting[1]) + len(e.waiting[2])
+}
 
 func (e *entry) dispatch() {
 	for rank := range e.waiting {
@@ -305,6 +314,9 @@
 
 func (e *entry) pick() (medlargw.TargetName, bool) {
 	for _, c := range e.offered {
+		if at, ok := e.refused[c.Target.Name]; ok && e.g.now-at < busyPause {
+			continue
+		}
 		if e.used[c.Target.Name] < c.Slots && (c.Until.IsZero() || !e.clock().After(c.Until)) {
 			return c.Target.Name, true
 		}
@@ -326,6 +338,7 @@
 	}
 	if g.running[name] >= g.slots(name) {
 		g.busy++
+		e.refused[name] = g.now
 		g.after(time.Millisecond, func() {
 			e.waiting[w.rank] = append([]*work{w}, e.waiting[w.rank]...)
 			end()
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -47,9 +47,11 @@
 	borrowers map[medlargw.HostName]*borrower
 	creditors map[medlargw.HostName]*creditor
 	holdings  map[key]map[medlargw.HostName]*holding
+	number    uint64  // Of the latest request to any lender.
 	tokens    float64 // Requests that may be sent at once.
 	filled    time.Time
 	ticked    time.Time
+	woken     time.Time // When this process last woke from a pause.
 	shares    map[medlargw.TeamName]medlargw.Share
 	actions   medlargw.LendActions
 	last      []medlargw.Capacity
@@ -129,9 +131,7 @@
 // that the others may have taken it over.
 func (l *Lender) notePause(now time.Time) {
 	if !l.ticked.IsZero() && now.Sub(l.ticked) > l.term {
-		for _, b := range l.borrowers {
-			b.view = 0
-		}
+		l.woken = now
 		for _, p := range l.pools {
 			p.settle(now.Add(l.settling()))
 		}
@@ -142,8 +142,8 @@
 // open opens what this entry came to own once every other entry of the zone
 // has said what it uses of it, under the same view of who owns what.
 func (l *Lender) open(now time.Time) {
-	if l.group.Unheard {
-		return
+	if l.group.Unheard || now.Sub(l.woken) < l.settling() {
+		return // Reports that waited while this process was paused are out of date.
 	}
 	for host, c := range l.creditors {
 		if c.peer.Zone != l.zone {
