--- a/lender/fault_test.go
+++ b/lender/fault_test.go
@@ -12,6 +12,7 @@
 // TestMain fixes the seed of the property tests, unless the command names one.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "50")
 	os.Exit(m.Run())
 }
 
