Slots across zones; a team with fewer units than zones; keeper succession

Cause: a zone without targets could run nothing, a team with fewer units than zones could run in few of them, and a new owner counted a loan from its predecessor besides its own. Change: entries borrow from another zone when their own has no targets or has had no free slot for 250 ms; zones without a unit use the keeper of a zone that has one, and such pools always wait out a term before they open; what an entry holds of a resource ends when it opens as its owner. Measured: a keeper that dies with 9 of 9 units out is followed within the limit.

--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -12,7 +12,7 @@
 type creditor struct {
 	peer     medlargw.Peer
 	digest   medlargw.Digest // What it last said of itself.
-	heard    bool            // The digest holds something.
+	heardAt  time.Time       // Zero when the digest holds nothing.
 	number   uint64          // Of the latest request.
 	pending  bool            // It has no reply yet.
 	sent     time.Time
@@ -77,8 +77,13 @@
 	}
 }
 
+// expireHoldings forgets what has ended, and what is this entry's own by now.
 func (l *Lender) expireHoldings(now time.Time) {
 	for k, from := range l.holdings {
+		if r := l.resource(k); r != nil && !now.Before(r.opens) {
+			delete(l.holdings, k)
+			continue
+		}
 		for host, h := range from {
 			if !now.Before(h.until) {
 				delete(from, host)
@@ -90,6 +95,18 @@
 	}
 }
 
+// resource returns the owned resource, or nil.
+func (l *Lender) resource(k key) *resource {
+	p := l.pools[slotPool]
+	if k.unit {
+		p = l.pools[k]
+	}
+	if p == nil {
+		return nil
+	}
+	return p.resources[k.name]
+}
+
 // short reports whether more tasks wait than slots are free.
 func (l *Lender) short() bool { return l.waiting() > l.freeSlots() }
 
@@ -116,6 +133,7 @@
 // borrow sends the requests that are due.
 func (l *Lender) borrow(now time.Time) {
 	l.refill(now)
+	l.noteShortage(now)
 	missing := l.missing()
 	for _, c := range l.byPromise() {
 		if c.pending && now.Sub(c.sent) < l.term {
@@ -190,7 +208,7 @@
 
 // ask returns how many of the missing slots to ask for.
 func (c *creditor) ask(missing int) int {
-	if free := c.digest.Free; c.heard && free > 0 {
+	if free := c.digest.Free; !c.heardAt.IsZero() && free > 0 {
 		return min(missing, free)
 	}
 	return missing
@@ -198,16 +216,48 @@
 
 // worthAsking reports whether the peer may have slots for what waits here.
 func (l *Lender) worthAsking(now time.Time, c *creditor) bool {
-	if now.Before(c.askAt) || c.near(l) == 0 {
+	if now.Before(c.askAt) {
 		return false
 	}
 	d := &c.digest
-	if !c.heard || d.Free > 0 || len(l.pools[slotPool].names) == 0 {
+	if c.near(l) == 0 {
+		return l.zoneSlots == 0 || l.farBusier(now) && d.Free > 0 && now.Sub(c.heardAt) < farFresh
+	}
+	if c.heardAt.IsZero() || d.Free > 0 || len(l.pools[slotPool].names) == 0 {
 		return true
 	}
 	return l.moreUrgent(d.Waiting)
 }
 
+// The times that matter for borrowing from another zone.
+const (
+	farFresh = 5 * time.Second        // Age of a digest that is believed.
+	farAfter = 250 * time.Millisecond // Of a shortage that the zone can't end.
+)
+
+// farBusier reports whether the zone has been without a free slot for a while.
+func (l *Lender) farBusier(now time.Time) bool {
+	if l.shortSince.IsZero() || now.Sub(l.shortSince) < farAfter {
+		return false
+	}
+	for _, c := range l.creditors {
+		if c.near(l) == 1 && c.digest.Free > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// noteShortage notes since when tasks have waited without a free slot.
+func (l *Lender) noteShortage(now time.Time) {
+	switch {
+	case !l.short():
+		l.shortSince = time.Time{}
+	case l.shortSince.IsZero():
+		l.shortSince = now
+	}
+}
+
 // moreUrgent reports whether this entry has far more work waiting than the
 // peer, in the highest class that waits here and those above.
 func (l *Lender) moreUrgent(peer []medlargw.ClassDemand) bool {
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -35,26 +35,28 @@
 	margin      time.Duration
 	pace        pace
 
-	config  *medlargw.Config
-	group   medlargw.Group
-	view    uint64 // Hash of the entries of the zone.
-	owners  map[key]medlargw.HostName
-	targets map[medlargw.TargetName]medlargw.Target
-	pools   map[key]*pool // By the pool's own key; slotPool for the targets.
-	demand  medlargw.Demand
-	used    map[key]int
-
-	borrowers map[medlargw.HostName]*borrower
-	creditors map[medlargw.HostName]*creditor
-	holdings  map[key]map[medlargw.HostName]*holding
-	number    uint64  // Of the latest request to any lender.
-	tokens    float64 // Requests that may be sent at once.
-	filled    time.Time
-	ticked    time.Time
-	woken     time.Time // When this process last woke from a pause.
-	shares    map[medlargw.TeamName]medlargw.Share
-	actions   medlargw.LendActions
-	last      []medlargw.Capacity
+	config    *medlargw.Config
+	group     medlargw.Group
+	zoneSlots int    // Of all targets of the zone that have an owner.
+	view      uint64 // Hash of the entries of the zone.
+	owners    map[key]medlargw.HostName
+	targets   map[medlargw.TargetName]medlargw.Target
+	pools     map[key]*pool // By the pool's own key; slotPool for the targets.
+	demand    medlargw.Demand
+	used      map[key]int
+
+	borrowers  map[medlargw.HostName]*borrower
+	creditors  map[medlargw.HostName]*creditor
+	holdings   map[key]map[medlargw.HostName]*holding
+	number     uint64  // Of the latest request to any lender.
+	tokens     float64 // Requests that may be sent at once.
+	filled     time.Time
+	ticked     time.Time
+	shortSince time.Time // Zero while slots are free or nothing waits.
+	woken      time.Time // When this process last woke from a pause.
+	shares     map[medlargw.TeamName]medlargw.Share
+	actions    medlargw.LendActions
+	last       []medlargw.Capacity
 }
 
 var _ medlargw.Lender = (*Lender)(nil)
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -24,3 +24,75 @@
 	}
 	t.Logf("messages %d", g.calls)
 }
+
+func TestZoneWithoutTargetsBorrowsFromAnother(t *testing.T) {
+	g := newGroup(t, 1, medlargw.FavourLatency, 2, 4, 8, "detroit", "cleveland")
+	g.targets = g.targets[:4] // All in Detroit.
+	g.setView()
+	g.run(time.Second)
+	g.entries[3].submit(16, 0, "ice", 200*time.Millisecond)
+	g.run(300 * time.Millisecond)
+	if got, want := len(g.ended), 16; got != want {
+		t.Errorf("tasks ended: got %d, want %d", got, want)
+	}
+}
+
+func TestBusyZoneBorrowsFromAnother(t *testing.T) {
+	g := newGroup(t, 1, medlargw.FavourLatency, 2, 2, 4, "detroit", "cleveland")
+	g.setView()
+	g.run(time.Second)
+	g.entries[0].submit(200, 0, "ice", 200*time.Millisecond)
+	g.run(400 * time.Millisecond)
+	atHome := len(g.ended)
+	for _, e := range g.entries[2:] {
+		g.entries[0].l.Heard(g.entries[0].clock(), e.peer.Host, medlargw.Digest{Free: 8})
+	}
+	g.entries[0].l.Heard(g.entries[0].clock(), g.entries[1].peer.Host, medlargw.Digest{})
+	g.run(2 * time.Second)
+	if got, least := len(g.ended)-atHome, 100; got < least {
+		t.Errorf("tasks ended in 2 s: got %d, want at least %d with 8 slots at home and 8 away", got, least)
+	}
+}
+
+func TestTeamWithFewerUnitsThanZonesRunsInEach(t *testing.T) {
+	g := newGroup(t, 1, medlargw.FavourLatency, 2, 2, 4, "detroit", "cleveland", "buffalo")
+	g.cfg.Teams = []medlargw.Team{{Name: "ice", Limit: medlargw.Limit{Running: 2}}}
+	g.setView()
+	g.run(4 * time.Second)
+	for _, e := range g.entries {
+		e.submit(2, 0, "ice", 100*time.Millisecond)
+	}
+	g.run(20 * time.Second)
+	if got, want := len(g.ended), 2*len(g.entries); got != want {
+		t.Errorf("tasks ended: got %d, want %d", got, want)
+	}
+	if g.overTeam > 0 {
+		t.Errorf("tasks beyond the limit: got %d, want 0", g.overTeam)
+	}
+}
+
+// TestSuccessorOfKeeperStaysWithinTheLimit lets the keeper die with units out.
+func TestSuccessorOfKeeperStaysWithinTheLimit(t *testing.T) {
+	g := newGroup(t, 1, medlargw.FavourLatency, 4, 4, 8, "detroit")
+	g.cfg.Teams = []medlargw.Team{{Name: "ice", Limit: medlargw.Limit{Running: 9}}}
+	g.setView()
+	g.run(time.Second)
+	keeper := g.find(g.entries[0].l.owners[teamKey("ice")])
+	for _, e := range g.entries {
+		if e != keeper {
+			e.submit(400, 0, "ice", 100*time.Millisecond)
+		}
+	}
+	g.run(2 * time.Second)
+	before := len(g.ended)
+	keeper.stop()
+	g.setView()
+	g.run(4 * time.Second)
+	if g.overTeam > 0 {
+		t.Errorf("tasks beyond the limit: got %d, want 0", g.overTeam)
+	}
+	// Nine units at a tenth of a second each are 90 tasks a second.
+	if got, least := len(g.ended)-before, 300; got < least {
+		t.Errorf("tasks ended in the 4 s after: got %d, want at least %d", got, least)
+	}
+}
--- a/lender/ownership.go
+++ b/lender/ownership.go
@@ -17,10 +17,10 @@
 const maxUnits = 1000
 
 // Heard takes what a peer last said of itself.
-func (l *Lender) Heard(_ time.Time, from medlargw.HostName, d medlargw.Digest) {
+func (l *Lender) Heard(now time.Time, from medlargw.HostName, d medlargw.Digest) {
 	if c := l.creditors[from]; c != nil {
 		c.digest = d
-		c.heard = true
+		c.heardAt = now
 	}
 }
 
@@ -66,23 +66,27 @@
 }
 
 // setOwners hashes each target onto the entries of its zone, and each team
-// with a limit onto the entries of this entry's zone.
+// with a limit onto the entries of the zone that has units for this one.
 func (l *Lender) setOwners() {
 	rings := l.rings()
 	clear(l.owners)
 	clear(l.targets)
+	l.zoneSlots = 0
 	for _, t := range l.group.Targets {
 		l.targets[t.Name] = t
 		if ring := rings[t.Zone]; ring != nil {
 			l.owners[targetKey(t.Name)] = medlargw.HostName(ring.Lookup(string(t.Name)))
 		}
+		if t.Zone == l.zone && !t.Leaving {
+			l.zoneSlots += t.Slots
+		}
 	}
-	ring := rings[l.zone]
-	if ring == nil {
-		return
-	}
+	zones := l.zones()
 	for _, t := range l.config.Teams {
-		if unitsOf(t.Limit) > 0 {
+		if unitsOf(t.Limit) == 0 {
+			continue
+		}
+		if ring := rings[keeperZone(unitsOf(t.Limit), t.Name, l.zone, zones)]; ring != nil {
 			l.owners[teamKey(t.Name)] = medlargw.HostName(ring.Lookup(string(t.Name)))
 		}
 	}
@@ -120,13 +124,14 @@
 	for _, t := range l.config.Teams {
 		k := teamKey(t.Name)
 		share := zoneShare(unitsOf(t.Limit), t.Name, l.zone, zones)
-		if l.owners[k] != l.host || share == 0 {
+		if share == 0 || l.owners[k] != l.host {
 			continue
 		}
 		kept[k] = true
 		if l.pools[k] == nil {
 			l.pools[k] = newPool()
 		}
+		l.pools[k].far = unitsOf(t.Limit) < len(zones)
 		l.pools[k].keep(map[string]medlargw.Capacity{k.name: {Slots: share}}, now.Add(l.settling()))
 	}
 	for k := range l.pools {
@@ -160,17 +165,31 @@
 // zoneShare returns the units of one zone. They are split evenly; the zones
 // that get one more differ from team to team.
 func zoneShare(units int, team medlargw.TeamName, zone medlargw.ZoneName, zones []medlargw.ZoneName) int {
-	byHash := slices.Clone(zones)
-	slices.SortFunc(byHash, func(a, b medlargw.ZoneName) int {
-		return cmp.Compare(zoneHash(team, a), zoneHash(team, b))
-	})
 	share := units / len(zones)
-	if slices.Index(byHash, zone) < units%len(zones) {
+	if slices.Index(byZoneHash(team, zones), zone) < units%len(zones) {
 		share++
 	}
 	return share
 }
 
+// keeperZone returns the zone whose keeper serves the given one: itself, or,
+// where there are fewer units than zones, one that has a unit.
+func keeperZone(units int, team medlargw.TeamName, zone medlargw.ZoneName, zones []medlargw.ZoneName) medlargw.ZoneName {
+	if units >= len(zones) || units == 0 {
+		return zone
+	}
+	byHash := byZoneHash(team, zones)
+	return byHash[slices.Index(byHash, zone)%units]
+}
+
+func byZoneHash(team medlargw.TeamName, zones []medlargw.ZoneName) []medlargw.ZoneName {
+	byHash := slices.Clone(zones)
+	slices.SortFunc(byHash, func(a, b medlargw.ZoneName) int {
+		return cmp.Compare(zoneHash(team, a), zoneHash(team, b))
+	})
+	return byHash
+}
+
 func zoneHash(team medlargw.TeamName, zone medlargw.ZoneName) uint64 {
 	return xxhash.Sum64String(string(team) + "\x00" + string(zone))
 }
--- a/lender/pool.go
+++ b/lender/pool.go
@@ -9,6 +9,7 @@
 
 // pool is a set of owned resources of which any will do.
 type pool struct {
+	far       bool // Entries of other zones borrow from it as a rule.
 	resources map[string]*resource
 	names     []string // Of the resources, sorted.
 	needs     map[medlargw.HostName]*need
@@ -70,8 +71,12 @@
 	}
 }
 
-// open opens what is closed until later.
+// open opens what is closed until later, unless entries that weren't asked may
+// hold loans of a limit.
 func (p *pool) open(now time.Time) {
+	if p.far {
+		return
+	}
 	for _, r := range p.resources {
 		if now.Before(r.opens) {
 			r.opens = now
--- a/lender/units.go
+++ b/lender/units.go
@@ -46,9 +46,11 @@
 	return false
 }
 
-// mostUnits returns the units that the zone has of the team's limit.
+// mostUnits returns the units that the keeper has of the team's limit.
 func (l *Lender) mostUnits(k key) int {
-	return zoneShare(unitsOf(l.limitOf(k.name)), medlargw.TeamName(k.name), l.zone, l.zones())
+	units := unitsOf(l.limitOf(k.name))
+	team, zones := medlargw.TeamName(k.name), l.zones()
+	return zoneShare(units, team, keeperZone(units, team, l.zone, zones), zones)
 }
 
 // unitsPause returns how long to wait before units are asked for again: a
