--- a/decider/admission.go
+++ b/decider/admission.go
@@ -14,7 +14,7 @@
 )
 
 // refuse says whether the job can't be admitted, and with which outcome.
-func (d *Decider) refuse(now time.Time, job *medlargw.Job) (medlargw.Outcome, bool) {
+func (d *Decider) refuse(now time.Time, job *medlargw.Job, backlog *medlargw.Backlog) (medlargw.Outcome, bool) {
 	if !now.Before(job.Deadline) {
 		return medlargw.Refusal(job, medlargw.CodeDeadline, "the deadline has passed", 0), true
 	}
@@ -24,21 +24,20 @@
 	if wait := d.placer.Failing(now, job); wait > 0 {
 		return medlargw.Refusal(job, medlargw.CodeServiceFailing, failingMessage, wait), true
 	}
-	backlog := d.scheduler.Backlog(job.Class, job.Team)
-	if late := d.late(now, job, &backlog); late > 0 {
+	if late := d.late(now, job, backlog); late > 0 {
 		return medlargw.Refusal(job, medlargw.CodeTooSlow, "the expected wait ends after the deadline", retryAfter(late)), true
 	}
 	if d.waiting[job.Team]+len(job.Tasks) > d.settings.Intake.Team {
-		return d.overloaded(job, &backlog, "too many tasks of the team wait"), true
+		return d.overloaded(job, backlog, "too many tasks of the team wait"), true
 	}
-	if !d.makeRoom(job, &backlog) {
-		return d.overloaded(job, &backlog, "too many tasks or bytes wait"), true
+	if !d.makeRoom(job, backlog) {
+		return d.overloaded(job, backlog, "too many tasks or bytes wait"), true
 	}
 	return medlargw.Outcome{}, false
 }
 
 func (d *Decider) overloaded(job *medlargw.Job, b *medlargw.Backlog, message string) medlargw.Outcome {
-	wait := retryAfter(d.drain(b.Higher + b.Class))
+	wait := retryAfter(d.drain(d.now, b.Rank, b.Higher+b.Class))
 	return medlargw.Refusal(job, medlargw.CodeOverloaded, message, wait)
 }
 
@@ -47,13 +46,14 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter).Round(time.Millisecond)
 }
 
-// drain returns how long all slots need for the work; zero is unknown.
-func (d *Decider) drain(work time.Duration) time.Duration {
-	slots := max(d.placer.Slots(), d.reach)
+// drain returns how long the slots that are available to a class need for the
+// work; zero is unknown.
+func (d *Decider) drain(now time.Time, rank int, work time.Duration) time.Duration {
+	slots := d.available(now, rank)
 	if slots == 0 {
 		return 0
 	}
-	return work / time.Duration(slots)
+	return time.Duration(float64(work) / slots)
 }
 
 // late returns by how much the job is expected to miss its deadline. A job
@@ -74,7 +74,7 @@
 func (d *Decider) expectedWait(job *medlargw.Job, b *medlargw.Backlog, estimate time.Duration) time.Duration {
 	own := time.Duration(len(job.Tasks)-1) * estimate
 	fair := time.Duration(float64(b.Team+own) / b.Share)
-	wait := d.drain(b.Higher + min(fair, b.Class+own))
+	wait := d.drain(d.now, b.Rank, b.Higher+min(fair, b.Class+own))
 	if b.Higher+b.Class == 0 {
 		wait = 0
 	}
@@ -103,7 +103,7 @@
 			return false
 		}
 		excess -= len(victim.Tasks)
-		d.fail(d.jobs[victim.ID], medlargw.CodeOverloaded, "a job of a higher class needed the room", retryAfter(d.drain(b.Higher+b.Class)))
+		d.fail(d.jobs[victim.ID], medlargw.CodeOverloaded, "a job of a higher class needed the room", retryAfter(d.drain(d.now, b.Rank, b.Higher+b.Class)))
 	}
 	return true
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -31,6 +31,7 @@
 	newTag     func() medlargw.Tag
 
 	now       time.Time // Of the last event.
+	demands   []demand  // By rank of the class.
 	reach     int       // Slots that this entry could use if it borrowed them.
 	jobs      map[medlargw.JobID]*jobState
 	deadlines ranker.Ranker[*jobState]
@@ -106,7 +107,8 @@
 // Submit admits the job or refuses it at once.
 func (d *Decider) Submit(now time.Time, job *medlargw.Job) {
 	d.now = now
-	if refusal, refused := d.refuse(now, job); refused {
+	backlog := d.scheduler.Backlog(job.Class, job.Team)
+	if refusal, refused := d.refuse(now, job, &backlog); refused {
 		d.actions.Finishes = append(d.actions.Finishes, medlargw.Finish{Job: job, Outcome: refusal})
 		return
 	}
@@ -115,7 +117,9 @@
 	d.deadlines.Set(state)
 	d.count(job.Team, len(job.Tasks))
 	d.accountant.Add(job, job.PayloadBytes())
-	d.scheduler.Add(job, d.estimator.Estimate(job))
+	estimate := d.estimator.Estimate(job)
+	d.admitted(now, backlog.Rank, time.Duration(len(job.Tasks))*estimate)
+	d.scheduler.Add(job, estimate)
 	d.dispatch(now)
 }
 
--- /dev/null
+++ b/decider/fault_test.go
@@ -0,0 +1,192 @@
+package decider_test
+
+import (
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/accountant"
+)
+
+// task returns a job of one class with that many tasks.
+func tasks(class, n int) *work {
+	return &work{class: class, run: make([]time.Duration, n), job: &medlargw.Job{
+		Team:    teamName(0),
+		Class:   className(class),
+		Service: "service",
+		Tasks:   make([]medlargw.Task, n),
+	}}
+}
+
+// stage is a decider whose attempts the test ends by hand.
+func stage(t *testing.T, s medlargw.Settings, slots int) *bench {
+	t.Helper()
+	tools := tools(medlargw.OrderLeast)
+	tools.Accountant = accountant.New(s.Intake.Bytes)
+	b := newBench(t, 1, s, tools)
+	b.decider.Configure(b.now, config(2))
+	if slots > 0 {
+		b.decider.SetCapacity(b.now, []medlargw.Capacity{
+			{Target: medlargw.Target{Name: "t", Slots: slots, Memory: 100}, Slots: slots},
+		})
+	}
+	return b
+}
+
+// code returns how a submission ended at once, or "waits".
+func code(b *bench, w *work) medlargw.Code {
+	b.submit(w)
+	for _, f := range b.decider.Actions().Finishes {
+		if f.Job == w.job {
+			return f.Outcome.Code
+		}
+	}
+	return "waits"
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		before []*work
+		change func(w *work)
+		want   medlargw.Code
+	}{
+		{"fits", nil, func(*work) {}, "waits"},
+		{"deadline passed", nil, func(w *work) { w.job.Deadline = epoch }, medlargw.CodeDeadline},
+		{"too large for any target", nil, func(w *work) { w.job.Size = 101 }, medlargw.CodeNeverFits},
+		{"full, nothing lower", []*work{tasks(0, 10)}, func(*work) {}, medlargw.CodeOverloaded},
+		{"full, lower waits", []*work{tasks(2, 10)}, func(*work) {}, "waits"},
+		{"too many bytes", nil, func(w *work) { w.job.Tasks[0].Payload = make([]byte, 800) }, medlargw.CodeOverloaded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := settings()
+			s.Intake = medlargw.IntakeSettings{Waiting: 10, Team: 20, Bytes: 1000}
+			b := stage(t, s, 1)
+			for _, w := range append([]*work{tasks(0, 1)}, test.before...) {
+				w.job.Team = teamName(1)
+				b.submit(w)
+			}
+			w := tasks(0, 1)
+			w.job.Deadline = epoch.Add(time.Minute)
+			test.change(w)
+			if got := code(b, w); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestHardLimitFailsTheLargestJob(t *testing.T) {
+	s := settings()
+	s.Intake.Bytes = 1000
+	b := stage(t, s, 10)
+	large, small := tasks(0, 3), tasks(0, 3)
+	small.job.Team = teamName(1)
+	b.submit(large)
+	b.submit(small)
+	starts := append([]medlargw.Attempt(nil), b.decider.Actions().Starts...)
+	b.decider.Actions().Reset()
+	for _, i := range []int{3, 0, 1} {
+		size := 350
+		if i == 3 {
+			size = 340
+		}
+		b.decider.Ended(b.now, &starts[i], &medlargw.AttemptEnd{Body: make([]byte, size)})
+	}
+	finishes := b.decider.Actions().Finishes
+	if len(finishes) != 1 || finishes[0].Job != large.job || finishes[0].Outcome.Code != medlargw.CodeAnswerTooLarge {
+		t.Fatalf("got %+v, want the larger job failed", finishes)
+	}
+	if got := b.decider.Status().Bytes; got != 340 {
+		t.Errorf("got %d bytes held, want 340", got)
+	}
+}
+
+func TestLeakCheck(t *testing.T) {
+	b := stage(t, settings(), 1)
+	w := tasks(0, 1)
+	b.submit(w)
+	start := b.decider.Actions().Starts[0]
+	b.decider.Cancel(b.now, w.job.ID)
+	b.decider.Tick(b.now)
+	for _, test := range []struct {
+		after time.Duration
+		want  int
+	}{{59 * time.Second, 0}, {60 * time.Second, 1}} {
+		b.decider.Tick(epoch.Add(test.after))
+		if got := len(b.decider.Status().Leaks); got != test.want {
+			t.Errorf("after %v: got %d leaks, want %d", test.after, got, test.want)
+		}
+	}
+	b.decider.Ended(epoch.Add(61*time.Second), &start, &medlargw.AttemptEnd{Kind: medlargw.EndLost})
+	if got := b.decider.Status(); len(got.Leaks) != 0 || got.Targets[0].Used != 0 {
+		t.Errorf("after the end: got leaks %v, %d slots in use, want none", got.Leaks, got.Targets[0].Used)
+	}
+}
+
+func TestShares(t *testing.T) {
+	tests := []struct {
+		name       string
+		configured medlargw.Limit
+		share      medlargw.Limit
+		want       int // Tasks started.
+	}{
+		{"no limit", medlargw.Limit{}, medlargw.Limit{}, 8},
+		{"running", medlargw.Limit{Running: 6}, medlargw.Limit{Running: 2}, 2},
+		{"running, none", medlargw.Limit{Running: 6}, medlargw.Limit{}, 0},
+		{"starts", medlargw.Limit{Starts: 6}, medlargw.Limit{Starts: 3}, 3},
+		{"starts, none", medlargw.Limit{Starts: 6}, medlargw.Limit{}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := stage(t, settings(), 8)
+			cfg := config(1)
+			cfg.Teams[0].Limit = test.configured
+			b.decider.Configure(b.now, cfg)
+			b.decider.SetShare(b.now, teamName(0), test.share)
+			b.submit(tasks(0, 8))
+			if got := len(b.decider.Actions().Starts); got != test.want {
+				t.Errorf("got %d tasks started, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	b := stage(t, settings(), 8)
+	b.submit(tasks(0, 1))
+	actions := b.decider.Actions()
+	start := actions.Starts[0]
+	actions.Reset()
+	end := medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonLeaving}
+	b.decider.Ended(b.now, &start, &end)
+	if got := len(actions.Starts); got != 0 {
+		t.Errorf("got %d tasks started on a target that says it leaves, want 0", got)
+	}
+	if got := b.decider.Status().Targets[0].State; got != medlargw.TargetLeaving {
+		t.Errorf("got state %q, want %q", got, medlargw.TargetLeaving)
+	}
+}
+
+func TestFloorGivesItsShare(t *testing.T) {
+	b := stage(t, settings(), 1)
+	cfg := config(1)
+	cfg.Classes[2].Floor = 0.1
+	b.decider.Configure(b.now, cfg)
+	b.submit(tasks(0, 1000))
+	b.submit(tasks(2, 1000))
+	actions := b.decider.Actions()
+	got := 0
+	for range 500 {
+		start := actions.Starts[0]
+		if start.Job.Class == className(2) {
+			got++
+		}
+		actions.Reset()
+		b.decider.Ended(b.now, &start, &medlargw.AttemptEnd{Elapsed: time.Millisecond})
+	}
+	if got < 48 || got > 52 {
+		t.Errorf("got %d of 500 starts for a floor of 0.1, want 48 to 52", got)
+	}
+}
--- a/decider/harness_test.go
+++ b/decider/harness_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"testing"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -69,9 +68,15 @@
 	return e
 }
 
+// failer is what the harness needs of a test or a property.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // bench drives a real decider with fake targets on a virtual clock.
 type bench struct {
-	t        testing.TB
+	t        failer
 	rng      *rand.Rand
 	now      time.Time
 	events   eventHeap
@@ -118,7 +123,7 @@
 	}
 }
 
-func newBench(t testing.TB, seed uint64, s medlargw.Settings, tools medlargw.DeciderTools) *bench {
+func newBench(t failer, seed uint64, s medlargw.Settings, tools medlargw.DeciderTools) *bench {
 	b := &bench{
 		t:       t,
 		rng:     rand.New(rand.NewPCG(seed, 0)),
--- a/interfaces.go
+++ b/interfaces.go
@@ -122,8 +122,6 @@
 	// the lane that the limit holds back, and the time at which a start may be
 	// allowed; zero is when a running task ends.
 	Take(now time.Time, job *Job) (bool, Lane, time.Time)
-	// Undo gives back what Take reserved for a start that did not happen.
-	Undo(now time.Time, job *Job)
 	// Return frees the running task.
 	Return(now time.Time, job *Job)
 	// Limit returns the limit in force for the team on this entry.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -90,15 +90,6 @@
 	return true, medlargw.Lane{}, time.Time{}
 }
 
-// Undo gives back what Take reserved.
-func (l *Limiter) Undo(now time.Time, job *medlargw.Job) {
-	l.Return(now, job)
-	l.uses[medlargw.Lane{Team: job.Team}].giveBack(now)
-	if u := l.uses[medlargw.Lane{Team: job.Team, Service: job.Service}]; u != nil {
-		u.giveBack(now)
-	}
-}
-
 // Return frees the running task.
 func (l *Limiter) Return(_ time.Time, job *medlargw.Job) {
 	u := l.uses[medlargw.Lane{Team: job.Team}]
--- a/limiter/use.go
+++ b/limiter/use.go
@@ -79,10 +79,3 @@
 		u.starts.AllowN(now, 1)
 	}
 }
-
-// giveBack returns one start that did not happen.
-func (u *use) giveBack(now time.Time) {
-	if u.starts != nil {
-		u.starts.AllowN(now, -1)
-	}
-}
--- a/precedence.go
+++ b/precedence.go
@@ -24,6 +24,7 @@
 
 // Backlog is the estimated run time of the work that waits before a new job.
 type Backlog struct {
+	Rank   int           // Of the job's class.
 	Higher time.Duration // Of the higher classes.
 	Class  time.Duration // Of the job's class, over all teams.
 	Team   time.Duration // Of the job's team in that class.
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -10,7 +10,7 @@
 // Backlog returns what waits before a new job of that class and team.
 func (s *Scheduler) Backlog(name medlargw.ClassName, team medlargw.TeamName) medlargw.Backlog {
 	c := s.class(s.ranks[name])
-	b := medlargw.Backlog{Class: c.work, Share: 1}
+	b := medlargw.Backlog{Rank: c.rank, Class: c.work}
 	for _, higher := range s.classes[:c.rank] {
 		b.Higher += higher.work
 	}
