--- a/decider/decider.go
+++ b/decider/decider.go
@@ -30,9 +30,9 @@
 	accountant medlargw.Accountant
 	newTag     func() medlargw.Tag
 
-	now       time.Time // Of the last event.
-	demands   []demand  // By rank of the class.
-	reach     int       // Slots that this entry could use if it borrowed them.
+	now       time.Time  // Of the last event.
+	arrivals  []arrivals // By rank of the class.
+	reach     int        // Slots that this entry could use if it borrowed them.
 	jobs      map[medlargw.JobID]*jobState
 	deadlines ranker.Ranker[*jobState]
 	cancelled []medlargw.JobID // Jobs that were cancelled and have not ended.
--- a/decider/demand.go
+++ b/decider/demand.go
@@ -2,49 +2,49 @@
 
 import (
 	"math"
-	"time"
-)
 
-const (
-	demandWindow = time.Second // Over which arrivals are averaged.
-	// leastShare is the share of the slots that a class is expected to get
-	// however much work of higher classes arrives.
-	leastShare = 0.02
+	"medlargw.example/medlargw"
 )
 
-// demand is the work of one class that was admitted lately, as a decayed sum.
-type demand struct {
-	work time.Duration
-	at   time.Time
+// Short reports whether tasks wait for a slot or for a unit of a limit.
+func (d *Decider) Short() bool {
+	return d.total > 0 && (d.placer.Free() == 0 || len(d.pauses) > 0)
 }
 
-func (d *demand) decayed(now time.Time) time.Duration {
-	if d.work == 0 {
-		return 0
+// Demand returns what is in use and what waits for a slot or a unit. The
+// classes hold only tasks that their teams' limits let start.
+func (d *Decider) Demand() medlargw.Demand {
+	demand := medlargw.Demand{Classes: d.scheduler.Waiting()}
+	d.deductHeldBack(demand.Classes)
+	for _, t := range d.placer.Status() {
+		if t.Used > 0 {
+			demand.Targets = append(demand.Targets, medlargw.TargetUse{Target: t.Target.Name, Used: t.Used})
+		}
 	}
-	return time.Duration(float64(d.work) * math.Exp(-now.Sub(d.at).Seconds()/demandWindow.Seconds()))
-}
-
-func (d *demand) add(now time.Time, work time.Duration) {
-	d.work = d.decayed(now) + work
-	d.at = now
-}
-
-// admitted notes the work of a job that was admitted.
-func (d *Decider) admitted(now time.Time, rank int, work time.Duration) {
-	for len(d.demands) <= rank {
-		d.demands = append(d.demands, demand{})
+	for _, t := range d.limiter.Status() {
+		if waiting := d.waiting[t.Team]; t.Running > 0 || waiting > 0 {
+			use := medlargw.TeamUse{Team: t.Team, Running: t.Running, Waiting: waiting}
+			demand.Teams = append(demand.Teams, use)
+		}
 	}
-	d.demands[rank].add(now, work)
+	return demand
 }
 
-// available returns the number of slots that the higher classes are expected
-// to leave, from what arrived lately.
-func (d *Decider) available(now time.Time, rank int) float64 {
-	slots := float64(max(d.placer.Slots(), d.reach))
-	taken := 0.0
-	for i := range d.demands[:min(rank, len(d.demands))] {
-		taken += float64(d.demands[i].decayed(now)) / float64(demandWindow)
+// deductHeldBack leaves out what no slot would help.
+func (d *Decider) deductHeldBack(classes []medlargw.ClassDemand) {
+	if len(d.pauses) == 0 {
+		return
+	}
+	_, some := d.scheduler.Peek(math.MaxInt64)
+	if !some {
+		for i := range classes {
+			classes[i].Tasks = 0
+		}
+		return
+	}
+	for _, q := range d.scheduler.Queues() {
+		if d.pauses[medlargw.Lane{Team: q.Team}] != nil {
+			classes[q.Rank].Tasks -= q.Tasks
+		}
 	}
-	return max(slots-taken, leastShare*slots)
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -39,15 +40,20 @@
 	encoder  *encoder.Encoder
 
 	submitter  medlargw.Submitter
+	redeemer   medlargw.Redeemer
 	configured medlargw.Configured
 	listener   net.Listener
 	server     *http.Server
 	serving    conc.WaitGroup
+	leave      sync.Once
 	stopping   chan struct{}
 	done       chan struct{}
 }
 
-var _ medlargw.Part = (*Receiver)(nil)
+var (
+	_ medlargw.Part   = (*Receiver)(nil)
+	_ medlargw.Leaver = (*Receiver)(nil)
+)
 
 // New returns a receiver that has not started. A nil TLS configuration serves
 // plain HTTP.
@@ -81,13 +87,16 @@
 	if rc.configured, err = registrar.Find[medlargw.Configured](rc.registry, "watcher"); err != nil {
 		return err
 	}
+	if rc.redeemer, err = registrar.Find[medlargw.Redeemer](rc.registry, "keeper"); err != nil {
+		return err
+	}
 	var lc net.ListenConfig
 	rc.listener, err = lc.Listen(ctx, "tcp", rc.settings.Listen.Callers.String())
 	if err != nil {
 		return err
 	}
 	rc.server = &http.Server{
-		Handler:           rc.routes(),
+		Handler:           rc.closing(rc.routes()),
 		TLSConfig:         rc.tls,
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: rc.settings.Intake.Read,
@@ -110,10 +119,30 @@
 	}
 }
 
+// Leave says not ready, so that the balancer sends no more, and has callers
+// close their connections after their answers.
+func (rc *Receiver) Leave(context.Context) error {
+	rc.leave.Do(func() { close(rc.stopping) })
+	return nil
+}
+
+// closing has callers close their connections while the entry is leaving, so
+// that none is left on which a request could cross the listener's end.
+func (rc *Receiver) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-rc.stopping:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop says not ready, lets the running requests end, and closes the listener.
 func (rc *Receiver) Stop(ctx context.Context) error {
 	defer close(rc.done)
-	close(rc.stopping)
+	_ = rc.Leave(ctx)
 	err := rc.server.Shutdown(ctx)
 	rc.serving.Wait()
 	return err
@@ -125,6 +154,9 @@
 func (rc *Receiver) routes() http.Handler {
 	routes := httprouter.New()
 	routes.POST("/v1/jobs", rc.submit)
+	routes.POST("/v1/tickets", rc.mint)
+	routes.GET("/v1/jobs/:ticket", rc.fetch)
+	routes.DELETE("/v1/jobs/:ticket", rc.cancel)
 	routes.GET("/healthz", rc.healthy)
 	routes.GET("/readyz", rc.ready)
 	return routes
@@ -156,56 +188,6 @@
 	}
 }
 
-func (rc *Receiver) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	job, refused := rc.job(w, r)
-	if refused != nil {
-		rc.refuse(w, refused)
-		return
-	}
-	outcome := rc.submitter.Submit(r.Context(), job)
-	status, body := rc.encoder.EncodeOutcome(&outcome)
-	rc.write(w, status, body, outcome.RetryAfter)
-}
-
-// job reads, authenticates and checks a submission.
-func (rc *Receiver) job(w http.ResponseWriter, r *http.Request) (*medlargw.Job, *medlargw.Refused) {
-	arrived := time.Now()
-	cfg := rc.configured.Config()
-	if cfg == nil {
-		return nil, noConfig()
-	}
-	team, refused := authenticate(cfg, r)
-	if refused != nil {
-		return nil, refused
-	}
-	body, refused := rc.read(w, r)
-	if refused != nil {
-		return nil, refused
-	}
-	s, refused := rc.encoder.DecodeSubmission(body)
-	if refused != nil {
-		return nil, refused
-	}
-	service, ok := cfg.Service(s.Service)
-	if !ok || service.Team != team {
-		return nil, &medlargw.Refused{
-			Code:    medlargw.CodeUnknownService,
-			Message: "the team has no service " + strconv.Quote(string(s.Service)),
-		}
-	}
-	return &medlargw.Job{
-		Team:       team,
-		Service:    s.Service,
-		Class:      service.Class,
-		Tasks:      s.Tasks,
-		Idempotent: s.Idempotent,
-		Arrived:    arrived,
-		Deadline:   arrived.Add(s.Deadline),
-		Runtime:    s.Runtime,
-		Size:       s.Size,
-	}, nil
-}
-
 // read returns the whole body within the bounds of size and time.
 func (rc *Receiver) read(w http.ResponseWriter, r *http.Request) ([]byte, *medlargw.Refused) {
 	control := http.NewResponseController(w)
@@ -244,6 +226,7 @@
 		seconds := int((retryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(rc.settings.Intake.Read))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil {
 		rc.log.Debug("caller gone before its answer", zap.Error(err))
