--- a/decider/harness_test.go
+++ b/decider/harness_test.go
@@ -92,6 +92,8 @@
 	tags     int
 	wake     time.Time
 	onEnd    func(w *work, a *medlargw.Attempt, failed bool)
+	shared   bool // Other entries use the targets too, which may answer busy.
+	active   [3]int
 }
 
 type result struct {
@@ -215,6 +217,14 @@
 	target.used++
 	b.live[a.Tag] = true
 	b.messages += 2
+	b.active[w.class]++
+	if b.shared && target.used > target.slots {
+		b.wasted += 2
+		b.at(b.now.Add(roundTrip), func() {
+			b.finish(w, &a, &medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonBusy})
+		})
+		return
+	}
 	w.starts[a.Index]++
 	if target.used > target.slots {
 		b.t.Fatalf("target %s: got %d tasks, want at most %d", a.Target, target.used, target.slots)
@@ -231,7 +241,6 @@
 }
 
 func (b *bench) end(w *work, a *medlargw.Attempt, failed bool, run time.Duration) {
-	b.targets[a.Target].used--
 	end := medlargw.AttemptEnd{Elapsed: run + roundTrip, Body: []byte("answer")}
 	if failed {
 		end.Kind = medlargw.EndFailed
@@ -240,11 +249,17 @@
 		end = medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: medlargw.ReasonCancelled}
 		b.wasted += 2
 	}
-	delete(b.live, a.Tag)
 	if b.onEnd != nil {
 		b.onEnd(w, a, failed)
 	}
-	b.decider.Ended(b.now, a, &end)
+	b.finish(w, a, &end)
+}
+
+func (b *bench) finish(w *work, a *medlargw.Attempt, end *medlargw.AttemptEnd) {
+	b.targets[a.Target].used--
+	b.active[w.class]--
+	delete(b.live, a.Tag)
+	b.decider.Ended(b.now, a, end)
 }
 
 func (b *bench) submit(w *work) {
--- a/decider/order_test.go
+++ b/decider/order_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestResponseTargets(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		load [3]float64
@@ -55,6 +56,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			all := orderRun(t, medlargw.OrderLeast, load{teams: 12, shares: test.load, last: 60 * time.Second})
 			for class, want := range test.want {
 				t.Logf("class %d: %v", class, all[class])
@@ -67,6 +69,7 @@
 }
 
 func TestLowerLoadDoesNoHarm(t *testing.T) {
+	t.Parallel()
 	l := load{teams: 12, shares: [3]float64{0.2}, last: 60 * time.Second}
 	alone := orderRun(t, medlargw.OrderLeast, l)[0]
 	for _, lower := range []float64{0.4, 0.8, 1.6} {
--- a/decider/placement_test.go
+++ b/decider/placement_test.go
@@ -146,6 +146,7 @@
 }
 
 func TestQuarantine(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name       string
 		badTarget  bool
@@ -159,6 +160,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			got := quarantineRun(t, rules(), test.badTarget, test.badService, 0.01)
 			if got.lost > test.most || got.shut != test.badTarget || got.good != 0 {
 				t.Errorf("got %+v, want at most %d jobs lost, shut %t, no good target", got, test.most, test.badTarget)
--- a/decider/property_test.go
+++ b/decider/property_test.go
@@ -204,6 +204,7 @@
 }
 
 func TestRandomEvents(t *testing.T) {
+	t.Parallel()
 	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{rapid.Byte().Draw(t, "what"), rapid.Byte().Draw(t, "which"), rapid.Byte().Draw(t, "detail")}
 	}), 100, 400)
--- a/decider/refusal_test.go
+++ b/decider/refusal_test.go
@@ -92,6 +92,7 @@
 }
 
 func TestBurstSparesTheHighestClass(t *testing.T) {
+	t.Parallel()
 	all := burstRun(t, true, 10)
 	top := all[0]
 	if got := float64(top.inTime) / float64(top.jobs); got < 0.95 {
