--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOTOOL = go tool -modfile=tools/go.mod
 LINT = $(GOTOOL) golangci-lint
 
-.PHONY: demo test fmt lint build known-red bench generate
+.PHONY: demo test fmt lint build known-red bench generate docs-check
 
 # Runs a whole deployment in one process and sends it a load.
 demo:
@@ -32,3 +32,7 @@
 generate:
 	protoc -I . --go_out=. --go_opt=module=medlargw.example/medlargw \
 		--twirp_out=. --twirp_opt=module=medlargw.example/medlargw messenger/wire/wire.proto
+
+# Runs the commands of README.md and of the operators' pages.
+docs-check:
+	scripts/docs-check
