--- a/builder/builder.go
+++ b/builder/builder.go
@@ -87,12 +87,12 @@
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
 	registry := metrics.NewRegistry()
-	if part, ok := b.Sender.(medlargw.Part); ok {
-		reg.Add(part)
-	}
 	report := reporter.New(b.Log, reg, registry, time.Now())
 	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
 	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
+	if part, ok := b.Sender.(medlargw.Part); ok {
+		reg.Add(part)
+	}
 	reg.Add(report, disp, auditor.New(b.Log, reg, registry))
 	if admin != nil {
 		reg.Add(admin(reg, registry))
