--- a/builder/faults_test.go
+++ b/builder/faults_test.go
@@ -29,6 +29,14 @@
 
 // newEntry starts one entry with one target and returns its URL.
 func newEntry(t *testing.T, target netip.AddrPort, slots int, lease time.Duration) string {
+	t.Helper()
+	url, reg := startEntry(t, newSettings(t, "h", lease), newStore(t, target, slots))
+	awaitReady(t, reg)
+	return url
+}
+
+// newStore returns a store with a configuration, one target and one entry.
+func newStore(t *testing.T, target netip.AddrPort, slots int) *storer.Storer {
 	t.Helper()
 	store := storer.New()
 	store.SetHosts(medlargw.HostList{
@@ -43,7 +51,13 @@
 	if _, err := publisher.New(store).Publish(t.Context(), []medlargw.TeamConfig{cfg}); err != nil {
 		t.Fatalf("publish: %v", err)
 	}
-	b := Builder{Log: zap.NewNop(), Settings: newSettings(t, lease), Store: store, Hosts: store}
+	return store
+}
+
+// startEntry starts an entry.
+func startEntry(t *testing.T, settings medlargw.Settings, store *storer.Storer) (string, *registrar.Registrar) {
+	t.Helper()
+	b := Builder{Log: zap.NewNop(), Settings: settings, Store: store, Hosts: store}
 	reg, err := b.Build()
 	if err != nil {
 		t.Fatalf("build: %v", err)
@@ -56,15 +70,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	url := "http://" + served.Addr().String()
-	awaitReady(t, reg)
-	return url
+	return "http://" + served.Addr().String(), reg
 }
 
-func newSettings(t *testing.T, lease time.Duration) medlargw.Settings {
+func newSettings(t *testing.T, host string, lease time.Duration) medlargw.Settings {
 	t.Helper()
 	var l loader.Loader
-	s, err := l.Parse("test", []byte(`{"host": "h", "zone": "z", "key": "deployment-key-of-this-test", "admin": "administration-key-of-this-test"}`))
+	s, err := l.Parse("test", []byte(`{"host": "`+host+`", "zone": "z", "key": "deployment-key-of-this-test", "admin": "administration-key-of-this-test"}`))
 	if err != nil {
 		t.Fatalf("settings: %v", err)
 	}
