Sender: build the request from its parts

Cause: parsing a URL and finding the form of header names took 3% of an entry's processor time. Change: the request is put together; the header's values share one array.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -16,6 +16,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -111,10 +112,7 @@
 
 func (s *Sender) exchange(ctx context.Context, a *medlargw.Attempt) medlargw.AttemptEnd {
 	var p progress
-	req, err := s.request(httptrace.WithClientTrace(ctx, p.trace(a)), a)
-	if err != nil {
-		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.ReasonProtocol, Message: err.Error()}
-	}
+	req := request(httptrace.WithClientTrace(ctx, p.trace(a)), a)
 	// A round trip follows no redirect: one is an answer like any other.
 	resp, err := s.transport.Load().RoundTrip(req)
 	if err != nil {
@@ -128,23 +126,38 @@
 // transport can't rewind it.
 type once struct{ io.Reader }
 
-func (s *Sender) request(ctx context.Context, a *medlargw.Attempt) (*http.Request, error) {
+// jsonType is the value of Content-Type; nothing changes it.
+var jsonType = []string{"application/json"}
+
+// request builds the request from its parts: parsing a URL and looking up the
+// form of header names for each attempt would cost more than the rest.
+func request(ctx context.Context, a *medlargw.Attempt) *http.Request {
 	payload := a.Task().Payload
-	url := "http://" + a.Addr.String() + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, once{bytes.NewReader(payload)})
-	if err != nil {
-		return nil, fmt.Errorf("build request: %w", err)
+	values := [...]string{
+		string(a.Tag),
+		string(a.Job.Service),
+		strconv.FormatInt(a.Lease.Milliseconds(), 10),
+		digest(payload),
+	}
+	req := &http.Request{
+		Method:     http.MethodPost,
+		URL:        &url.URL{Scheme: "http", Host: a.Addr.String(), Path: path},
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header: http.Header{
+			"Content-Type": jsonType,
+			headerAttempt:  values[0:1:1],
+			headerService:  values[1:2:2],
+			headerLease:    values[2:3:3],
+			headerDigest:   values[3:4:4],
+		},
+		ContentLength: int64(len(payload)),
 	}
-	req.ContentLength = int64(len(payload))
-	if len(payload) == 0 {
-		req.Body = nil
+	if len(payload) > 0 {
+		req.Body = io.NopCloser(once{bytes.NewReader(payload)})
 	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerAttempt, string(a.Tag))
-	req.Header.Set(headerService, string(a.Job.Service))
-	req.Header.Set(headerLease, strconv.FormatInt(a.Lease.Milliseconds(), 10))
-	req.Header.Set(headerDigest, digest(payload))
-	return req, nil
+	return req.WithContext(ctx)
 }
 
 func digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -118,12 +118,8 @@
 // TestRequestCantBeResent checks each property by which the transport of
 // net/http decides to send a request again.
 func TestRequestCantBeResent(t *testing.T) {
-	s := New(testTask, "z")
 	for _, payload := range []string{"", "1"} {
-		req, err := s.request(context.Background(), attemptTo("127.0.0.1:1", payload))
-		if err != nil {
-			t.Fatalf("request: %v", err)
-		}
+		req := request(context.Background(), attemptTo("127.0.0.1:1", payload))
 		if req.GetBody != nil {
 			t.Errorf("payload %q: got GetBody, want none", payload)
 		}
@@ -210,3 +206,12 @@
 		t.Errorf("connections: got %d, want at most %d", got, want)
 	}
 }
+
+// BenchmarkRequest measures what an attempt costs before the transport.
+func BenchmarkRequest(b *testing.B) {
+	a := attemptTo("127.0.0.1:1", `{"number":1,"run":50000}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = request(context.Background(), a)
+	}
+}
