Test: a failed task answers at once and gives up the running ones

Cause: the promise was kept by the decider but not tested through an entry. Change: one task fails while the other hangs under a lease of an hour.

--- a/builder/faults_test.go
+++ b/builder/faults_test.go
@@ -243,6 +243,28 @@
 	}
 }
 
+// TestFailureAnswersAtOnce has one task fail while another hangs: the answer
+// does not wait for the second, whose request is given up.
+func TestFailureAnswersAtOnce(t *testing.T) {
+	broken := answers(func(tag string) string { return response(http.StatusInternalServerError, tag, "broken") })
+	stopped := make(chan struct{})
+	watch := func(target *rawTarget, c *net.TCPConn, r *bufio.Reader) bool {
+		defer close(stopped)
+		return hang(target, c, r)
+	}
+	target := newRawTarget(t, watch, broken)
+	url := newEntry(t, target.addr, 2, time.Hour)
+	got, err := ask(t.Context(), http.MethodPost, url+"/v1/jobs", jobOf(2, time.Minute, "", `,"payload":1`))
+	if err != nil {
+		t.Fatalf("submit: %v", err)
+	}
+	checkFailed(t, &got, []string{"task-failed"}, []string{"done", "unknown"})
+	if got.NotRun || got.Tasks[0].Fate == got.Tasks[1].Fate {
+		t.Errorf("answer: got %+v, want one task done and one unknown", got)
+	}
+	<-stopped
+}
+
 // TestTwoAnswers has the target answer each request twice: the second answer
 // must never pass for that of the next task.
 func TestTwoAnswers(t *testing.T) {
