--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -113,7 +113,7 @@
 	out, err := run(t, "publish", "../examples", "--store", addr, "--key", "wrong", "--admin-key", testAdminKey)
 	want(t, "the key may not publish team deployment", true, out, err)
 	out, err = run(t, "publish", "../examples", "--store", addr, "--key", operatorsKey, "--admin-key", testAdminKey, "--dry-run")
-	want(t, `\+ desk: service slip-check: class urgent`, false, out, err)
+	want(t, `(?s)\+ desk: service slip-check: class urgent.*base [0-9a-f]+`, false, out, err)
 	// The second entry may not have met the first one yet.
 	awaitMembers(t, admin, 2)
 	out, err = run(t, "publish", "../examples", "--store", addr, "--key", operatorsKey, "--admin-key", testAdminKey, "--wait")
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -28,6 +28,7 @@
 
 	wait    time.Duration
 	owner   string
+	base    string
 	dryRun  bool
 	prune   bool
 	recover bool
@@ -52,6 +53,7 @@
 	cmd.Flags().DurationVar(&f.wait, "wait", 0, "wait up to that long until the entries have it in force; alone, 19s")
 	cmd.Flags().Lookup("wait").NoOptDefVal = defaultWait.String()
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show what would change, and write nothing")
+	cmd.Flags().StringVar(&f.base, "base", "", "publish only if nothing has changed since the dry run that printed this base")
 	cmd.Flags().BoolVar(&f.prune, "prune", false, "allow that something is removed")
 	cmd.Flags().BoolVar(&f.recover, "recover", false, "publish above the entries' generation when the store went back")
 	cmd.Flags().Lookup("key").DefValue = ""
@@ -70,6 +72,7 @@
 	p := publisher.New(platform)
 	p.Prune = f.prune || f.dryRun
 	p.Recover = f.recover
+	p.Base = f.base
 	p.Check = files.Check
 	if f.owner != "" {
 		p.Keys = []string{f.owner}
@@ -109,6 +112,9 @@
 	if len(plan.Changes) == 0 {
 		cmd.Printf("nothing to change: generation %d is in force\n", plan.Generation)
 	}
+	if f.dryRun {
+		cmd.Printf("base %s\n", plan.Base)
+	}
 	if f.dryRun && removed && !f.prune {
 		cmd.PrintErrln("warning: something is removed, which needs --prune")
 	}
--- a/publish.go
+++ b/publish.go
@@ -51,6 +51,7 @@
 // Plan is what a publish would change.
 type Plan struct {
 	Generation uint64 // In force now.
+	Base       string // Digest of what is in force of the teams to publish.
 	Claimed    bool   // Whether the operators' team is published.
 	Changes    []Change
 }
--- a/publisher/plan.go
+++ b/publisher/plan.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"fmt"
 	"slices"
+	"strings"
 
 	"medlargw.example/medlargw"
 )
@@ -80,7 +81,7 @@
 		for i := range teams {
 			p.base[teams[i].Team.Name] = s.version(teams[i].Team.Name)
 		}
-		return nil
+		return p.checkBase(s, teams, c)
 	}
 	var changes []medlargw.Change
 	for i := range c.teams {
@@ -103,6 +104,25 @@
 	return &medlargw.PublishError{Message: "another publisher changed the same team meanwhile:", Changes: changes}
 }
 
+// checkBase reports teams that were changed since the plan that gave the base.
+func (p *Publisher) checkBase(s *snapshot, teams []medlargw.TeamConfig, c changeSet) error {
+	if p.Base == "" || p.Base == p.digest(s, teams) || len(c.changes) == 0 {
+		return nil
+	}
+	message := "what is in force has changed since base " + p.Base + "; this publish would now change:"
+	return &medlargw.PublishError{Message: message, Changes: c.changes}
+}
+
+// digest stands for what is in force of the teams.
+func (p *Publisher) digest(s *snapshot, teams []medlargw.TeamConfig) string {
+	var versions strings.Builder
+	for i := range teams {
+		v := s.version(teams[i].Team.Name)
+		versions.WriteString(string(teams[i].Team.Name) + "/" + v.Hash + "\n")
+	}
+	return p.conv.Hash([]byte(versions.String()))
+}
+
 // checkRemoved reports removals that were not asked for.
 func (p *Publisher) checkRemoved(c changeSet) error {
 	if p.Prune {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -38,6 +38,7 @@
 	Keys    []string // Of the publishing team, or of the operators.
 	Prune   bool     // Whether anything may be removed.
 	Seen    uint64   // Highest generation that an entry has in force.
+	Base    string   // Digest that an earlier plan gave; empty takes any.
 	Recover bool     // Whether to publish above Seen when the store is behind it.
 
 	// Check reports faults of the files together with what is in force of other
@@ -89,7 +90,12 @@
 			return err
 		}
 		change, err := p.plan(s, teams)
-		plan = medlargw.Plan{Generation: s.head.Generation, Claimed: s.claimed(), Changes: change.changes}
+		plan = medlargw.Plan{
+			Generation: s.head.Generation,
+			Base:       p.digest(s, teams),
+			Claimed:    s.claimed(),
+			Changes:    change.changes,
+		}
 		return err
 	})
 	return plan, err
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -134,7 +134,7 @@
 		s := newFakeStore()
 		mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1, "slip"), team("ice", 1, "ping"))
 		mustPublish(t, s, 2, team("desk", 2, "slip"))
-		time.Sleep(2 * retiredFor) // Virtual time; the value of generation 1 is to be collected.
+		<-time.After(2 * retiredFor) // Virtual time; the value of generation 1 is to be collected.
 		s.calls, s.at, s.fault, s.lasting = 0, at, f, lasting
 		changed := []medlargw.TeamConfig{team("desk", 3, "slip"), team("ice", 3, "ping")}
 		g, err, crashed := publish(t, s, "deployment", changed...)
@@ -248,6 +248,27 @@
 	}
 }
 
+// TestAcceptedThenReplaced wants that a publish whose reply was lost is told of
+// its own generation, also when another one has replaced it since.
+func TestAcceptedThenReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustPublish(t, s, 1, operators("desk"), team("desk", 1))
+		s.before = func() { s.at, s.fault = s.calls+1, faultLost }
+		s.after = func() {
+			mustPublish(t, s, 3, team("desk", 5))
+			mustPublish(t, s, 4, team("desk", 6))
+		}
+		got, err, _ := publish(t, s, "desk", team("desk", 3))
+		if err != nil || got != 2 {
+			t.Errorf("publish: got generation %d and error %v, want 2", got, err)
+		}
+		if got, want := weight(t, s, "desk"), 6; got != want {
+			t.Errorf("weight: got %d, want %d", got, want)
+		}
+	})
+}
+
 func TestKeys(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -309,6 +330,25 @@
 	}
 }
 
+func TestBaseTellsOfChangesSinceThePlan(t *testing.T) {
+	s := newFakeStore()
+	mustPublish(t, s, 1, operators("desk", "ice"), team("desk", 1), team("ice", 1))
+	changed := []medlargw.TeamConfig{team("desk", 2)}
+	plan, err := New(s).Plan(t.Context(), changed)
+	var refused *medlargw.PublishError
+	if !errors.As(err, &refused) {
+		t.Fatalf("plan without a key: got %v, want a refusal", err)
+	}
+	mustPublish(t, s, 2, team("ice", 2)) // Another team's change is no matter.
+	late := New(s)
+	late.Keys, late.Base = []string{"desk"}, plan.Base
+	mustPublish(t, s, 3, team("desk", 3))
+	if _, err := late.Publish(t.Context(), changed); !strings.Contains(fmt.Sprint(err), "~ desk: weight: 3 -> 2") {
+		t.Errorf("publish on an old base: got %v, want what it would change", err)
+	}
+	mustPublish(t, s, 4, team("desk", 1))
+}
+
 func TestStoreGoesBack(t *testing.T) {
 	s := newFakeStore()
 	mustPublish(t, s, 1, operators("desk"), team("desk", 1))
@@ -334,7 +374,7 @@
 			checkWhole(t, s)
 		}
 		before := len(s.entries)
-		time.Sleep(retiredFor) // Virtual time.
+		<-time.After(retiredFor) // Virtual time.
 		mustPublish(t, s, 9, team("desk", 7))
 		checkWhole(t, s)
 		if got, want := len(s.entries), 4; before <= want || got != want {
