Count wrong administration keys; name an address that is another entry's

Cause: wrong keys left no trace, and an entry whose operators' address is on loopback was shown as one without an address. Change: a counter and a sampled line; status names the entry that answers there.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -230,6 +230,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if subtle.ConstantTimeCompare([]byte(key), []byte(a.settings.Admin)) != 1 {
+			metrics.GetOrRegisterCounter("admin.unauthorized", a.metrics).Inc(1)
+			a.log.Warn("request with a wrong key", zap.String("from", r.RemoteAddr))
 			a.refuse(w, http.StatusUnauthorized, medlargw.CodeUnauthorized, "the administration key is missing or wrong")
 			return
 		}
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -199,13 +199,18 @@
 		return kept
 	}
 	known[m.Host] = true
+	missing := medlargw.EntryAnswer{Host: m.Host, Zone: m.Zone, Addr: m.Admin, Err: errNoAddress}
 	for i := range kept {
-		if kept[i].Addr == m.Admin && kept[i].Host == "" {
+		switch {
+		case kept[i].Addr != m.Admin || !m.Admin.IsValid():
+			continue
+		case kept[i].Host == "":
 			kept[i].Host, kept[i].Zone = m.Host, m.Zone
 			return kept
 		}
+		missing.Err = fmt.Errorf("its administration address is that of %s", kept[i].Host)
 	}
-	return append(kept, medlargw.EntryAnswer{Host: m.Host, Zone: m.Zone, Addr: m.Admin, Err: errNoAddress})
+	return append(kept, missing)
 }
 
 func (g *Gatherer) get(ctx context.Context, addr netip.AddrPort, path string) ([]byte, error) {
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -78,11 +78,13 @@
 	b.knows("c", c.addr(), medlargw.MemberSuspect)
 	b.knows("dead", closedAddr(t), medlargw.MemberLive)
 	b.knows("gone", closedAddr(t), medlargw.MemberGone)
+	b.knows("same", a.addr(), medlargw.MemberLive) // Both listen on an address of their own host only.
 	b.knows("hidden", netip.AddrPort{}, medlargw.MemberJoining)
 	g := New("key", nil)
 	defer g.Close()
 	got := summary(g.Status(t.Context(), []netip.AddrPort{a.addr()}))
-	want := "a <nil>; b <nil>; c <nil>; dead connect: connection refused; hidden its administration address is not known"
+	want := "a <nil>; b <nil>; c <nil>; dead connect: connection refused; hidden its administration address is not known; " +
+		"same its administration address is that of a"
 	if got != want {
 		t.Errorf("answers: got %s, want %s", got, want)
 	}
--- a/publisher/collect_test.go
+++ b/publisher/collect_test.go
@@ -63,3 +63,24 @@
 	}
 	return 0
 }
+
+// BenchmarkPublishOfDesignSize changes one team among 360, by a new process.
+func BenchmarkPublishOfDesignSize(b *testing.B) {
+	s := newFakeStore()
+	all := []medlargw.TeamConfig{{Team: medlargw.Team{Name: "ops"}, Classes: []medlargw.Class{{Name: "urgent"}}}}
+	for n := range 360 {
+		name := fmt.Sprint("team-", n)
+		all = append(all, team(medlargw.TeamName(name), 1, "slip-"+name, "cure-"+name))
+	}
+	if _, err := New(s).Publish(b.Context(), all); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	n := 1
+	for b.Loop() {
+		n++
+		if _, err := New(s).Publish(b.Context(), []medlargw.TeamConfig{team("team-7", n, "slip-team-7", "cure-team-7")}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
