Publish over HTTP through a store with faults

Cause: publish had met faults of a fake only, and could not be told to give up sooner than after 30 s.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// TestPublishThroughAFaultyStore publishes over HTTP to the stand-in store.
+func TestPublishThroughAFaultyStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults medlargw.StoreFaults
+		want   string
+		fails  bool
+	}{
+		{name: "lost replies", faults: medlargw.StoreFaults{LostReplies: 3}, want: "generation 1 accepted"},
+		{name: "slow", faults: medlargw.StoreFaults{Slow: 5 * time.Millisecond}, want: "generation 1 accepted"},
+		{name: "outage", faults: medlargw.StoreFaults{Outage: true}, want: "read head", fails: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := storer.New()
+			server := httptest.NewServer(store.Handler())
+			defer server.Close()
+			store.SetFaults(tt.faults)
+			args := []string{
+				"publish", "../examples", "--store", server.Listener.Addr().String(),
+				"--key", operatorsKey, "--timeout", "2s",
+			}
+			out, err := run(t, args...)
+			want(t, tt.want, tt.fails, out, err)
+			store.SetFaults(medlargw.StoreFaults{})
+			out, err = run(t, args...)
+			want(t, "generation 1 (accepted|is in force)", false, out, err)
+		})
+	}
+}
+
 func TestNobodyToAsk(t *testing.T) {
 	out, err := run(t, "status")
 	want(t, "no entry to ask", true, out, err)
--- a/commander/publish.go
+++ b/commander/publish.go
@@ -12,8 +12,8 @@
 	"medlargw.example/medlargw/publisher"
 )
 
-// publishTimeout bounds one publish, retries included.
-const publishTimeout = 30 * time.Second
+// defaultTimeout bounds one publish, retries included.
+const defaultTimeout = 30 * time.Second
 
 // defaultWait is the time in which an accepted configuration is in force on
 // every entry that can be reached.
@@ -26,6 +26,7 @@
 type publishFlags struct {
 	entryFlags
 
+	timeout time.Duration
 	wait    time.Duration
 	owner   string
 	base    string
@@ -50,6 +51,7 @@
 	}
 	cmd.Flags().StringVar(&f.owner, "key", os.Getenv(keyVariable), "publishing key; by default that of "+keyVariable)
 	f.register(cmd, "admin-key")
+	cmd.Flags().DurationVar(&f.timeout, "timeout", defaultTimeout, "longest time to try when the store doesn't answer")
 	cmd.Flags().DurationVar(&f.wait, "wait", 0, "wait up to that long until the entries have it in force; alone, 19s")
 	cmd.Flags().Lookup("wait").NoOptDefVal = defaultWait.String()
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show what would change, and write nothing")
@@ -62,7 +64,7 @@
 }
 
 func (f *publishFlags) publish(cmd *cobra.Command, files *checker.Checker) error {
-	ctx, cancel := context.WithTimeout(cmd.Context(), publishTimeout)
+	ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
 	defer cancel()
 	platform, err := openStore(f.store)
 	if err != nil {
