Answer peers' fetches while the store is slow

Cause: the watcher held its lock while it read values from the store, so that a peer's fetch waited as long as the store hung; found by the fault row of a zone cut from the platform, which blocked for ever under virtual time. Change: values are read without the lock; the generation is compared again before it comes into force.

--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -17,18 +17,18 @@
 	if err != nil {
 		return false, err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if now := w.generation(); head.Generation <= now {
-		if head.Generation < now {
-			w.log.Error("head went back", zap.Uint64("got", head.Generation), zap.Uint64("kept", now))
-		}
+	if !w.isNewer(&head) {
 		return false, nil
 	}
 	teams, err := w.values(&head, read)
 	if err != nil {
 		return false, err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isNewer(&head) {
+		return false, nil // Another source was faster.
+	}
 	w.teams = teams
 	w.head = raw
 	cfg := compose(&head, teams)
@@ -38,14 +38,27 @@
 	return true, nil
 }
 
-// values returns the values that a head names. The lock is held.
+// isNewer reports whether the head is above the generation in force.
+func (w *Watcher) isNewer(head *medlargw.Head) bool {
+	now := w.generation()
+	if head.Generation < now {
+		w.log.Error("head went back", zap.Uint64("got", head.Generation), zap.Uint64("kept", now))
+	}
+	return head.Generation > now
+}
+
+// values returns the values that a head names. The lock is not held, since the
+// store may be slow and peers must still be answered.
 func (w *Watcher) values(
 	head *medlargw.Head,
 	read func(v medlargw.TeamVersion) ([]byte, error),
 ) (map[medlargw.TeamVersion]value, error) {
+	w.mu.Lock()
+	known := w.teams // Replaced as a whole, never changed.
+	w.mu.Unlock()
 	teams := make(map[medlargw.TeamVersion]value, len(head.Teams))
 	for _, v := range head.Teams {
-		if kept, ok := w.teams[v]; ok {
+		if kept, ok := known[v]; ok {
 			teams[v] = kept
 			continue
 		}
