make multi: real processes through a stop, an outage and a loss

Cause: nothing ran the entries as processes under the faults. Change: scripts/multi starts six entries in two zones, a store and eight targets on free loopback ports under load; the load tool can pass over entries that are not ready.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,16 @@
 GOTOOL = go tool -modfile=tools/go.mod
 LINT = $(GOTOOL) golangci-lint
 
-.PHONY: demo test fmt lint build known-red bench generate
+.PHONY: demo multi test fmt lint build known-red bench generate
 
 # Runs a whole deployment in one process and sends it a load.
 demo:
 	go run ./cmd/medlargw-standin demo --json --seconds 10
 
+# Runs six entries as processes through a planned stop, an outage and a loss.
+multi:
+	scripts/multi
+
 # Runs all tests but those that KNOWN-RED.txt lists.
 test:
 	go test -race -skip "$$(.ci/known-red --pattern)" ./...
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -81,6 +81,8 @@
 	random := rand.New(rand.NewPCG(d.load.Seed, d.load.Seed)) //nolint:gosec // Must repeat itself.
 	var running conc.WaitGroup
 	defer running.Wait()
+	balance, stop := d.balance(ctx)
+	defer stop()
 	began := time.Now()
 	var due time.Duration
 	for n := 0; ; n++ {
@@ -94,10 +96,28 @@
 		case <-ctx.Done():
 			return
 		}
+		if balance != nil {
+			j.entry = balance.pick(n)
+		}
 		running.Go(func() { d.submit(ctx, j) })
 	}
 }
 
+// balance starts the balancer if the load asks for one.
+func (d *Driver) balance(ctx context.Context) (*balancer, func()) {
+	if !d.load.Balance {
+		return nil, func() {}
+	}
+	b := newBalancer(d)
+	ctx, cancel := context.WithCancel(ctx)
+	var running conc.WaitGroup
+	running.Go(func() { b.run(ctx) })
+	return b, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // job is one job of the load, with what its answer must hold.
 type job struct {
 	kind    medlargw.LoadKind
--- a/load.go
+++ b/load.go
@@ -9,6 +9,7 @@
 type Load struct {
 	Entries []netip.AddrPort
 	Direct  []Target // Sends straight to these and keeps their slots; empty sends to the entries.
+	Balance bool     // Jobs go past the entries that are not ready.
 	Kinds   []LoadKind
 	Rate    float64       // Jobs per second.
 	Time    time.Duration // How long jobs are sent.
--- a/rehearser/load.go
+++ b/rehearser/load.go
@@ -29,6 +29,7 @@
 	seconds int
 	seed    uint64
 	direct  bool
+	balance bool
 }
 
 func loadCommand() *cobra.Command {
@@ -47,6 +48,7 @@
 	flags.Float64Var(&f.rate, "rate", 100, "jobs a second")
 	flags.IntVar(&f.seconds, "seconds", 10, "how long jobs are sent")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of the load")
+	flags.BoolVar(&f.balance, "balance", false, "pass over entries that are not ready, as the platform's balancer does")
 	flags.BoolVar(&f.direct, "direct", false, "send straight to the targets and keep their slots")
 	return cmd
 }
@@ -84,7 +86,7 @@
 
 // load returns what to send, and the targets.
 func (f *loadFlags) load(ctx context.Context) (medlargw.Load, []medlargw.Target, error) {
-	load := medlargw.Load{Rate: f.rate, Time: time.Duration(f.seconds) * time.Second, Seed: f.seed}
+	load := medlargw.Load{Balance: f.balance, Rate: f.rate, Time: time.Duration(f.seconds) * time.Second, Seed: f.seed}
 	store, err := netip.ParseAddrPort(f.store)
 	if err != nil {
 		return load, nil, fmt.Errorf("store: %w", err)
