Precedence across entries measured; a wish is divided among lenders

Change: where favour is latency a wish is divided among all lenders, the lowest class leaves half of the burst of requests to those above, and the test's entries hear digests each second.

--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -135,16 +135,20 @@
 	l.refill(now)
 	l.noteShortage(now)
 	missing := l.missing()
-	for _, c := range l.byPromise() {
-		if c.pending && now.Sub(c.sent) < l.term {
+	creditors := l.byPromise()
+	among := l.countWorth(now, creditors)
+	least := l.leastTokens()
+	for _, c := range creditors {
+		if c.waits(now, l.term) {
 			continue
 		}
 		slots := 0
 		if missing > 0 && l.worthAsking(now, c) {
-			slots = c.ask(missing)
+			slots = c.ask(missing, among)
+			among--
 		}
 		wanted := slots > 0 || l.unitsDue(now, c)
-		if !c.mustCall(now) && (!wanted || l.tokens < 1) {
+		if !c.mustCall(now) && (!wanted || l.tokens < least) {
 			continue
 		}
 		missing -= slots
@@ -152,6 +156,40 @@
 	}
 }
 
+// leastTokens returns how many requests must be allowed for one to be made. The
+// lowest class that has work here leaves some to those above.
+func (l *Lender) leastTokens() float64 {
+	lowest := 0
+	for _, c := range l.demand.Classes {
+		if c.Tasks+c.Running > 0 {
+			lowest = max(lowest, c.Rank)
+		}
+	}
+	if top(l.demand.Classes) < lowest {
+		return 1
+	}
+	return 1 + l.pace.burst/2
+}
+
+// countWorth returns among how many creditors to divide what is missing.
+func (l *Lender) countWorth(now time.Time, all []*creditor) int {
+	if !l.pace.divide {
+		return 1
+	}
+	n := 0
+	for _, c := range all {
+		if !c.waits(now, l.term) && l.worthAsking(now, c) {
+			n++
+		}
+	}
+	return n
+}
+
+// waits reports whether a request is still on its way.
+func (c *creditor) waits(now time.Time, term time.Duration) bool {
+	return c.pending && now.Sub(c.sent) < term
+}
+
 // missing returns the slots that this entry is short of and has not asked for.
 func (l *Lender) missing() int {
 	if !l.short() {
@@ -206,12 +244,14 @@
 	return 0
 }
 
-// ask returns how many of the missing slots to ask for.
-func (c *creditor) ask(missing int) int {
+// ask returns how many of the missing slots to ask for: those that are known to
+// be free, or else the creditor's part among several.
+func (c *creditor) ask(missing, among int) int {
 	if free := c.digest.Free; !c.heardAt.IsZero() && free > 0 {
 		return min(missing, free)
 	}
-	return missing
+	among = max(1, among)
+	return (missing + among - 1) / among
 }
 
 // worthAsking reports whether the peer may have slots for what waits here.
--- a/lender/group_test.go
+++ b/lender/group_test.go
@@ -110,9 +110,30 @@
 	for _, e := range g.entries {
 		e.start(favour)
 	}
+	g.after(beat, g.beat)
 	return g
 }
 
+// beat is the time between two heartbeats.
+const beat = time.Second
+
+// beat lets each entry hear the digests of all others that it can reach.
+func (g *group) beat() {
+	for _, from := range g.entries {
+		digest := medlargw.Digest{Free: from.l.freeSlots()}
+		for rank, waiting := range from.waiting {
+			digest.Waiting = append(digest.Waiting, medlargw.ClassDemand{Rank: rank, Tasks: len(waiting)})
+		}
+		for _, to := range g.entries {
+			cut := g.cut != nil && g.cut(from.peer.Host, to.peer.Host)
+			if from != to && !cut && !from.dead && !from.paused && !to.dead && !to.paused {
+				to.l.Heard(to.clock(), from.peer.Host, digest)
+			}
+		}
+	}
+	g.after(beat, g.beat)
+}
+
 // start begins the run of the entry's incarnation.
 func (e *entry) start(favour medlargw.Favour) {
 	s := medlargw.Settings{
@@ -427,9 +448,12 @@
 }
 
 // submit lets n tasks wait at the entry.
-func (e *entry) submit(n, rank int, team medlargw.TeamName, run time.Duration) {
-	for range n {
-		e.waiting[rank] = append(e.waiting[rank], &work{rank: rank, team: team, run: run, arrived: e.g.now})
+func (e *entry) submit(n, rank int, team medlargw.TeamName, run time.Duration) []*work {
+	job := make([]*work, n)
+	for i := range job {
+		job[i] = &work{rank: rank, team: team, run: run, arrived: e.g.now}
 	}
+	e.waiting[rank] = append(e.waiting[rank], job...)
 	e.turn()
+	return job
 }
--- a/lender/pace.go
+++ b/lender/pace.go
@@ -14,6 +14,7 @@
 	rate     float64       // Requests per second.
 	burst    float64       // Requests at once.
 	drain    time.Duration // Between two reports of what is in use without a right.
+	divide   bool          // A wish is divided among all lenders, and not put to one after the other.
 	renewals int           // Of a loan in a term.
 	backoff  time.Duration // After a first request in vain.
 }
@@ -40,6 +41,7 @@
 		rate:     10,
 		burst:    20,
 		drain:    50 * time.Millisecond,
+		divide:   true,
 		renewals: 4,
 		backoff:  20 * time.Millisecond,
 	}
