Wishes for units wait per team; only wishes for slots use up requests

Cause: without a bound for units, renewals and unit requests used up the allowance for slots, and a group stood still with tasks waiting and slots free. Change: each team backs off for itself when its keeper has too few units; only wishes for slots count against the pace; loans are renewed twice a term.

--- a/lender/borrow.go
+++ b/lender/borrow.go
@@ -147,8 +147,10 @@
 			slots = c.ask(missing, among)
 			among--
 		}
-		wanted := slots > 0 || l.unitsDue(now, c)
-		if !c.mustCall(now) && (!wanted || l.tokens < least) {
+		if l.tokens < least {
+			slots = 0
+		}
+		if slots == 0 && !c.mustCall(now) && !l.unitsDue(now, c) {
 			continue
 		}
 		missing -= slots
@@ -318,7 +320,9 @@
 
 // call sends one request. From here on no more is used than it claims.
 func (l *Lender) call(now time.Time, c *creditor, slots int) {
-	l.tokens--
+	if slots > 0 {
+		l.tokens--
+	}
 	l.number++
 	c.number = l.number
 	c.pending = true
--- a/lender/group_test.go
+++ b/lender/group_test.go
@@ -15,25 +15,27 @@
 // group is a deterministic model of entries, targets and the network between
 // them. Time passes only in run.
 type group struct {
-	now      time.Duration // Since the beginning.
-	queue    eventQueue
-	order    int
-	random   *rand.Rand
-	entries  []*entry
-	targets  []medlargw.Target
-	cfg      *medlargw.Config
-	loss     float64
-	double   float64
-	least    time.Duration // Bounds of the delay of one message.
-	most     time.Duration
-	cut      func(from, to medlargw.HostName) bool
-	running  map[medlargw.TargetName]int
-	teams    map[medlargw.TeamName]int // Running tasks.
-	over     int                       // The most by which rights and use passed a target's slots.
-	overTeam int                       // The most by which a team's running tasks passed its limit.
-	busy     int                       // Starts that a target refused.
-	calls    int
-	ended    []*work
+	now       time.Duration // Since the beginning.
+	queue     eventQueue
+	order     int
+	random    *rand.Rand
+	entries   []*entry
+	targets   []medlargw.Target
+	cfg       *medlargw.Config
+	loss      float64
+	double    float64
+	least     time.Duration // Bounds of the delay of one message.
+	most      time.Duration
+	cut       func(from, to medlargw.HostName) bool
+	running   map[medlargw.TargetName]int
+	teams     map[medlargw.TeamName]int // Running tasks.
+	over      int                       // The most by which rights and use passed a target's slots.
+	overTeam  int                       // The most by which a team's running tasks passed its limit.
+	busy      int                       // Starts that a target refused.
+	calls     int
+	unchecked bool // Saves time where rights aren't of interest.
+	bytes     int
+	ended     []*work
 }
 
 // entry is one lender with a plain scheduler: strict classes, first come first.
@@ -182,7 +184,9 @@
 		e := heap.Pop(&g.queue).(event) //nolint:errcheck // Only events.
 		g.now = e.at
 		e.do()
-		g.check()
+		if !g.unchecked {
+			g.check()
+		}
 	}
 	g.now = end
 }
@@ -425,6 +429,7 @@
 
 func (e *entry) send(c medlargw.BorrowCall) {
 	l, from, number := e.l, e.peer.Host, c.Request.Number
+	e.g.bytes += requestBytes(&c.Request)
 	e.g.carry(from, c.To, func(peer *entry) {
 		peer.l.SetDemand(peer.clock(), peer.demand())
 		peer.l.Handle(peer.clock(), &c.Request)
@@ -440,6 +445,7 @@
 
 func (e *entry) answer(a medlargw.BorrowAnswer) {
 	from := e.peer.Host
+	e.g.bytes += replyBytes(&a.Reply)
 	e.g.carry(from, a.To, func(peer *entry) {
 		peer.l.SetDemand(peer.clock(), peer.demand())
 		peer.l.Replied(peer.clock(), from, &a.Reply)
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -48,6 +48,7 @@
 	borrowers  map[medlargw.HostName]*borrower
 	creditors  map[medlargw.HostName]*creditor
 	holdings   map[key]map[medlargw.HostName]*holding
+	unitsWaits map[key]unitsWait
 	number     uint64  // Of the latest request to any lender.
 	tokens     float64 // Requests that may be sent at once.
 	filled     time.Time
@@ -91,6 +92,7 @@
 		borrowers:   map[medlargw.HostName]*borrower{},
 		creditors:   map[medlargw.HostName]*creditor{},
 		holdings:    map[key]map[medlargw.HostName]*holding{},
+		unitsWaits:  map[key]unitsWait{},
 		shares:      map[medlargw.TeamName]medlargw.Share{},
 	}
 }
@@ -186,12 +188,15 @@
 			sooner(c.renewAt)
 		}
 	}
+	for _, w := range l.unitsWaits {
+		sooner(w.until)
+	}
 	for _, held := range l.holdings {
 		for _, h := range held {
 			sooner(h.until)
 		}
 	}
-	if l.short() || l.shortOfUnits() {
+	if l.short() || l.shortOfUnits(now) {
 		sooner(now.Add(l.pace.turn))
 	}
 	return wake
--- a/lender/pace.go
+++ b/lender/pace.go
@@ -42,7 +42,7 @@
 		burst:    20,
 		drain:    50 * time.Millisecond,
 		divide:   true,
-		renewals: 4,
+		renewals: 2,
 		backoff:  20 * time.Millisecond,
 	}
 	messagesPace = pace{
--- a/lender/reply.go
+++ b/lender/reply.go
@@ -30,7 +30,8 @@
 		c.digest.Free = 0
 	}
 	l.backOff(now, c, extra > 0)
-	c.unitsAt = now.Add(l.unitsPause(c))
+	l.noteUnits(now, c)
+	c.unitsAt = now.Add(l.pace.turn)
 	l.planRenewal(now, c)
 }
 
--- a/lender/units.go
+++ b/lender/units.go
@@ -28,6 +28,9 @@
 	}
 	for _, t := range l.demand.Teams {
 		k := teamKey(t.Team)
+		if now.Before(l.unitsWaits[k].until) {
+			continue
+		}
 		if t.Waiting > 0 && l.owners[k] == c.peer.Host && l.right(k) < min(t.Running+t.Waiting, l.mostUnits(k)) {
 			return true
 		}
@@ -36,9 +39,12 @@
 }
 
 // shortOfUnits reports whether a team waits for units that a peer keeps.
-func (l *Lender) shortOfUnits() bool {
+func (l *Lender) shortOfUnits(now time.Time) bool {
 	for _, t := range l.demand.Teams {
 		k := teamKey(t.Team)
+		if now.Before(l.unitsWaits[k].until) {
+			continue
+		}
 		if t.Waiting > 0 && l.owners[k] != l.host && l.right(k) < min(t.Running+t.Waiting, l.mostUnits(k)) {
 			return true
 		}
@@ -53,13 +59,26 @@
 	return zoneShare(units, team, keeperZone(units, team, l.zone, zones), zones)
 }
 
-// unitsPause returns how long to wait before units are asked for again: a
-// while when the last request brought too few.
-func (l *Lender) unitsPause(c *creditor) time.Duration {
+// unitsWait is how long a team waits before units are asked for again, because
+// the last request brought too few.
+type unitsWait struct {
+	until time.Time
+	next  time.Duration
+}
+
+// noteUnits sets which teams wait after the creditor's reply.
+func (l *Lender) noteUnits(now time.Time, c *creditor) {
 	for _, k := range c.keys {
-		if k.unit && l.right(k) < l.used[k]+1 {
-			return 4 * l.pace.backoff
+		if !k.unit {
+			continue
+		}
+		if l.right(k) >= min(l.unitsWanted(k), l.mostUnits(k)) {
+			delete(l.unitsWaits, k)
+			continue
 		}
+		w := l.unitsWaits[k]
+		w.next = min(maxBackoff/2, max(l.pace.backoff, 2*w.next))
+		w.until = now.Add(w.next)
+		l.unitsWaits[k] = w
 	}
-	return l.pace.turn
 }
