--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -140,6 +141,8 @@
 	for state, n := range states {
 		a.gauge("targets."+string(state), n)
 	}
+	a.gauge("loans.lent", amount(s.Core.Lent))
+	a.gauge("loans.held", amount(s.Core.Held))
 	a.gauge("entry.jobs", s.Core.Jobs)
 	a.gauge("entry.running", s.Core.Running)
 	a.gauge("entry.free", s.Core.Free)
@@ -148,6 +151,14 @@
 	return nil
 }
 
+func amount(loans []medlargw.LoanStatus) int {
+	n := 0
+	for _, l := range loans {
+		n += l.Amount
+	}
+	return n
+}
+
 func (a *Administrator) gauge(name string, n int) {
 	metrics.GetOrRegisterGauge(name, a.metrics).Update(int64(n))
 }
@@ -207,6 +218,11 @@
 	Aside *bool `json:"aside"`
 }
 
+type targetAnswer struct {
+	Aside bool `json:"aside"`
+	Known bool `json:"known"` // Whether this entry uses the target now.
+}
+
 func (a *Administrator) setTarget(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	var wire targetAction
 	if !a.read(w, r, &wire) {
@@ -222,15 +238,11 @@
 		a.fail(w, err)
 		return
 	}
-	for i := range s.Core.Targets {
-		if s.Core.Targets[i].Target.Name == name {
-			a.inspector.SetAside(name, *wire.Aside)
-			a.log.Info("target set aside or back", zap.String("target", string(name)), zap.Bool("aside", *wire.Aside))
-			a.answerJSON(w, wire)
-			return
-		}
-	}
-	a.refuse(w, http.StatusNotFound, codeUnknown, "this entry uses no target of that name")
+	known := slices.ContainsFunc(s.Core.Targets, func(t medlargw.TargetStatus) bool { return t.Target.Name == name })
+	// A target that this entry doesn't use now may come to it later.
+	a.inspector.SetAside(name, *wire.Aside)
+	a.log.Info("target set aside or back", zap.String("target", string(name)), zap.Bool("aside", *wire.Aside))
+	a.answerJSON(w, targetAnswer{Aside: *wire.Aside, Known: known})
 }
 
 // read decodes the body, or answers what is wrong with it.
