--- a/placer/capacity.go
+++ b/placer/capacity.go
@@ -53,7 +53,10 @@
 		p.known--
 	}
 	if c.Target.Addr != t.capacity.Target.Addr {
-		t.saidLeaving = time.Time{} // Another process.
+		t.saidLeaving = time.Time{} // Another process, of which nothing is known.
+		t.quarantine = quarantine{}
+		t.slowdown = average{}
+		t.speed = 0
 	}
 	t.capacity = c
 	t.idle = now
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,13 +81,14 @@
 	return nil
 }
 
-// pickProbe returns a quarantined target that is due, for an idempotent job.
+// pickProbe returns a quarantined target that is due, for an idempotent job;
+// to one that is only slow, any job may go.
 func (p *Placer) pickProbe(now time.Time, job *medlargw.Job) *target {
-	if !job.Idempotent || p.due.Len() == 0 || p.services.failing(now, job) > 0 {
+	if p.due.Len() == 0 || p.services.failing(now, job) > 0 {
 		return nil
 	}
 	t := p.due.First().target
-	if job.Size > t.tier.size {
+	if job.Size > t.tier.size || !job.Idempotent && !t.quarantine.slow {
 		return nil
 	}
 	t.quarantine.probing = true
@@ -199,6 +200,7 @@
 	t := p.target(now, name)
 	t.aside = aside
 	t.asideSince = now
+	t.quarantine = quarantine{} // The operator has looked at it.
 	p.refresh(now, t)
 }
 
