--- a/lender/lender.go
+++ b/lender/lender.go
@@ -35,24 +35,28 @@
 	margin      time.Duration
 	pace        pace
 
-	config  *medlargw.Config
-	group   medlargw.Group
-	view    uint64 // Hash of the entries of the zone.
-	owners  map[key]medlargw.HostName
-	targets map[medlargw.TargetName]medlargw.Target
-	pools   map[key]*pool // By the pool's own key; slotPool for the targets.
-	demand  medlargw.Demand
-	used    map[key]int
-
-	borrowers map[medlargw.HostName]*borrower
-	creditors map[medlargw.HostName]*creditor
-	holdings  map[key]map[medlargw.HostName]*holding
-	tokens    float64 // Requests that may be sent at once.
-	filled    time.Time
-	ticked    time.Time
-	shares    map[medlargw.TeamName]medlargw.Share
-	actions   medlargw.LendActions
-	last      []medlargw.Capacity
+	config    *medlargw.Config
+	group     medlargw.Group
+	zoneSlots int    // Of all targets of the zone that have an owner.
+	view      uint64 // Hash of the entries of the zone.
+	owners    map[key]medlargw.HostName
+	targets   map[medlargw.TargetName]medlargw.Target
+	pools     map[key]*pool // By the pool's own key; slotPool for the targets.
+	demand    medlargw.Demand
+	used      map[key]int
+
+	borrowers  map[medlargw.HostName]*borrower
+	creditors  map[medlargw.HostName]*creditor
+	holdings   map[key]map[medlargw.HostName]*holding
+	number     uint64  // Of the latest request to any lender.
+	tokens     float64 // Requests that may be sent at once.
+	filled     time.Time
+	ticked     time.Time
+	shortSince time.Time // Zero while slots are free or nothing waits.
+	woken      time.Time // When this process last woke from a pause.
+	shares     map[medlargw.TeamName]medlargw.Share
+	actions    medlargw.LendActions
+	last       []medlargw.Capacity
 }
 
 var _ medlargw.Lender = (*Lender)(nil)
@@ -129,9 +133,7 @@
 // that the others may have taken it over.
 func (l *Lender) notePause(now time.Time) {
 	if !l.ticked.IsZero() && now.Sub(l.ticked) > l.term {
-		for _, b := range l.borrowers {
-			b.view = 0
-		}
+		l.woken = now
 		for _, p := range l.pools {
 			p.settle(now.Add(l.settling()))
 		}
@@ -142,8 +144,8 @@
 // open opens what this entry came to own once every other entry of the zone
 // has said what it uses of it, under the same view of who owns what.
 func (l *Lender) open(now time.Time) {
-	if l.group.Unheard {
-		return
+	if l.group.Unheard || now.Sub(l.woken) < l.settling() {
+		return // Reports that waited while this process was paused are out of date.
 	}
 	for host, c := range l.creditors {
 		if c.peer.Zone != l.zone {
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -112,6 +112,8 @@
 		{name: "outage of six calls", fault: faultDown, lasting: 6},
 		{name: "lost reply", fault: faultLost},
 		{name: "three lost replies", fault: faultLost, lasting: 3},
+		{name: "late write", fault: faultLate},
+		{name: "three late writes", fault: faultLate, lasting: 3},
 		{name: "crash before", fault: faultCrash},
 		{name: "crash after", fault: faultAfter},
 	}
@@ -153,6 +155,21 @@
 	return calls
 }
 
+func TestOutageAfterALostReplyIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustPublish(t, s, 1, operators("desk"), team("desk", 1))
+		s.before = func() { s.at, s.fault = s.calls+1, faultLost }
+		s.after = func() { s.at, s.fault, s.lasting = s.calls+1, faultDown, 1000 }
+		_, err, _ := publish(t, s, "desk", team("desk", 2))
+		if got, want := fmt.Sprint(err), "unknown whether generation 2 is in force"; !strings.Contains(got, want) {
+			t.Errorf("error: got %s, want %s", got, want)
+		}
+		s.at = 0
+		mustPublish(t, s, 2, team("desk", 2)) // Finds out, and changes nothing.
+	})
+}
+
 func TestNothingChangedWritesNothing(t *testing.T) {
 	s := newFakeStore()
 	mustPublish(t, s, 1, operators("desk"), team("desk", 1, "slip"))
@@ -325,3 +342,38 @@
 		}
 	})
 }
+
+// TestCallsAtDesignSize bounds what one change of one team costs the store.
+func TestCallsAtDesignSize(t *testing.T) {
+	const teams, mostCalls, mostHead = 360, 6, 64 << 10
+	s := newFakeStore()
+	var names []medlargw.TeamName
+	var all []medlargw.TeamConfig
+	for n := range teams {
+		name := medlargw.TeamName(fmt.Sprintf("team-%03d", n))
+		names = append(names, name)
+		all = append(all, team(name, 1, "slip-"+string(name), "cure-"+string(name)))
+	}
+	mustPublish(t, s, 1, append(all, operators(names...))...)
+	for n := range 40 {
+		s.calls = 0
+		mustPublish(t, s, uint64(n+2), team("team-007", 2-n%2, "slip-team-007", "cure-team-007"))
+	}
+	if got := s.calls; got > mostCalls {
+		t.Errorf("calls of one publish: got %d, want at most %d", got, mostCalls)
+	}
+	value := s.entries[converter.HeadKey].Value
+	if got := len(value); got > mostHead {
+		t.Errorf("bytes of the head: got %d, want at most %d", got, mostHead)
+	}
+	t.Logf("%d calls, head of %d bytes, team value of %d bytes", s.calls, len(value), valueSize(s, "team/team-008/"))
+}
+
+func valueSize(s *fakeStore, prefix string) int {
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			return len(e.Value)
+		}
+	}
+	return 0
+}
