Tell each leaked slot once, in the log and by a counter

Change: the decider looks every ten seconds while reservations outlive their job, and the dispatcher logs and counts those older than a minute. Conclusion: a leak shows without anybody asking for it.

--- a/action.go
+++ b/action.go
@@ -14,7 +14,8 @@
 	Starts   []Attempt
 	Stops    []Tag // Running attempts whose end no longer matters.
 	Finishes []Finish
-	Wake     time.Time // When time alone may allow more; zero is never.
+	Leaks    []LeakStatus // Found now; each is told once.
+	Wake     time.Time    // When time alone may allow more; zero is never.
 }
 
 // Reset empties the actions and keeps their memory.
@@ -24,6 +25,7 @@
 	a.Starts = a.Starts[:0]
 	a.Stops = a.Stops[:0]
 	a.Finishes = a.Finishes[:0]
+	a.Leaks = a.Leaks[:0]
 	a.Wake = time.Time{}
 }
 
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -40,8 +40,9 @@
 	expiring  ranker.Ranker[*pause]     // Pauses that end by time.
 	waiting   map[medlargw.TeamName]int // Waiting tasks by team.
 	total     int                       // Waiting tasks of all teams.
-	orphans   map[medlargw.Tag]medlargw.LeakStatus
-	unsettled bool // The last event left work over.
+	orphans   map[medlargw.Tag]*orphan
+	leakCheck time.Time // No look for leaks before.
+	unsettled bool      // The last event left work over.
 	actions   medlargw.Actions
 }
 
@@ -59,7 +60,7 @@
 		jobs:       map[medlargw.JobID]*jobState{},
 		pauses:     map[medlargw.Lane]*pause{},
 		waiting:    map[medlargw.TeamName]int{},
-		orphans:    map[medlargw.Tag]medlargw.LeakStatus{},
+		orphans:    map[medlargw.Tag]*orphan{},
 	}
 }
 
--- a/decider/dispatch.go
+++ b/decider/dispatch.go
@@ -39,6 +39,7 @@
 		d.tryStart(now, c)
 	}
 	d.endCancelled()
+	d.tellLeaks(now)
 	d.setWake(now)
 }
 
@@ -118,6 +119,9 @@
 	if d.deadlines.Len() > 0 {
 		wake = earlier(wake, d.deadlines.First().job.Deadline)
 	}
+	if len(d.orphans) > 0 {
+		wake = earlier(wake, d.leakCheck)
+	}
 	if d.expiring.Len() > 0 {
 		wake = earlier(wake, d.expiring.First().until)
 	}
--- a/decider/fault_test.go
+++ b/decider/fault_test.go
@@ -118,8 +118,15 @@
 		if got := len(b.decider.Status().Leaks); got != test.want {
 			t.Errorf("after %v: got %d leaks, want %d", test.after, got, test.want)
 		}
+		if wake := b.decider.Actions().Wake; wake.After(b.now.Add(test.after + 10*time.Second)) {
+			t.Errorf("after %v: got wake at %v, want the next look for leaks", test.after, wake)
+		}
+	}
+	b.decider.Tick(epoch.Add(75 * time.Second))
+	if got := len(b.decider.Actions().Leaks); got != 1 {
+		t.Errorf("got %d leaks told, want 1", got)
 	}
-	b.decider.Ended(epoch.Add(61*time.Second), &start, &medlargw.AttemptEnd{Kind: medlargw.EndLost})
+	b.decider.Ended(epoch.Add(76*time.Second), &start, &medlargw.AttemptEnd{Kind: medlargw.EndLost})
 	if got := b.decider.Status(); len(got.Leaks) != 0 || got.Targets[0].Used != 0 {
 		t.Errorf("after the end: got leaks %v, %d slots in use, want none", got.Leaks, got.Targets[0].Used)
 	}
--- a/decider/jobstate.go
+++ b/decider/jobstate.go
@@ -121,7 +121,8 @@
 	r := s.running[i]
 	s.results[i].Fate = medlargw.FateUnknown
 	d.actions.Stops = append(d.actions.Stops, r.tag)
-	d.orphans[r.tag] = medlargw.LeakStatus{Job: s.job.ID, Target: r.target, Ended: d.now}
+	leak := medlargw.LeakStatus{Job: s.job.ID, Target: r.target, Ended: d.now}
+	d.orphans[r.tag] = &orphan{leak: leak}
 }
 
 func (d *Decider) end(s *jobState, outcome medlargw.Outcome) {
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -65,6 +65,9 @@
 	for i := range actions.Finishes {
 		d.finish(&actions.Finishes[i])
 	}
+	for i := range actions.Leaks {
+		d.observeLeak(&actions.Leaks[i])
+	}
 	if wake := d.nextWake(actions.Wake); !wake.IsZero() {
 		d.timer.Reset(time.Until(wake))
 	}
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 )
@@ -77,3 +78,10 @@
 	}
 	metrics.GetOrRegisterCounter(name, d.registry).Inc(1)
 }
+
+// observeLeak reports a slot that is still reserved though its job has ended.
+func (d *Dispatcher) observeLeak(l *medlargw.LeakStatus) {
+	metrics.GetOrRegisterCounter("slots.leaked", d.registry).Inc(1)
+	d.log.Warn("A slot outlived its job.",
+		zap.Uint64("job", uint64(l.Job)), zap.String("target", string(l.Target)), zap.Time("ended", l.Ended))
+}
