Demand without sorting: 264 to 18 us

Cause: what the lender is told each 2 ms while tasks wait was taken from the status, which sorted all targets and teams (264 us for 61 targets, 360 teams). Change: placer and limiter keep their records in the order of names, and give what is in use only.

--- a/decider/cost_test.go
+++ b/decider/cost_test.go
@@ -177,3 +177,14 @@
 		t.Errorf("got %d jobs ended, want %d", ended, jobs)
 	}
 }
+
+// BenchmarkDemand measures what the lender is told while tasks wait, for the
+// targets that one of nine zones' entries uses.
+func BenchmarkDemand(b *testing.B) {
+	run, _ := filled(b, size{waiting: fullSize.waiting, teams: fullSize.teams, targets: 61})
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		_ = run.decider.Demand()
+	}
+}
--- a/decider/demand.go
+++ b/decider/demand.go
@@ -16,14 +16,12 @@
 func (d *Decider) Demand() medlargw.Demand {
 	demand := medlargw.Demand{Classes: d.scheduler.Waiting()}
 	d.deductHeldBack(demand.Classes)
-	for _, t := range d.placer.Status() {
-		if t.Used > 0 {
-			demand.Targets = append(demand.Targets, medlargw.TargetUse{Target: t.Target.Name, Used: t.Used})
-		}
-	}
-	for _, t := range d.limiter.Status() {
-		if waiting := d.waiting[t.Team]; t.Running > 0 || waiting > 0 {
-			use := medlargw.TeamUse{Team: t.Team, Running: t.Running, Waiting: waiting}
+	demand.Targets = d.placer.InUse()
+	teams := d.limiter.Running()
+	demand.Teams = teams[:0] // Filtered in place.
+	for _, use := range teams {
+		use.Waiting = d.waiting[use.Team]
+		if use.Running > 0 || use.Waiting > 0 {
 			demand.Teams = append(demand.Teams, use)
 		}
 	}
--- a/interfaces.go
+++ b/interfaces.go
@@ -109,6 +109,9 @@
 	Failing(now time.Time, job *Job) time.Duration
 	// SetAside takes a target out of use, or back into it.
 	SetAside(now time.Time, target TargetName, aside bool)
+	// InUse returns the targets with slots in use, and Status all targets, in the
+	// order of their names.
+	InUse() []TargetUse
 	Status() []TargetStatus
 }
 
@@ -127,5 +130,8 @@
 	Return(now time.Time, job *Job)
 	// Limit returns the limit in force for the team on this entry.
 	Limit(team TeamName) Limit
+	// Running returns all teams with their running tasks, and Status with their
+	// limits too, in the order of their names.
+	Running() []TeamUse
 	Status() []LimitStatus
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -16,7 +16,14 @@
 
 // Limiter implements medlargw.Limiter.
 type Limiter struct {
-	uses map[medlargw.Lane]*use
+	uses  map[medlargw.Lane]*use
+	teams []team // By name.
+}
+
+// team is the record of a team.
+type team struct {
+	name medlargw.TeamName
+	use  *use
 }
 
 var _ medlargw.Limiter = (*Limiter)(nil)
@@ -49,7 +56,7 @@
 		}
 		u.configure(medlargw.Limit{})
 		if u.running == 0 {
-			delete(l.uses, lane)
+			l.forget(lane)
 		}
 	}
 }
@@ -67,15 +74,26 @@
 	if u == nil {
 		u = &use{}
 		l.uses[lane] = u
+		if lane.Service == "" {
+			i, _ := l.find(lane.Team)
+			l.teams = slices.Insert(l.teams, i, team{name: lane.Team, use: u})
+		}
 	}
 	return u
 }
 
+// find returns the position of the team in the order of names.
+func (l *Limiter) find(name medlargw.TeamName) (int, bool) {
+	return slices.BinarySearchFunc(l.teams, name, func(t team, name medlargw.TeamName) int {
+		return cmp.Compare(t.name, name)
+	})
+}
+
 // Take reserves one running task and one start.
 func (l *Limiter) Take(now time.Time, job *medlargw.Job) (bool, medlargw.Lane, time.Time) {
 	lane := medlargw.Lane{Team: job.Team}
-	team := l.use(lane)
-	if ok, until := team.allows(now); !ok {
+	whole := l.use(lane)
+	if ok, until := whole.allows(now); !ok {
 		return false, lane, until
 	}
 	lane.Service = job.Service
@@ -86,7 +104,7 @@
 		}
 		service.take(now)
 	}
-	team.take(now)
+	whole.take(now)
 	return true, medlargw.Lane{}, time.Time{}
 }
 
@@ -111,15 +129,30 @@
 	return medlargw.Limit{}
 }
 
+func (l *Limiter) forget(lane medlargw.Lane) {
+	delete(l.uses, lane)
+	if lane.Service != "" {
+		return
+	}
+	if i, found := l.find(lane.Team); found {
+		l.teams = slices.Delete(l.teams, i, i+1)
+	}
+}
+
+// Running returns the teams in the order of their names.
+func (l *Limiter) Running() []medlargw.TeamUse {
+	all := make([]medlargw.TeamUse, len(l.teams))
+	for i, t := range l.teams {
+		all[i] = medlargw.TeamUse{Team: t.name, Running: t.use.running}
+	}
+	return all
+}
+
 // Status returns the teams in the order of their names.
 func (l *Limiter) Status() []medlargw.LimitStatus {
-	all := make([]medlargw.LimitStatus, 0, len(l.uses))
-	for lane, u := range l.uses {
-		if lane.Service != "" {
-			continue
-		}
-		all = append(all, medlargw.LimitStatus{Team: lane.Team, Running: u.running, Limit: u.limit, Blocked: u.full()})
+	all := make([]medlargw.LimitStatus, len(l.teams))
+	for i, t := range l.teams {
+		all[i] = medlargw.LimitStatus{Team: t.name, Running: t.use.running, Limit: t.use.limit, Blocked: t.use.full()}
 	}
-	slices.SortFunc(all, func(a, b medlargw.LimitStatus) int { return cmp.Compare(a.Team, b.Team) })
 	return all
 }
--- a/placer/capacity.go
+++ b/placer/capacity.go
@@ -23,7 +23,7 @@
 			p.setCapacity(now, t, all[i])
 		}
 	}
-	for _, t := range p.targets {
+	for _, t := range p.ordered {
 		if t.round != p.round && t.capacity.Slots > 0 {
 			gone := t.capacity
 			gone.Slots = 0
@@ -42,10 +42,19 @@
 		t.probe.target = t
 		t.tier = &tier{}
 		p.targets[name] = t
+		i, _ := p.find(name)
+		p.ordered = slices.Insert(p.ordered, i, t)
 	}
 	return t
 }
 
+// find returns the position of the target in the order of names.
+func (p *Placer) find(name medlargw.TargetName) (int, bool) {
+	return slices.BinarySearchFunc(p.ordered, name, func(t *target, name medlargw.TargetName) int {
+		return cmp.Compare(t.capacity.Target.Name, name)
+	})
+}
+
 func (p *Placer) setCapacity(now time.Time, t *target, c medlargw.Capacity) {
 	had := t.capacity.Slots > 0
 	if had {
@@ -94,4 +103,7 @@
 	p.timers.Remove(&t.timer)
 	p.due.Remove(&t.probe)
 	delete(p.targets, t.capacity.Target.Name)
+	if i, found := p.find(t.capacity.Target.Name); found {
+		p.ordered = slices.Delete(p.ordered, i, i+1)
+	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,7 +26,8 @@
 	estimator medlargw.Estimator
 	rules     medlargw.QuarantineRules
 	targets   map[medlargw.TargetName]*target
-	tiers     []*tier // In ascending order of size.
+	ordered   []*target // By name.
+	tiers     []*tier   // In ascending order of size.
 	timers    ranker.Ranker[*timer]
 	due       ranker.Ranker[*probe] // Quarantined targets that may be probed now.
 	services  services
@@ -204,15 +205,25 @@
 	p.refresh(now, t)
 }
 
+// InUse returns the targets with slots in use in the order of their names.
+func (p *Placer) InUse() []medlargw.TargetUse {
+	all := make([]medlargw.TargetUse, 0, len(p.ordered))
+	for _, t := range p.ordered {
+		if t.used > 0 {
+			all = append(all, medlargw.TargetUse{Target: t.capacity.Target.Name, Used: t.used})
+		}
+	}
+	return all
+}
+
 // Status returns the targets in the order of their names.
 func (p *Placer) Status() []medlargw.TargetStatus {
-	all := make([]medlargw.TargetStatus, 0, len(p.targets))
-	for _, t := range p.targets {
+	all := make([]medlargw.TargetStatus, 0, len(p.ordered))
+	for _, t := range p.ordered {
 		if t.capacity.Slots > 0 || t.used > 0 || t.aside {
 			all = append(all, t.status())
 		}
 	}
-	slices.SortFunc(all, func(a, b medlargw.TargetStatus) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
 	return all
 }
 
