--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,7 +26,8 @@
 	estimator medlargw.Estimator
 	rules     medlargw.QuarantineRules
 	targets   map[medlargw.TargetName]*target
-	tiers     []*tier // In ascending order of size.
+	ordered   []*target // By name.
+	tiers     []*tier   // In ascending order of size.
 	timers    ranker.Ranker[*timer]
 	due       ranker.Ranker[*probe] // Quarantined targets that may be probed now.
 	services  services
@@ -81,13 +82,14 @@
 	return nil
 }
 
-// pickProbe returns a quarantined target that is due, for an idempotent job.
+// pickProbe returns a quarantined target that is due, for an idempotent job;
+// to one that is only slow, any job may go.
 func (p *Placer) pickProbe(now time.Time, job *medlargw.Job) *target {
-	if !job.Idempotent || p.due.Len() == 0 || p.services.failing(now, job) > 0 {
+	if p.due.Len() == 0 || p.services.failing(now, job) > 0 {
 		return nil
 	}
 	t := p.due.First().target
-	if job.Size > t.tier.size {
+	if job.Size > t.tier.size || !job.Idempotent && !t.quarantine.slow {
 		return nil
 	}
 	t.quarantine.probing = true
@@ -199,18 +201,29 @@
 	t := p.target(now, name)
 	t.aside = aside
 	t.asideSince = now
+	t.quarantine = quarantine{} // The operator has looked at it.
 	p.refresh(now, t)
 }
 
+// InUse returns the targets with slots in use in the order of their names.
+func (p *Placer) InUse() []medlargw.TargetUse {
+	all := make([]medlargw.TargetUse, 0, len(p.ordered))
+	for _, t := range p.ordered {
+		if t.used > 0 {
+			all = append(all, medlargw.TargetUse{Target: t.capacity.Target.Name, Used: t.used})
+		}
+	}
+	return all
+}
+
 // Status returns the targets in the order of their names.
 func (p *Placer) Status() []medlargw.TargetStatus {
-	all := make([]medlargw.TargetStatus, 0, len(p.targets))
-	for _, t := range p.targets {
+	all := make([]medlargw.TargetStatus, 0, len(p.ordered))
+	for _, t := range p.ordered {
 		if t.capacity.Slots > 0 || t.used > 0 || t.aside {
 			all = append(all, t.status())
 		}
 	}
-	slices.SortFunc(all, func(a, b medlargw.TargetStatus) int { return cmp.Compare(a.Target.Name, b.Target.Name) })
 	return all
 }
 
