Cost of the group measured over real sockets

Cause: nothing showed what heartbeats, lists and watches cost an entry. Change: the messenger counts bytes and requests; BenchmarkGroupCost runs fleets without jobs and reports the means by entry, with 66 bytes of headers for each of three packets an exchange.

--- a/builder/builder.go
+++ b/builder/builder.go
@@ -54,7 +54,8 @@
 	Sender   medlargw.Sender // Nil reaches the targets.
 	// Messenger returns the part "messenger"; nil serves and reaches real peers.
 	Messenger func(reg *registrar.Registrar) medlargw.Part
-	Level     zap.AtomicLevel // Of the log, for operators to change.
+	Metrics   metrics.Registry // Nil makes one.
+	Level     zap.AtomicLevel  // Of the log, for operators to change.
 	Version   string
 }
 
@@ -86,7 +87,10 @@
 	}
 	incarnation := newIncarnation()
 	mint := minter.New(b.Settings.Key, b.Settings.Host, incarnation, time.Now(), b.Settings.Intake.Ticket)
-	registry := metrics.NewRegistry()
+	if b.Metrics == nil {
+		b.Metrics = metrics.NewRegistry()
+	}
+	registry := b.Metrics
 	report := reporter.New(b.Log, reg, registry, time.Now())
 	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
 	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
@@ -111,7 +115,7 @@
 	if b.Messenger != nil {
 		return b.Messenger(reg)
 	}
-	return messenger.New(b.Log, reg, b.Settings)
+	return messenger.New(b.Log, reg, b.Settings, b.Metrics)
 }
 
 func newIncarnation() medlargw.Incarnation {
--- /dev/null
+++ b/builder/cost_test.go
@@ -0,0 +1,164 @@
+package builder_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/builder"
+	"medlargw.example/medlargw/loader"
+	"medlargw.example/medlargw/publisher"
+	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/storer"
+)
+
+// packetHeaders is the size of the Ethernet, IP and TCP headers of one packet,
+// in bytes; an exchange takes three packets, the last one an acknowledgement.
+const (
+	packetHeaders      = 66
+	packetsPerExchange = 3
+)
+
+// costWindow is how long the cost of a fleet is counted.
+const costWindow = 10 * time.Second
+
+// BenchmarkGroupCost measures what it costs an entry to be one of a group that
+// has no jobs: heartbeats, lists and watches, over real sockets.
+func BenchmarkGroupCost(b *testing.B) {
+	for _, size := range []struct{ zones, entries, teams int }{
+		{1, 2, 10},
+		{1, 4, 10},
+		{1, 8, 10},
+		{1, 16, 10},
+		{2, 4, 10},
+		{4, 4, 10},
+		{9, 4, 10},
+		{9, 4, 360},
+	} {
+		b.Run(fmt.Sprintf("zones=%d/entries=%d/teams=%d", size.zones, size.entries, size.teams), func(b *testing.B) {
+			store := storer.New()
+			regs, counts := startGroup(b, store, size.zones, size.entries, size.teams)
+			pass(15 * time.Second)
+			for b.Loop() {
+				measure(b, store, counts)
+			}
+			b.StopTimer()
+			for _, reg := range regs {
+				_ = reg.Stop(context.Background())
+			}
+		})
+	}
+}
+
+func startGroup(b *testing.B, store *storer.Storer, zones, entries, teams int) (
+	regs []*registrar.Registrar, counts []metrics.Registry,
+) {
+	publishTeams(b, store, teams)
+	var list medlargw.HostList
+	for z := range zones {
+		for n := range 60 {
+			list.Targets = append(list.Targets, medlargw.Target{
+				Name: medlargw.TargetName(fmt.Sprintf("target-%d-%d", z, n)), Zone: zoneName(z),
+				Addr: netip.MustParseAddrPort("10.1.0.1:80"), Slots: slotsPerTarget,
+			})
+		}
+	}
+	for z := range zones {
+		for n := range entries {
+			host := fmt.Sprintf("entry-%d-%d", z, n)
+			count := metrics.NewRegistry()
+			reg := startEntry(b, store, host, z, list.Entries, count)
+			addr, _ := registrar.Find[interface{ Addr() netip.AddrPort }](reg, "messenger")
+			list.Entries = append(list.Entries, medlargw.EntryHost{
+				Name: medlargw.HostName(host), Zone: zoneName(z), Addr: addr.Addr(),
+			})
+			regs = append(regs, reg)
+			counts = append(counts, count)
+		}
+	}
+	store.SetHosts(list)
+	return regs, counts
+}
+
+func zoneName(z int) medlargw.ZoneName { return medlargw.ZoneName(fmt.Sprintf("zone-%d", z)) }
+
+func publishTeams(b *testing.B, store *storer.Storer, teams int) {
+	configs := []medlargw.TeamConfig{{
+		Team:    medlargw.Team{Name: "classes", Weight: 1},
+		Classes: []medlargw.Class{{Name: "urgent"}, {Name: "steady", Rank: 1}},
+	}}
+	for n := range teams {
+		name := medlargw.TeamName(fmt.Sprintf("team-%d", n))
+		configs = append(configs, medlargw.TeamConfig{
+			Team:     medlargw.Team{Name: name, Weight: 1, Keys: [][32]byte{{byte(n), byte(n >> 8), 1}}},
+			Services: []medlargw.Service{{Name: medlargw.ServiceName("service-" + name), Team: name, Class: "urgent"}},
+		})
+	}
+	if _, err := publisher.New(store).Publish(context.Background(), configs); err != nil {
+		b.Fatalf("publish: %v", err)
+	}
+}
+
+func startEntry(
+	b *testing.B, store *storer.Storer, host string, zone int,
+	known []medlargw.EntryHost, count metrics.Registry,
+) *registrar.Registrar {
+	text := fmt.Sprintf(`{"host": %q, "zone": %q, "key": "0123456789abcdef", "admin": "0123456789abcdef"}`, host, zoneName(zone))
+	var l loader.Loader
+	s, err := l.Parse("cost", []byte(text))
+	if err != nil {
+		b.Fatalf("settings: %v", err)
+	}
+	s.Listen.Peers = netip.MustParseAddrPort("127.0.0.1:0")
+	if len(known) > 0 {
+		s.Peers = []netip.AddrPort{known[0].Addr}
+	}
+	build := builder.Builder{
+		Log: zap.NewNop(), Settings: s, Store: store, Hosts: store, Metrics: count,
+		Sender: &fakeSender{bench: newBench()},
+	}
+	reg := build.Core()
+	if err := reg.Start(context.Background()); err != nil {
+		b.Fatalf("start: %v", err)
+	}
+	return reg
+}
+
+// measure counts for one window and reports the means by entry.
+func measure(b *testing.B, store *storer.Storer, counts []metrics.Registry) {
+	read := func(name string) (sum int64) {
+		for _, c := range counts {
+			sum += metrics.GetOrRegisterCounter(name, c).Count()
+		}
+		return sum
+	}
+	bytes := read("peers.bytes.in") + read("peers.bytes.out")
+	exchanges := read("peers.requests.in") + read("peers.requests.out")
+	calls, used := store.Calls(), processorTime()
+	pass(costWindow)
+	bytes = read("peers.bytes.in") + read("peers.bytes.out") - bytes
+	exchanges = read("peers.requests.in") + read("peers.requests.out") - exchanges
+	used = processorTime() - used
+	seconds := costWindow.Seconds() * float64(len(counts))
+	b.ReportMetric(float64(bytes+exchanges*packetHeaders*packetsPerExchange)/seconds, "wireB/s/entry")
+	b.ReportMetric(2*float64(exchanges)/seconds, "messages/s/entry")
+	b.ReportMetric(100*used.Seconds()/seconds, "%core/entry")
+	b.ReportMetric(float64(store.Calls()-calls)/costWindow.Seconds(), "storecalls/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// processorTime returns what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic("getrusage: " + err.Error())
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -39,6 +40,7 @@
 	registry *registrar.Registrar
 	settings medlargw.Settings
 	signer   signer
+	counters counters
 	client   *http.Client
 	handlers handlers
 	listener net.Listener
@@ -56,8 +58,15 @@
 )
 
 // New returns a messenger that has not started.
-func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings) *Messenger {
+func New(
+	log *zap.Logger,
+	reg *registrar.Registrar,
+	settings medlargw.Settings,
+	registry metrics.Registry,
+) *Messenger {
+	count := newCounters(registry)
 	transport := &http.Transport{
+		DialContext:         count.dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -66,6 +75,7 @@
 		registry: reg,
 		settings: settings,
 		signer:   newSigner(settings.Key),
+		counters: count,
 		client:   &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		done:     make(chan struct{}),
 		clients:  map[netip.AddrPort]wire.Entry{},
@@ -93,7 +103,7 @@
 		return err
 	}
 	m.server = &http.Server{
-		Handler:           m.signer.verify(wire.NewEntryServer(&server{handlers: m.handlers})),
+		Handler:           m.signer.verify(m.counters, wire.NewEntryServer(&server{handlers: m.handlers})),
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
@@ -104,7 +114,8 @@
 }
 
 func (m *Messenger) serve() {
-	if err := m.server.Serve(m.listener); !errors.Is(err, http.ErrServerClosed) {
+	counted := &countedListener{Listener: m.listener, counters: m.counters}
+	if err := m.server.Serve(counted); !errors.Is(err, http.ErrServerClosed) {
 		m.log.Error("serving ended", zap.Error(err))
 	}
 }
@@ -137,7 +148,7 @@
 	if len(m.clients) >= maxClients {
 		clear(m.clients)
 	}
-	c = wire.NewEntryProtobufClient("http://"+to.String(), &signingClient{signer: m.signer, client: m.client})
+	c = wire.NewEntryProtobufClient("http://"+to.String(), &signingClient{signer: m.signer, client: m.client, counters: m.counters})
 	m.clients[to] = c
 	return c
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
@@ -84,7 +85,7 @@
 	}
 	settings := medlargw.Settings{Key: key}
 	settings.Listen.Peers = netip.MustParseAddrPort("127.0.0.1:0")
-	m := New(zap.NewNop(), reg, settings)
+	m := New(zap.NewNop(), reg, settings, metrics.NewRegistry())
 	if err := m.Start(t.Context()); err != nil {
 		t.Fatalf("start: %v", err)
 	}
--- a/messenger/signer.go
+++ b/messenger/signer.go
@@ -38,8 +38,9 @@
 }
 
 // verify passes on the requests whose signature is right.
-func (s signer) verify(next http.Handler) http.Handler {
+func (s signer) verify(count counters, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.served.Inc(1)
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -57,8 +58,9 @@
 
 // signingClient signs each request before it is sent.
 type signingClient struct {
-	signer signer
-	client *http.Client
+	signer   signer
+	client   *http.Client
+	counters counters
 }
 
 var _ wire.HTTPClient = (*signingClient)(nil)
@@ -72,5 +74,6 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	r.GetBody = nil // Without it the transport does not resend.
 	r.Header.Set(headerSignature, c.signer.sign(r.URL.Path, body))
+	c.counters.carried.Inc(1)
 	return c.client.Do(r) //nolint:gosec // Peers are known by address alone.
 }
