--- /dev/null
+++ b/tracker/view_test.go
@@ -0,0 +1,145 @@
+package tracker
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func times() medlargw.GroupSettings {
+	return medlargw.GroupSettings{Beat: time.Second, Suspect: 3 * time.Second, Gone: 10 * time.Second}
+}
+
+func member(host string, incarnation medlargw.Incarnation, counter uint64, state medlargw.MemberState) medlargw.Member {
+	return medlargw.Member{
+		Host: medlargw.HostName(host), Zone: "z", Incarnation: incarnation, Counter: counter, State: state,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(incarnation)}), 7),
+	}
+}
+
+// event is what the view learns at a time.
+type event struct {
+	at      time.Duration
+	from    medlargw.Member
+	changed []medlargw.Member
+}
+
+func TestViewBelievesTheNewestWord(t *testing.T) {
+	const live, suspect, leaving, gone = medlargw.MemberLive, medlargw.MemberSuspect, medlargw.MemberLeaving, medlargw.MemberGone
+	tests := []struct {
+		name   string
+		events []event
+		until  time.Duration
+		want   medlargw.MemberState // Of incarnation 2.
+	}{
+		{"heard", []event{{at: 0, from: member("b", 2, 1, live)}}, time.Second, live},
+		{"silent", []event{{at: 0, from: member("b", 2, 1, live)}}, 4 * time.Second, suspect},
+		{"silent for long", []event{{at: 0, from: member("b", 2, 1, live)}}, 11 * time.Second, gone},
+		{"heard again", []event{
+			{at: 0, from: member("b", 2, 1, live)},
+			{at: 12 * time.Second, from: member("b", 2, 1, live)},
+		}, 13 * time.Second, live},
+		{"leaving", []event{{at: 0, from: member("b", 2, 2, leaving)}}, time.Second, leaving},
+		{"old word after a newer one", []event{
+			{at: 0, from: member("b", 2, 2, leaving)},
+			{at: time.Second, from: member("b", 2, 1, live)},
+		}, time.Second, leaving},
+		{"hearsay of an end is newer", []event{
+			{at: 0, from: member("b", 2, 1, live)},
+			{at: time.Second, from: member("c", 3, 1, live), changed: []medlargw.Member{member("b", 2, 2, gone)}},
+		}, time.Second, gone},
+		{"another's suspicion does not count", []event{
+			{at: 0, from: member("b", 2, 1, live)},
+			{at: time.Second, from: member("c", 3, 1, live), changed: []medlargw.Member{member("b", 2, 1, suspect)}},
+		}, time.Second, live},
+		{"a new incarnation ends the old one", []event{
+			{at: 0, from: member("b", 2, 9, live)},
+			{at: time.Second, from: member("b", 4, 1, live)},
+		}, time.Second, gone},
+		{"hearsay does not bring back the dead", []event{
+			{at: 0, from: member("b", 2, 1, live)},
+			{at: 11 * time.Second, from: member("c", 3, 1, live), changed: []medlargw.Member{member("b", 2, 1, live)}},
+		}, 11 * time.Second, gone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView(member("a", 1, 1, live), times(), time.Minute)
+			events := tt.events
+			for at := time.Duration(0); at <= tt.until; at += 500 * time.Millisecond {
+				v.tick(start.Add(at))
+				for len(events) > 0 && events[0].at <= at {
+					v.hear(start.Add(at), &events[0].from, events[0].changed)
+					events = events[1:]
+				}
+			}
+			if got := v.peers[2].member.State; got != tt.want {
+				t.Errorf("state: got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestViewRefutesItsOwnEnd(t *testing.T) {
+	self := member("a", 1, 4, medlargw.MemberLive)
+	v := newView(self, times(), time.Minute)
+	peer := member("b", 2, 1, medlargw.MemberLive)
+	v.hear(start, &peer, []medlargw.Member{member("a", 1, 4, medlargw.MemberGone)})
+	if got, want := v.self.Counter, uint64(5); got != want {
+		t.Errorf("counter: got %d, want %d", got, want)
+	}
+}
+
+// TestClockRatesApart runs entries whose clocks differ by a hundredth in rate,
+// for an hour, and expects that none suspects another.
+func TestClockRatesApart(t *testing.T) {
+	const entries = 16
+	views := make([]*view, entries)
+	for i := range views {
+		views[i] = newView(member(string(rune('a'+i)), medlargw.Incarnation(i+1), 1, medlargw.MemberLive), times(), time.Minute)
+	}
+	clock := func(i int, at time.Duration) time.Time {
+		return start.Add(at + at*time.Duration(i)/(100*(entries-1)))
+	}
+	byAddr := map[netip.AddrPort]int{}
+	for i, v := range views {
+		byAddr[v.self.Addr] = i
+		v.hint([]netip.AddrPort{views[0].self.Addr})
+	}
+	for at := time.Duration(0); at < time.Hour; at += time.Second {
+		for i, v := range views {
+			now := clock(i, at)
+			v.tick(now)
+			for _, addr := range v.due(now) {
+				j := byAddr[addr]
+				peer := views[j]
+				peer.hear(clock(j, at), &v.self, v.recent(now))
+				v.hear(now, &peer.self, peer.recent(clock(j, at)))
+			}
+			for _, p := range v.peers {
+				if got := p.member.State; at > time.Minute && got != medlargw.MemberLive {
+					t.Fatalf("after %s entry %d sees %s: got %s, want live", at, i, p.member.Host, got)
+				}
+			}
+		}
+	}
+	for i, v := range views {
+		if got, want := len(v.peers), entries-1; got != want {
+			t.Errorf("peers of entry %d: got %d, want %d", i, got, want)
+		}
+	}
+}
+
+func TestPauseIsNotThePeersSilence(t *testing.T) {
+	v := newView(member("a", 1, 1, medlargw.MemberLive), times(), time.Minute)
+	peer := member("b", 2, 1, medlargw.MemberLive)
+	v.tick(start)
+	v.hear(start, &peer, nil)
+	v.tick(start.Add(time.Minute))
+	if got, want := v.peers[2].member.State, medlargw.MemberLive; got != want {
+		t.Errorf("state after the pause: got %s, want %s", got, want)
+	}
+}
