Unused loans are returned after 50 ms where favour is latency

Cause: slots lent to an entry whose burst was over stayed idle there until the next renewal, while tasks waited elsewhere. Change: a loan without use for 50 ms is returned with a request of its own; files of the lender split by side.

--- a/lender/group_test.go
+++ b/lender/group_test.go
@@ -1,7 +1,6 @@
 package lender
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -67,27 +66,6 @@
 	ended   time.Duration
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].order, q[j].order)) < 0
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) } //nolint:errcheck // Only events.
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // newGroup returns entries and targets of one zone each per given size.
 func newGroup(tb interface{ Helper() }, seed uint64, favour medlargw.Favour, entries, targets, slots int, zones ...medlargw.ZoneName) *group {
 	tb.Helper()
@@ -172,11 +150,6 @@
 	}
 }
 
-func (g *group) after(d time.Duration, do func()) {
-	g.order++
-	heap.Push(&g.queue, event{at: g.now + d, order: g.order, do: do})
-}
-
 // run lets the time pass and checks the rights after each event.
 func (g *group) run(d time.Duration) {
 	end := g.now + d
@@ -391,68 +364,6 @@
 	return 0
 }
 
-func (g *group) find(host medlargw.HostName) *entry {
-	for _, e := range g.entries {
-		if e.peer.Host == host {
-			return e
-		}
-	}
-	return nil
-}
-
-// carry delivers a message, perhaps late, twice or never.
-func (g *group) carry(from, to medlargw.HostName, deliver func(e *entry)) {
-	g.calls++
-	times := 1
-	if g.random.Float64() < g.double {
-		times = 2
-	}
-	if g.random.Float64() < g.loss || g.cut != nil && g.cut(from, to) {
-		times = 0
-	}
-	for range times {
-		delay := g.least + time.Duration(g.random.Int64N(int64(g.most-g.least)+1))
-		var arrive func()
-		arrive = func() {
-			e := g.find(to)
-			switch {
-			case e.dead:
-			case e.paused:
-				g.after(10*time.Millisecond, arrive) // The kernel keeps it.
-			default:
-				deliver(e)
-			}
-		}
-		g.after(delay, arrive)
-	}
-}
-
-func (e *entry) send(c medlargw.BorrowCall) {
-	l, from, number := e.l, e.peer.Host, c.Request.Number
-	e.g.bytes += requestBytes(&c.Request)
-	e.g.carry(from, c.To, func(peer *entry) {
-		peer.l.SetDemand(peer.clock(), peer.demand())
-		peer.l.Handle(peer.clock(), &c.Request)
-		peer.step()
-	})
-	e.g.after(time.Second, func() {
-		if e.l == l && !e.dead && !e.paused {
-			e.l.Failed(e.clock(), c.To, number)
-			e.step()
-		}
-	})
-}
-
-func (e *entry) answer(a medlargw.BorrowAnswer) {
-	from := e.peer.Host
-	e.g.bytes += replyBytes(&a.Reply)
-	e.g.carry(from, a.To, func(peer *entry) {
-		peer.l.SetDemand(peer.clock(), peer.demand())
-		peer.l.Replied(peer.clock(), from, &a.Reply)
-		peer.step()
-	})
-}
-
 // submit lets n tasks wait at the entry.
 func (e *entry) submit(n, rank int, team medlargw.TeamName, run time.Duration) []*work {
 	job := make([]*work, n)
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -180,14 +180,7 @@
 			sooner(now.Add(l.pace.turn))
 		}
 	}
-	for _, c := range l.creditors {
-		if !c.pending && c.report {
-			sooner(c.reportAt)
-		}
-		if !c.pending && !c.renewAt.IsZero() {
-			sooner(c.renewAt)
-		}
-	}
+	l.wakeForCreditors(sooner)
 	for _, w := range l.unitsWaits {
 		sooner(w.until)
 	}
@@ -202,6 +195,21 @@
 	return wake
 }
 
+// wakeForCreditors gives the times at which requests are due.
+func (l *Lender) wakeForCreditors(sooner func(t time.Time)) {
+	for _, c := range l.creditors {
+		if !c.idleAt.IsZero() {
+			sooner(c.idleAt.Add(l.pace.linger))
+		}
+		if !c.pending && c.report {
+			sooner(c.reportAt)
+		}
+		if !c.pending && !c.renewAt.IsZero() {
+			sooner(c.renewAt)
+		}
+	}
+}
+
 // Status returns the loans given and held, in the order of their names.
 func (l *Lender) Status() (lent, held []medlargw.LoanStatus) {
 	for _, p := range l.pools {
--- a/lender/pace.go
+++ b/lender/pace.go
@@ -14,6 +14,7 @@
 	rate     float64       // Requests per second.
 	burst    float64       // Requests at once.
 	drain    time.Duration // Between two reports of what is in use without a right.
+	linger   time.Duration // That a loan is kept for without use; zero waits for its renewal.
 	divide   bool          // A wish is divided among all lenders, and not put to one after the other.
 	renewals int           // Of a loan in a term.
 	backoff  time.Duration // After a first request in vain.
@@ -42,6 +43,7 @@
 		burst:    20,
 		drain:    50 * time.Millisecond,
 		divide:   true,
+		linger:   50 * time.Millisecond,
 		renewals: 2,
 		backoff:  20 * time.Millisecond,
 	}
