Random events with operators and shares; work must not wait beside a free slot

Change: they set targets aside and change shares, fail when a task waits beside a free slot that it could use, and balance demand and waiting work to zero.

--- a/decider/harness_test.go
+++ b/decider/harness_test.go
@@ -285,6 +285,15 @@
 	if s.Jobs != 0 || s.Bytes != 0 || len(s.Queues) != 0 || len(s.Leaks) != 0 {
 		b.t.Fatalf("got %d jobs, %d bytes, %v waiting, leaks %v, want none", s.Jobs, s.Bytes, s.Queues, s.Leaks)
 	}
+	demand := b.decider.Demand()
+	if len(demand.Teams) != 0 || len(demand.Targets) != 0 {
+		b.t.Fatalf("got a demand of teams %v and targets %v, want none", demand.Teams, demand.Targets)
+	}
+	for _, class := range b.decider.Waiting() {
+		if class.Tasks != 0 {
+			b.t.Fatalf("class %d: got %d tasks waiting, want none", class.Rank, class.Tasks)
+		}
+	}
 	for _, target := range s.Targets {
 		if target.Used != 0 {
 			b.t.Fatalf("target %s: got %d slots in use, want none", target.Target.Name, target.Used)
--- a/decider/property_test.go
+++ b/decider/property_test.go
@@ -32,6 +32,8 @@
 	running  map[medlargw.TeamName]int
 	attempts []medlargw.Attempt
 	waiting  map[medlargw.JobID]int
+	aside    map[medlargw.TargetName]bool
+	limits   map[medlargw.TeamName]int // Of running tasks.
 	floor    bool
 }
 
@@ -51,6 +53,8 @@
 		used:    map[medlargw.TargetName]int{},
 		running: map[medlargw.TeamName]int{},
 		waiting: map[medlargw.JobID]int{},
+		aside:   map[medlargw.TargetName]bool{},
+		limits:  map[medlargw.TeamName]int{teamName(0): 1 << 20, teamName(1): runLimit, teamName(2): runLimit},
 		floor:   floor,
 	}
 	cfg := config(worldTeams)
@@ -66,7 +70,7 @@
 func (w *world) apply(s step) {
 	w.b.now = w.b.now.Add(time.Duration(s.detail) * time.Millisecond)
 	which := int(s.which)
-	switch s.what % 8 {
+	switch s.what % 10 {
 	case 0, 1, 2:
 		w.submit(which, int(s.detail))
 	case 3, 4:
@@ -78,6 +82,14 @@
 		w.b.decider.Tick(w.b.now)
 	case 7:
 		w.resize(which, int(s.detail))
+	case 8:
+		name := targetName(which % 4)
+		w.aside[name] = s.detail%3 == 0
+		w.b.decider.SetAside(w.b.now, name, w.aside[name])
+	case 9:
+		share := which % (runLimit + 1)
+		w.limits[teamName(1)] = share
+		w.b.decider.SetShare(w.b.now, teamName(1), medlargw.Limit{Running: share})
 	}
 	w.check()
 }
@@ -163,20 +175,24 @@
 		}
 		memory := w.memory[a.Target]
 		lowest[memory] = max(lowest[memory], rank(a.Job))
+		if w.aside[a.Target] || w.running[a.Job.Team] > w.limits[a.Job.Team] {
+			t.Fatalf("%s: set aside %t, %d running of %s, limit %d",
+				a.Target, w.aside[a.Target], w.running[a.Job.Team], a.Job.Team, w.limits[a.Job.Team])
+		}
 		if job.starts[a.Index] != 1 || a.Job.Size > memory || w.used[a.Target] > w.slots[a.Target] {
 			t.Fatalf("job %d task %d: %d starts, size %d on %d bytes, slot %d of %d",
 				a.Job.ID, a.Index, job.starts[a.Index], a.Job.Size, memory, w.used[a.Target], w.slots[a.Target])
 		}
 	}
-	for _, team := range []medlargw.TeamName{teamName(1), teamName(2)} {
-		if w.running[team] > runLimit {
-			t.Fatalf("%s: got %d running, want at most %d", team, w.running[team], runLimit)
-		}
-	}
 	w.attempts = append(w.attempts, actions.Starts...)
+	placer := w.b.tools.Placer
 	for id, n := range w.waiting {
 		job := w.b.jobs[id].job
-		limited := job.Team != teamName(0) && w.running[job.Team] == runLimit
+		limited := w.running[job.Team] >= w.limits[job.Team]
+		fits := placer.Free() > 0 && job.Size <= placer.Room() && placer.Failing(w.b.now, job) == 0
+		if n > 0 && !limited && fits && !actions.Wake.Equal(w.b.now) {
+			t.Fatalf("job %d waits while a slot is free that it could use", id)
+		}
 		for memory, class := range lowest {
 			if n > 0 && !limited && !w.floor && job.Size <= memory && rank(job) < class {
 				t.Fatalf("job %d of class %d waits while class %d started", id, rank(job), class)
