Table: task sizes do not block each other

Cause: no test held that a task which fits no free slot lets others pass. Change: a table of sizes over a small and a large target.

--- a/decider/fault_test.go
+++ b/decider/fault_test.go
@@ -197,3 +197,35 @@
 		t.Errorf("got %d of 500 starts for a floor of 0.1, want 48 to 52", got)
 	}
 }
+
+func TestSizesDoNotBlockEachOther(t *testing.T) {
+	b := stage(t, settings(), 0)
+	b.decider.SetCapacity(b.now, []medlargw.Capacity{
+		{Target: medlargw.Target{Name: "small", Slots: 2, Memory: 10}, Slots: 2},
+		{Target: medlargw.Target{Name: "large", Slots: 1, Memory: 100}, Slots: 1},
+	})
+	tests := []struct {
+		class int
+		size  int64
+		want  medlargw.TargetName // Empty waits.
+	}{
+		{1, 5, "small"},
+		{1, 50, "large"},
+		{0, 60, ""},
+		{2, 10, "small"},
+		{0, 1, ""},
+	}
+	for i, test := range tests {
+		w := tasks(test.class, 1)
+		w.job.Size = test.size
+		b.submit(w)
+		var got medlargw.TargetName
+		if starts := b.decider.Actions().Starts; len(starts) > 0 {
+			got = starts[0].Target
+		}
+		b.decider.Actions().Reset()
+		if got != test.want {
+			t.Errorf("job %d of %d bytes: got target %q, want %q", i, test.size, got, test.want)
+		}
+	}
+}
