Own targets that get nothing new are no free slots to the lender

Cause: the lender counted the slots of quarantined, set aside and leaving own targets as free, so an entry whose targets were shut out borrowed none, and lent slots that it would not use itself. Change: the placer reports all slots of such targets as in use.

--- a/decider/fault_test.go
+++ b/decider/fault_test.go
@@ -174,6 +174,9 @@
 	if got := b.decider.Status().Targets[0].State; got != medlargw.TargetLeaving {
 		t.Errorf("got state %q, want %q", got, medlargw.TargetLeaving)
 	}
+	if got := b.decider.Demand().Targets; len(got) != 1 || got[0].Used != 8 {
+		t.Errorf("got demand %v, want all 8 slots to be of no use", got)
+	}
 }
 
 func TestFloorGivesItsShare(t *testing.T) {
--- a/interfaces.go
+++ b/interfaces.go
@@ -109,8 +109,8 @@
 	Failing(now time.Time, job *Job) time.Duration
 	// SetAside takes a target out of use, or back into it.
 	SetAside(now time.Time, target TargetName, aside bool)
-	// InUse returns the targets with slots in use, and Status all targets, in the
-	// order of their names.
+	// InUse returns the targets with slots in use, own ones that get nothing new
+	// as a whole, and Status all targets, in the order of their names.
 	InUse() []TargetUse
 	Status() []TargetStatus
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -123,6 +123,7 @@
 	}
 	p.shut += t.shut
 	t.left = t.leaving(now)
+	t.out = t.usableSlots(now) == 0
 	if free > 0 {
 		t.tier.open.Set(t)
 	} else {
@@ -205,12 +206,13 @@
 	p.refresh(now, t)
 }
 
-// InUse returns the targets with slots in use in the order of their names.
+// InUse returns the targets with slots in use, or out of use, in the order of
+// their names.
 func (p *Placer) InUse() []medlargw.TargetUse {
 	all := make([]medlargw.TargetUse, 0, len(p.ordered))
 	for _, t := range p.ordered {
-		if t.used > 0 {
-			all = append(all, medlargw.TargetUse{Target: t.capacity.Target.Name, Used: t.used})
+		if n := t.inUse(); n > 0 {
+			all = append(all, medlargw.TargetUse{Target: t.capacity.Target.Name, Used: n})
 		}
 	}
 	return all
--- a/placer/target.go
+++ b/placer/target.go
@@ -31,6 +31,7 @@
 	slowdown    average   // Run time as a multiple of the estimate.
 	speed       int       // Step of the slowdown; the lower, the faster.
 	left        bool      // It was leaving at the last refresh.
+	out         bool      // It got nothing new at the last refresh.
 	quarantine  quarantine
 	timer       timer
 	probe       probe
@@ -86,6 +87,16 @@
 	return t.capacity.Slots
 }
 
+// inUse returns the slots that no other task can have. The own slots of a target
+// that gets nothing new count, so that others are borrowed in their place and
+// they are not lent.
+func (t *target) inUse() int {
+	if t.out && t.capacity.Until.IsZero() {
+		return max(t.used, t.capacity.Slots)
+	}
+	return t.used
+}
+
 func (t *target) freeSlots(now time.Time) int {
 	if now.Before(t.paused) {
 		return 0
