--- a/builder/cost_test.go
+++ b/builder/cost_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -151,9 +152,18 @@
 	b.ReportMetric(2*float64(exchanges)/seconds, "messages/s/entry")
 	b.ReportMetric(100*used.Seconds()/seconds, "%core/entry")
 	b.ReportMetric(float64(store.Calls()-calls)/costWindow.Seconds(), "storecalls/s")
+	b.ReportMetric(heap()/float64(len(counts)), "heapMB/entry")
 	b.ReportMetric(0, "ns/op")
 }
 
+// heap returns the live heap of this process, in megabytes.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1e6
+}
+
 // processorTime returns what this process has used.
 func processorTime() time.Duration {
 	var u syscall.Rusage
--- a/keeper/route.go
+++ b/keeper/route.go
@@ -28,15 +28,25 @@
 	return k.records[t.Random] != nil
 }
 
+// homeOf returns the entry to ask about a ticket, or nil.
+func homeOf(all []medlargw.Member, t *medlargw.Ticket) *medlargw.Member {
+	home := incarnationOf(all, t)
+	if home != nil && (home.State != medlargw.MemberGone || home.Successor != "") {
+		return home
+	}
+	// Another incarnation of the host knows better: a view may lag behind, and an
+	// incarnation that runs proves that the earlier one has ended.
+	if again := livingHost(all, t.Home); again != nil {
+		return again
+	}
+	return home
+}
+
 // forward asks the home, or the successor of a home that has left. Only these
 // two can tell what became of the ticket, so any other end is in doubt.
 func (k *Keeper) forward(ctx context.Context, t *medlargw.Ticket, r medlargw.ForwardRequest) medlargw.ForwardReply {
 	all := k.members.Members()
-	home := incarnationOf(all, t)
-	if home == nil {
-		// A view may lag behind: another incarnation of the host knows better.
-		home = livingHost(all, t.Home)
-	}
+	home := homeOf(all, t)
 	if home == nil {
 		return k.serve(ctx, t, &r)
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -137,15 +137,22 @@
 		v.meet(now, m)
 		return
 	}
-	ended := m.State == medlargw.MemberLeaving || m.State == medlargw.MemberGone
-	silent := now.Sub(p.heard) > v.settings.Suspect
 	switch {
 	case m.Counter > p.member.Counter:
 		v.update(now, p, m, m.State)
-	case m.Counter < p.member.Counter:
+	case m.Counter == p.member.Counter:
+		v.compare(now, p, from, m)
+	}
+}
+
+// compare takes another's opinion of a member of which both have the same word.
+func (v *view) compare(now time.Time, p *peer, from, m *medlargw.Member) {
+	ended := m.State == medlargw.MemberLeaving || m.State == medlargw.MemberGone
+	silent := now.Sub(p.heard) > v.settings.Suspect
+	switch {
 	case m.State == p.member.State:
-		if from.Zone == m.Zone && !ended {
-			p.member.Since = now
+		if from.Zone == m.Zone && m.Zone != v.self.Zone && !ended {
+			p.member.Since = now // In the own zone only its own word counts.
 		}
 	case p.member.State == medlargw.MemberGone || p.member.State == medlargw.MemberSuspect:
 		if !ended {
