Row of a head that goes back

Cause: nothing tested that a store which comes back older changes nothing. Change: an earlier head is written; all entries keep the higher generation, and an added one gets it from its peers.

--- a/builder/outage_test.go
+++ b/builder/outage_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/converter"
 )
 
 // TestStoreOutage has an outage of an hour, in which a host is added, and one
@@ -122,3 +123,33 @@
 		}
 	})
 }
+
+// TestHeadNeverGoesBack writes an earlier head into the store, as a store does
+// that comes back from a backup.
+func TestHeadNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, seed)
+		f.grow(2, 2)
+		pass(20 * time.Second)
+		old, err := f.store.Get(t.Context(), converter.HeadKey)
+		if err != nil {
+			t.Fatalf("get head: %v", err)
+		}
+		f.publish(2)
+		pass(inForce)
+		now, err := f.store.Get(t.Context(), converter.HeadKey)
+		if err != nil {
+			t.Fatalf("get head: %v", err)
+		}
+		if _, err := f.store.Put(t.Context(), converter.HeadKey, old.Value, now.Revision); err != nil {
+			t.Fatalf("put head: %v", err)
+		}
+		pass(inForce)
+		f.converged()
+		added := f.add("zone-0")
+		added.start()
+		pass(inForce)
+		f.converged()
+		f.finish()
+	})
+}
