Fault row: doubled, late and reordered messages together

Cause: a lender that handles old requests was not found by the table. Change: one more row. Measured: the row passes, and fails with that mutation at both ends of favour.

--- a/lender/fault_test.go
+++ b/lender/fault_test.go
@@ -54,6 +54,7 @@
 			g.cut = func(from, _ medlargw.HostName) bool { return from == "detroit-0" }
 		}},
 		{name: "messages doubled", do: func(g *group) { g.double = 1 }},
+		{name: "messages doubled, late and out of order", do: func(g *group) { g.double, g.most = 1, 1500*time.Millisecond }},
 		{name: "messages later than a term and out of order", do: func(g *group) {
 			g.most = 3 * time.Second
 		}},
