Settings: suspicion may not come before the loans have ended

Cause: the bound on overshoot of limits rests on it, and any value was accepted. Change: a finding when group.suspect is less than the term and two margins. Conclusion: the default of 3 s holds it; a row tests the finding.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -133,7 +133,7 @@
 
 func group(p *parser.Parser) medlargw.GroupSettings {
 	defer p.Close()
-	return medlargw.GroupSettings{
+	g := medlargw.GroupSettings{
 		Beat:    p.Duration("beat", time.Second, 10*time.Millisecond, time.Minute),
 		Suspect: p.Duration("suspect", 3*time.Second, 50*time.Millisecond, time.Hour),
 		Gone:    p.Duration("gone", 10*time.Second, 100*time.Millisecond, time.Hour),
@@ -142,6 +142,10 @@
 		Notice:  p.Duration("notice", 5*time.Second, 0, time.Hour),
 		Drain:   p.Duration("drain", 75*time.Second, time.Second, time.Hour),
 	}
+	if least := g.Term + 2*g.Margin; g.Suspect < least {
+		p.Fault("suspect", "got %s, want at least the term and two margins, %s", g.Suspect, least)
+	}
+	return g
 }
 
 func tls(p *parser.Parser) medlargw.TLSSettings {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -48,6 +48,12 @@
 				"s:4:2: favor: unknown name, did you mean favour?\n" +
 				"s:4:42: tasks: got 5000, want 1 to 1000",
 		},
+		{
+			name: "suspicion before the loans have ended",
+			text: "{\"host\": \"a\", \"zone\": \"z\", \"key\": \"0123456789abcdef\", \"admin\": \"0123456789abcdef\",\n" +
+				" \"group\": {\"suspect\": \"2s\"}}",
+			want: "s:2:23: suspect: got 2s, want at least the term and two margins, 2.4s",
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
