--- a/builder/cost_test.go
+++ b/builder/cost_test.go
@@ -42,6 +42,7 @@
 		{4, 4, 10},
 		{9, 4, 10},
 		{9, 4, 360},
+		{9, 8, 360},
 	} {
 		b.Run(fmt.Sprintf("zones=%d/entries=%d/teams=%d", size.zones, size.entries, size.teams), func(b *testing.B) {
 			store := storer.New()
