A target's reason for not starting is one of those known

Cause: found in a read-through. The sender passed the target's own text on as the reason, and the dispatcher names a counter by it, so a target with a new text in each answer grew the metrics without bound, and could give a reason that only a sender may give, such as unreachable. Ruled out: bounding the registry, which would leave the false reasons. Change: busy and leaving pass, all else is the reason protocol; the task still counts as not started. Conclusion: what a peer writes is never a metric's name.

--- a/sender/sender.go
+++ b/sender/sender.go
@@ -187,7 +187,7 @@
 		return lost(medlargw.ReasonCrossed, fmt.Sprintf("got the answer to attempt %q, want %q", got, a.Tag))
 	}
 	if reason := resp.Header.Get(headerNotStarted); reason != "" {
-		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: medlargw.EndReason(strings.ToLower(reason))}
+		return medlargw.AttemptEnd{Kind: medlargw.EndNotStarted, Reason: notStartedReason(reason)}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.task.Answer+1))
 	switch {
@@ -203,6 +203,17 @@
 	return endOfStatus(resp.StatusCode, body)
 }
 
+// notStartedReason returns the reason that a target names. Metrics are named by
+// reasons, so that one of the target's own making must not pass.
+func notStartedReason(text string) medlargw.EndReason {
+	switch reason := medlargw.EndReason(strings.ToLower(text)); reason {
+	case medlargw.ReasonBusy, medlargw.ReasonLeaving:
+		return reason
+	default:
+		return medlargw.ReasonProtocol
+	}
+}
+
 func lost(reason medlargw.EndReason, message string) medlargw.AttemptEnd {
 	return medlargw.AttemptEnd{Kind: medlargw.EndLost, Reason: reason, Message: message}
 }
