--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -23,6 +23,11 @@
 	Slots   int            `json:"slots"`
 	Memory  int64          `json:"memory"`
 	Leaving bool           `json:"leaving"`
+	Pool    string         `json:"pool,omitempty"`
+	Cores   int64          `json:"cores,omitempty"` // Thousandths.
+	Room    int64          `json:"room,omitempty"`  // MiB.
+	Accels  int64          `json:"accelerators,omitempty"`
+	Born    int64          `json:"born,omitempty"` // Milliseconds since 1970.
 }
 
 type entryHost struct {
@@ -47,6 +52,9 @@
 			Slots:   t.Slots,
 			Memory:  t.Memory,
 			Leaving: t.Leaving,
+			Pool:    medlargw.PoolName(t.Pool),
+			Room:    medlargw.Room{Cores: t.Cores, Memory: t.Room, Accelerators: t.Accels},
+			Born:    decodeBorn(t.Born),
 		})
 	}
 	for _, e := range wire.Entries {
@@ -71,6 +79,11 @@
 			Slots:   t.Slots,
 			Memory:  t.Memory,
 			Leaving: t.Leaving,
+			Pool:    string(t.Pool),
+			Cores:   t.Room.Cores,
+			Room:    t.Room.Memory,
+			Accels:  t.Room.Accelerators,
+			Born:    encodeBorn(t.Born),
 		})
 	}
 	for _, e := range list.Entries {
@@ -87,3 +100,18 @@
 	}
 	return body, nil
 }
+
+// decodeBorn returns the zero time for a target that does not tell its start.
+func decodeBorn(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func encodeBorn(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -175,6 +175,10 @@
 // assign tells the dispatcher who acts together. The lock is held.
 func (a *Assigner) assign(members []medlargw.Member) {
 	if list := a.list.Load(); list != nil {
-		a.sink.SetGroup(groupOf(list, members))
+		g := groupOf(list, members)
+		if a.HostsAge() < blindAfter {
+			g.Listed = listedPeers(list)
+		}
+		a.sink.SetGroup(g)
 	}
 }
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -41,3 +41,13 @@
 	}
 	return false
 }
+
+// listedPeers returns the entries that the list names. Their incarnations are
+// not known.
+func listedPeers(list *medlargw.HostList) []medlargw.Peer {
+	var all []medlargw.Peer
+	for _, e := range list.Entries {
+		all = append(all, medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr})
+	}
+	return all
+}
--- a/assigner/reading.go
+++ b/assigner/reading.go
@@ -17,25 +17,27 @@
 
 // Times and numbers of the readings.
 const (
-	pollInterval = time.Second     // Between two readings of one reader.
-	blindAfter   = 2 * time.Second // Without a reading in the zone, all entries read.
-	maxPause     = 2 * time.Second // Between two readings that failed.
-	readers      = 2               // In each zone.
+	pollInterval = time.Second            // Between two readings of one reader.
+	blindAfter   = 2 * time.Second        // Without a reading in the zone, all entries read.
+	firstPause   = 200 * time.Millisecond // After a reading that failed.
+	maxPause     = 2 * time.Second        // Between two readings that failed.
+	readers      = 2                      // In each zone.
 	fetchTimeout = 2 * time.Second
 	jitter       = 0.2 // Share by which a pause may be shorter or longer.
 )
 
 // follow reads the list or leaves it to others, until the context ends.
 func (a *Assigner) follow(ctx context.Context) {
-	pause := pollInterval
+	interval := cmp.Or(a.settings.Group.Read, pollInterval)
+	pause := interval
 	for {
 		switch {
 		case !a.Reads():
 			pause = pollInterval
 		case a.read(ctx):
-			pause = pollInterval
+			pause = interval
 		default:
-			pause = min(2*pause, maxPause)
+			pause = min(max(2*pause, firstPause), maxPause)
 		}
 		select {
 		case <-time.After(spread(pause)):
--- /dev/null
+++ b/builder/leased.go
@@ -0,0 +1,32 @@
+package builder
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/assigner"
+	"medlargw.example/medlargw/conductor"
+	"medlargw.example/medlargw/enroller"
+	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/tracker"
+	"medlargw.example/medlargw/watcher"
+)
+
+// Leased returns the parts of an entry whose targets run tasks under lease, but
+// for the one that serves callers. The runner reaches the targets.
+func (b *Builder) Leased(clock medlargw.Clock, runner medlargw.Runner, enrolment medlargw.Enrolment) *registrar.Registrar {
+	if b.Metrics == nil {
+		b.Metrics = metrics.NewRegistry()
+	}
+	reg := registrar.New(b.Log)
+	incarnation := newIncarnation()
+	reg.Add(
+		conductor.New(b.Log, reg, &b.Settings, incarnation, clock, runner, b.Metrics),
+		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		watcher.New(b.Log, reg, b.Store),
+		b.messenger(reg),
+		tracker.New(b.Log, reg, b.Settings, incarnation),
+		enroller.New(b.Log, reg, enrolment),
+	)
+	return reg
+}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -16,16 +16,21 @@
 	"medlargw.example/medlargw/builder"
 	"medlargw.example/medlargw/loader"
 	"medlargw.example/medlargw/logger"
+	platform "medlargw.example/medlargw/platform/builder"
 	"medlargw.example/medlargw/registrar"
 )
 
 func serveCommand() *cobra.Command {
 	var path string
+	var platform bool
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Serve callers as one entry",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platform {
+				return servePlatform(cmd.Context())
+			}
 			var l loader.Loader
 			settings, err := l.Load(path)
 			if err != nil {
@@ -35,7 +40,9 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
-	_ = cmd.MarkFlagRequired("settings")
+	cmd.Flags().BoolVar(&platform, "platform", false, "run on the operators' platform, with its settings file")
+	cmd.MarkFlagsOneRequired("settings", "platform")
+	cmd.MarkFlagsMutuallyExclusive("settings", "platform")
 	return cmd
 }
 
@@ -52,14 +59,52 @@
 	if err != nil {
 		return err
 	}
+	return untilStopped(ctx, log.Logger, entry, settings.Group, nil)
+}
+
+// servePlatform runs an entry on the operators' platform, as serve does.
+func servePlatform(ctx context.Context) error {
+	log, err := logger.New()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	b := platform.Builder{Log: log.Logger, Version: version}
+	entry, settings, err := b.Build()
+	if err != nil {
+		return err
+	}
+	return untilStopped(ctx, log.Logger, entry, settings.Group, b.Reload)
+}
+
+// untilStopped starts the parts and stops them at the first signal that asks
+// for it. A signal that the settings have changed calls reload, if there is one.
+func untilStopped(
+	ctx context.Context,
+	log *zap.Logger,
+	entry *registrar.Registrar,
+	group medlargw.GroupSettings,
+	reload func(),
+) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	if err := entry.Start(ctx); err != nil {
 		return err
 	}
+	if reload != nil {
+		changes := make(chan os.Signal, 1)
+		signal.Notify(changes, syscall.SIGHUP)
+		defer signal.Stop(changes)
+		var reloading conc.WaitGroup // Never waited for: it ends with the process.
+		reloading.Go(func() {
+			for range changes {
+				reload()
+			}
+		})
+	}
 	<-signals
-	return stop(ctx, log.Logger, entry, settings.Group, signals)
+	return stop(ctx, log, entry, group, signals)
 }
 
 // stop does the planned stop: it says not ready and leaving, goes on accepting
--- /dev/null
+++ b/conductor/flush.go
@@ -0,0 +1,192 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+)
+
+// flush carries out what the state machines decided, until they are at rest.
+func (c *Conductor) flush(now time.Time) {
+	c.resend()
+	changed := false
+	for {
+		home := c.home.TakeActions(now)
+		held := c.holder.TakeActions()
+		if len(home.Offers)+len(home.Finishes)+len(held.Starts)+len(held.Stops)+
+			len(held.Renewals)+len(held.Reports)+len(held.Transfers) == 0 {
+			break
+		}
+		changed = true
+		c.finish(home.Finishes)
+		c.order(&held)
+		c.report(now, held.Reports)
+		for i := range home.Offers {
+			c.offer(now, &home.Offers[i])
+		}
+	}
+	if changed {
+		room := c.holder.Room(now)
+		c.room.Store(&room)
+		c.home.See(now, c.self.Incarnation, room)
+		c.summarize(&room)
+	}
+}
+
+func (c *Conductor) summarize(room *medlargw.HolderRoom) {
+	s := &medlargw.CoreStatus{Jobs: c.home.Jobs()}
+	for _, p := range room.Pools {
+		s.Free += len(p.Free)
+	}
+	c.status.Store(s)
+}
+
+// order sends the orders to the targets.
+func (c *Conductor) order(a *medlargw.HolderActions) {
+	for i := range a.Starts {
+		c.start(&a.Starts[i])
+	}
+	for i := range a.Stops {
+		c.stop(&a.Stops[i])
+	}
+	for i := range a.Renewals {
+		c.renew(&a.Renewals[i])
+	}
+	for i := range a.Transfers {
+		c.transfer(&a.Transfers[i])
+	}
+}
+
+func (c *Conductor) start(cmd *medlargw.StartCommand) {
+	c.counters.starts.Inc(1)
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order)
+		defer cancel()
+		reply, err := c.runner.StartRun(ctx, &cmd.Target, cmd.Order)
+		c.post(func(now time.Time) { c.holder.StartAnswered(now, cmd, reply, err) })
+	})
+}
+
+func (c *Conductor) stop(cmd *medlargw.StopCommand) {
+	c.counters.stops.Inc(1)
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order)
+		defer cancel()
+		reply, err := c.runner.StopRun(ctx, &cmd.Target, cmd.Order)
+		c.post(func(now time.Time) { c.holder.StopAnswered(now, cmd, reply, err) })
+	})
+}
+
+func (c *Conductor) renew(cmd *medlargw.RenewCommand) {
+	c.counters.renewals.Inc(1)
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order+cmd.Renewal.Wait)
+		defer cancel()
+		sent := c.clock.Now()
+		report, err := c.runner.Renew(ctx, &cmd.Target, cmd.Renewal)
+		c.post(func(now time.Time) { c.holder.Reported(now, sent, cmd, &report, err) })
+	})
+}
+
+func (c *Conductor) transfer(t *medlargw.Transfer) {
+	c.log.Info("targets handed over", zap.String("to", string(t.To.Host)), zap.Int("targets", len(t.Targets)))
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
+		defer cancel()
+		err := c.offerer.Transfer(ctx, t.To.Addr, *t)
+		c.post(func(now time.Time) { c.holder.TransferAnswered(now, t, err) })
+	})
+}
+
+// offer sends an offer; one to this entry needs no message.
+func (c *Conductor) offer(now time.Time, o *medlargw.HomeOffer) {
+	if o.To.Incarnation == c.self.Incarnation {
+		o.Offer.Valid = c.elapsed(now)
+		reply := c.holder.Offer(now, c.elapsed(now), &o.Offer)
+		c.home.OfferAnswered(now, now, o, &reply, nil)
+		return
+	}
+	c.counters.offers.Inc(1)
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
+		defer cancel()
+		reply, err := c.offerer.Offer(ctx, o.To.Addr, o.Offer)
+		c.post(func(at time.Time) { c.home.OfferAnswered(at, now, o, &reply, err) })
+	})
+}
+
+// report sends events to their homes, one message each.
+func (c *Conductor) report(now time.Time, all []medlargw.TaskReport) {
+	byHome := map[medlargw.Incarnation]*medlargw.Report{}
+	var order []medlargw.Peer
+	for i := range all {
+		e := &all[i]
+		c.counters.event(e)
+		r := byHome[e.Home.Incarnation]
+		if r == nil {
+			r = &medlargw.Report{From: c.self}
+			byHome[e.Home.Incarnation] = r
+			order = append(order, e.Home)
+		}
+		r.Tasks = append(r.Tasks, *e)
+	}
+	for _, to := range order {
+		r := byHome[to.Incarnation]
+		r.Room = c.holder.Room(now)
+		if to.Incarnation == c.self.Incarnation {
+			c.home.Report(now, r)
+			continue
+		}
+		c.sendReport(to, r)
+	}
+}
+
+func (c *Conductor) sendReport(to medlargw.Peer, r *medlargw.Report) {
+	c.counters.reports.Inc(1)
+	c.sending.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
+		defer cancel()
+		err := c.offerer.Report(ctx, to.Addr, *r)
+		if err == nil {
+			return
+		}
+		c.post(func(time.Time) { c.keepReport(r, err) })
+	})
+}
+
+// keepReport keeps the ends of a report that was not answered. The home takes
+// an event once, so that it may be sent again.
+func (c *Conductor) keepReport(r *medlargw.Report, err error) {
+	to := r.Tasks[0].Home
+	if !c.present(to.Incarnation) {
+		c.log.Debug("report to an ended home dropped", zap.String("home", string(to.Host)), zap.Error(err))
+		return
+	}
+	for _, e := range r.Tasks {
+		if e.Event.Ends() && len(c.outbox) < eventRoom {
+			c.outbox = append(c.outbox, e)
+		}
+	}
+}
+
+func (c *Conductor) present(incarnation medlargw.Incarnation) bool {
+	for _, p := range c.group.Entries {
+		if p.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// resend sends the reports again that were not answered.
+func (c *Conductor) resend() {
+	if len(c.outbox) == 0 {
+		return
+	}
+	all := c.outbox
+	c.outbox = nil
+	c.report(c.clock.Now(), all)
+}
--- /dev/null
+++ b/conductor/submit.go
@@ -0,0 +1,66 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// waiter waits for the outcome of a job.
+type waiter struct {
+	outcome chan medlargw.Outcome
+}
+
+// Submit runs one job and returns its outcome. Job.Arrived, Due and Deadline
+// are times of the clock that the conductor was given.
+func (c *Conductor) Submit(ctx context.Context, job *medlargw.Job) medlargw.Outcome {
+	w := &waiter{outcome: make(chan medlargw.Outcome, 1)}
+	stopping := medlargw.Refusal(job, medlargw.CodeStopping, "the entry is stopping", 0)
+	if !c.post(func(now time.Time) {
+		c.waiters[job] = w
+		c.home.Submit(now, job)
+	}) {
+		return stopping
+	}
+	select {
+	case o := <-w.outcome:
+		return o
+	case <-ctx.Done():
+		c.post(func(now time.Time) { c.home.Cancel(now, job) })
+		return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}
+	case <-c.done:
+		return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}
+	}
+}
+
+// finish gives the outcomes to those that wait for them.
+func (c *Conductor) finish(finishes []medlargw.Finish) {
+	for i := range finishes {
+		f := &finishes[i]
+		if w := c.waiters[f.Job]; w != nil {
+			delete(c.waiters, f.Job)
+			w.outcome <- f.Outcome
+		}
+		c.counters.job(&f.Outcome)
+	}
+}
+
+// endWaiters answers the jobs that have not ended when the part stops.
+func (c *Conductor) endWaiters() {
+	for job, w := range c.waiters {
+		delete(c.waiters, job)
+		w.outcome <- medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}
+	}
+}
+
+// Waiting returns the number of this entry's jobs of a service of which no
+// task was started.
+func (c *Conductor) Waiting(ctx context.Context, service medlargw.ServiceName) (int, error) {
+	n := 0
+	err := c.await(ctx, func(time.Time) error {
+		n = c.home.Waiting(service)
+		return nil
+	})
+	return n, err
+}
--- a/config.go
+++ b/config.go
@@ -8,6 +8,7 @@
 	Classes    []Class // From the highest precedence to the lowest.
 	Services   []Service
 	Teams      []Team
+	Routes     []Route
 }
 
 // Class is a priority class.
@@ -30,6 +31,22 @@
 	Team  TeamName // The team that declared it.
 	Class ClassName
 	Limit Limit
+
+	// Of services whose targets are under lease.
+	Rank     int           // Of its class; zero is the highest.
+	Pool     PoolName      // The targets that run its tasks.
+	Attempts int           // Runs of one task that may fail; zero is one.
+	Slack    float64       // Objective of a job: Slack times its longest task, and Grace.
+	Grace    time.Duration // See Slack.
+	Timeout  time.Duration // Longest time to an answer when the caller names none.
+}
+
+// Route sends the requests for a host and a path to a service. Of the routes
+// that match, the one with the longest prefix counts.
+type Route struct {
+	Host    string
+	Prefix  string
+	Service ServiceName
 }
 
 // Team is a group of callers that shares keys, a weight and a limit.
--- a/converter/converter.go
+++ b/converter/converter.go
@@ -52,6 +52,7 @@
 	Limit    limitWire     `json:"limit"`
 	Classes  []classWire   `json:"classes,omitempty"`
 	Services []serviceWire `json:"services,omitempty"`
+	Routes   []routeWire   `json:"routes,omitempty"`
 	Teams    []grantWire   `json:"teams,omitempty"`
 	Salt     string        `json:"salt,omitempty"` // Tells apart values of one content.
 }
@@ -81,6 +82,19 @@
 	Name  string    `json:"name"`
 	Class string    `json:"class"`
 	Limit limitWire `json:"limit"`
+
+	Rank     int     `json:"rank,omitempty"`
+	Pool     string  `json:"pool,omitempty"`
+	Attempts int     `json:"attempts,omitempty"`
+	Slack    float64 `json:"slack,omitempty"`
+	Grace    int64   `json:"grace,omitempty"`   // Nanoseconds.
+	Timeout  int64   `json:"timeout,omitempty"` // Nanoseconds.
+}
+
+type routeWire struct {
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Service string `json:"service"`
 }
 
 // TeamKey returns the key of a team's value.
@@ -154,8 +168,18 @@
 			Name:  string(s.Name),
 			Class: string(s.Class),
 			Limit: limitWire(s.Limit),
+
+			Rank:     s.Rank,
+			Pool:     string(s.Pool),
+			Attempts: s.Attempts,
+			Slack:    s.Slack,
+			Grace:    s.Grace.Nanoseconds(),
+			Timeout:  s.Timeout.Nanoseconds(),
 		})
 	}
+	for _, r := range t.Routes {
+		wire.Routes = append(wire.Routes, routeWire{Host: r.Host, Prefix: r.Prefix, Service: string(r.Service)})
+	}
 	for _, g := range t.Grants {
 		wire.Teams = append(wire.Teams, encodeGrant(&g))
 	}
@@ -230,8 +254,18 @@
 			Team:  t.Team.Name,
 			Class: medlargw.ClassName(s.Class),
 			Limit: medlargw.Limit(s.Limit),
+
+			Rank:     s.Rank,
+			Pool:     medlargw.PoolName(s.Pool),
+			Attempts: s.Attempts,
+			Slack:    s.Slack,
+			Grace:    time.Duration(s.Grace),
+			Timeout:  time.Duration(s.Timeout),
 		})
 	}
+	for _, r := range wire.Routes {
+		t.Routes = append(t.Routes, medlargw.Route{Host: r.Host, Prefix: r.Prefix, Service: medlargw.ServiceName(r.Service)})
+	}
 	return t, nil
 }
 
--- /dev/null
+++ b/coordinator/place.go
@@ -0,0 +1,177 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+const (
+	// maxRefusals is the number of refused offers after which a task waits at
+	// a holder instead of trying others.
+	maxRefusals = 3
+	// abroad is the wait that a holder of another zone must save.
+	abroad = 10 * time.Millisecond
+)
+
+// place offers a task to the best holder.
+func (c *Coordinator) place(now time.Time, t *task) {
+	m := t.job.job
+	if t.refusals < maxRefusals {
+		if h := c.withRoom(m); h != nil {
+			c.offerTo(t, h, false)
+			return
+		}
+	}
+	if h := c.leastWork(m); h != nil {
+		c.offerTo(t, h, true)
+	}
+}
+
+func (c *Coordinator) offerTo(t *task, h *holder, queue bool) {
+	c.nextID++
+	t.id = c.nextID
+	t.holder = h
+	t.state = taskOffered
+	t.resend = true
+	t.queue = queue
+	c.tasks[t.id] = t
+	if queue {
+		p := h.pool(t.job.job.Pool)
+		p.Waiting = addWork(p.Waiting, t.job)
+	}
+}
+
+func addWork(all []medlargw.RankWork, j *job) []medlargw.RankWork {
+	m := j.job
+	work := m.Room.Cores * j.estimate.Milliseconds()
+	for i := range all {
+		if all[i].Rank == m.Rank {
+			all[i].Work += work
+			return all
+		}
+	}
+	return append(all, medlargw.RankWork{Rank: m.Rank, Work: work})
+}
+
+// withRoom returns the nearest holder that is believed to have room for one
+// task, and takes the room from what is believed.
+func (c *Coordinator) withRoom(m *medlargw.Job) *holder {
+	var best *holder
+	var room *medlargw.Room
+	for _, h := range c.order {
+		if best != nil && h.peer.Zone != best.peer.Zone && best.peer.Zone == c.self.Zone {
+			break // Room in the own zone is enough.
+		}
+		if r := h.tightest(m); r != nil && (room == nil || r.Cores < room.Cores) {
+			best, room = h, r
+		}
+	}
+	if best != nil {
+		*room = room.Minus(m.Room)
+	}
+	return best
+}
+
+// tightest returns the least free room of one target that holds a task.
+func (h *holder) tightest(m *medlargw.Job) *medlargw.Room {
+	p := h.pool(m.Pool)
+	if p == nil || !h.offerable() {
+		return nil
+	}
+	var best *medlargw.Room
+	for i := range p.Free {
+		if p.Free[i].Holds(m.Room) && (best == nil || p.Free[i].Cores < best.Cores) {
+			best = &p.Free[i]
+		}
+	}
+	return best
+}
+
+// leastWork returns the holder with the shortest wait.
+func (c *Coordinator) leastWork(m *medlargw.Job) *holder {
+	var best *holder
+	var shortest time.Duration
+	for _, h := range c.order {
+		p := h.pool(m.Pool)
+		if p == nil || p.Capacity == 0 || !h.offerable() {
+			continue
+		}
+		wait := time.Duration(workBefore(p, m.Rank)/p.Capacity) * time.Millisecond
+		if h.peer.Zone != c.self.Zone {
+			wait += abroad
+		}
+		if best == nil || wait < shortest {
+			best, shortest = h, wait
+		}
+	}
+	return best
+}
+
+// workBefore returns the waiting work that goes before a new task of the rank.
+func workBefore(p *medlargw.PoolRoom, rank int) int64 {
+	var work int64
+	for _, w := range p.Waiting {
+		if w.Rank <= rank {
+			work += w.Work
+		}
+	}
+	return work
+}
+
+// expectedWait returns how long a new job waits for room, over all holders; it
+// is zero while there is room for one task. False says that no target is known.
+func (c *Coordinator) expectedWait(j *job) (time.Duration, bool) {
+	m := j.job
+	var work, capacity int64
+	for _, h := range c.order {
+		p := h.pool(m.Pool)
+		if p == nil || !h.offerable() {
+			continue
+		}
+		if h.tightest(m) != nil {
+			return 0, true
+		}
+		work += workBefore(p, m.Rank)
+		capacity += p.Capacity
+	}
+	if capacity == 0 {
+		return 0, false
+	}
+	return time.Duration(work/capacity) * time.Millisecond, true
+}
+
+// rebalance recalls waiting tasks for which another holder has room.
+func (c *Coordinator) rebalance(time.Time) {
+	var queued []*task
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.state == taskQueued && !t.recalled && !j.refusing {
+				queued = append(queued, t)
+			}
+		}
+	}
+	slices.SortStableFunc(queued, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.job.job.Rank, b.job.job.Rank), a.job.latest().Compare(b.job.latest()))
+	})
+	promised := map[*medlargw.Room]medlargw.Room{}
+	for _, t := range queued {
+		for _, h := range c.order {
+			if h == t.holder {
+				continue
+			}
+			if r := h.tightest(t.job.job); r != nil {
+				promised[r] = *r
+				*r = r.Minus(t.job.job.Room) // Believed taken until the task comes back.
+				t.recalled = true
+				t.refusals = 0
+				break
+			}
+		}
+	}
+	for r, before := range promised {
+		*r = before
+	}
+}
--- /dev/null
+++ b/holder/assign.go
@@ -0,0 +1,248 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+)
+
+// transferWait is the time that a new owner gives a live former one to hand a
+// target over before it claims the target itself.
+const transferWait = 600 * time.Millisecond
+
+// Assign takes the hosts that act together: it claims the targets that this
+// entry owns now, and releases those that another one owns.
+func (h *Holder) Assign(now time.Time, g medlargw.Group) {
+	h.group = g
+	listed := make(map[medlargw.TargetName]bool, len(g.Targets))
+	for i := range g.Targets {
+		info := &g.Targets[i]
+		listed[info.Name] = true
+		h.assignTarget(now, info)
+	}
+	for _, t := range h.order {
+		if !listed[t.info.Name] && t.unlisted.IsZero() {
+			t.unlisted = now
+		}
+	}
+	for name := range h.owners {
+		if !listed[name] {
+			delete(h.owners, name)
+		}
+	}
+}
+
+func (h *Holder) assignTarget(now time.Time, info *medlargw.Target) {
+	owner, found := h.owner(info)
+	before, known := h.owners[info.Name]
+	h.owners[info.Name] = owner.Incarnation
+	t := h.targets[info.Name]
+	if t != nil {
+		t.update(*info)
+	}
+	switch {
+	case found && owner.Incarnation == h.self.Incarnation:
+		if t == nil {
+			t = newTarget(*info)
+			t.nextRenew = now.Add(h.claimDelay(before, known))
+			h.add(t)
+		}
+		t.releasing = false
+	case t != nil && found:
+		t.releasing = true
+		t.releaseTo = owner
+	}
+}
+
+// claimDelay returns how long to wait for a transfer by the former owner.
+func (h *Holder) claimDelay(before medlargw.Incarnation, known bool) time.Duration {
+	for i := range h.group.Entries {
+		e := &h.group.Entries[i]
+		if e.Incarnation == h.self.Incarnation {
+			continue
+		}
+		if !known || e.Incarnation == before {
+			return transferWait
+		}
+	}
+	return 0
+}
+
+// owner returns the entry that shall hold the target: of its zone, or of any
+// zone when that one has none.
+func (h *Holder) owner(t *medlargw.Target) (medlargw.Peer, bool) {
+	if p, ok := rendezvous(t.Name, h.candidates(t.Zone, true)); ok {
+		return p, true
+	}
+	return rendezvous(t.Name, h.candidates(t.Zone, false))
+}
+
+// candidates returns the entries that may hold targets of the zone. An entry
+// that is silent but has a lease at the platform still counts in its zone: it
+// may be cut off from here alone.
+func (h *Holder) candidates(zone medlargw.ZoneName, inside bool) []medlargw.Peer {
+	var all []medlargw.Peer
+	known := map[medlargw.HostName]bool{}
+	for _, p := range h.group.Entries {
+		known[p.Host] = true
+		if !p.Leaving && (!inside || p.Zone == zone) {
+			all = append(all, p)
+		}
+	}
+	if !inside {
+		return all
+	}
+	for _, p := range h.group.Listed {
+		if !known[p.Host] && p.Zone == zone {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// rendezvous returns the candidate with the highest hash of host and target.
+func rendezvous(target medlargw.TargetName, all []medlargw.Peer) (medlargw.Peer, bool) {
+	var best medlargw.Peer
+	var highest uint64
+	for _, p := range all {
+		if score := xxhash.Sum64String(string(target) + "/" + string(p.Host)); score >= highest {
+			best, highest = p, score
+		}
+	}
+	return best, len(all) > 0
+}
+
+// release hands a target over when no order is on its way, and reports whether
+// it is out of use.
+func (h *Holder) release(now time.Time, t *target) bool {
+	if !t.held {
+		h.endAll(now, t, "released")
+		h.remove(t)
+		return true
+	}
+	if t.handing {
+		return false
+	}
+	for _, r := range t.runs {
+		if r.state != runRunning {
+			return false
+		}
+	}
+	t.handing = true
+	moved := medlargw.TransferredTarget{Name: t.info.Name, Born: t.born, Fence: t.fence, Seen: t.seen}
+	for _, r := range t.inOrder() {
+		if r.task == nil || r.stopping {
+			continue // The new holder stops what it does not know.
+		}
+		o := r.task.offered
+		o.Due = r.task.due.Sub(now)
+		o.Deadline = r.task.deadline.Sub(now)
+		moved.Runs = append(moved.Runs, medlargw.TransferredRun{Home: r.task.home.peer, Task: o, Elapsed: now.Sub(r.acked)})
+	}
+	t.moved = moved
+	h.addTransfer(t.releaseTo, moved)
+	return false
+}
+
+func (h *Holder) addTransfer(to medlargw.Peer, moved medlargw.TransferredTarget) {
+	for i := range h.actions.Transfers {
+		if h.actions.Transfers[i].To.Incarnation == to.Incarnation {
+			h.actions.Transfers[i].Targets = append(h.actions.Transfers[i].Targets, moved)
+			return
+		}
+	}
+	h.actions.Transfers = append(h.actions.Transfers, medlargw.Transfer{
+		From: h.self, To: to, Targets: []medlargw.TransferredTarget{moved},
+	})
+}
+
+// TransferAnswered takes the outcome of a transfer. After an error the new
+// holder may have the targets or not: its higher token decides.
+func (h *Holder) TransferAnswered(now time.Time, tr *medlargw.Transfer, err error) {
+	for i := range tr.Targets {
+		moved := &tr.Targets[i]
+		t := h.targets[moved.Name]
+		if t == nil || t.fence != moved.Fence || !t.handing {
+			continue
+		}
+		t.handing = false
+		if err != nil {
+			h.log.Warn("target not handed over", zap.String("target", string(t.info.Name)), zap.String("to", string(tr.To.Host)), zap.Error(err))
+			continue
+		}
+		h.handedOver(now, t, moved)
+	}
+}
+
+// handedOver forgets a target and the tasks that moved with it.
+func (h *Holder) handedOver(now time.Time, t *target, moved *medlargw.TransferredTarget) {
+	gone := map[medlargw.RunID]bool{}
+	for i := range moved.Runs {
+		gone[moved.Runs[i].Task.Run] = true
+	}
+	for _, r := range t.inOrder() {
+		t.take(r)
+		switch {
+		case r.task == nil:
+		case gone[r.id]:
+			h.forget(now, r.task)
+		default:
+			h.end(now, r.task, medlargw.TaskUnknown, r, "handed over while it was stopped")
+		}
+	}
+	h.remove(t)
+}
+
+// Transfer takes targets from their former holder, with what runs there.
+func (h *Holder) Transfer(now time.Time, tr *medlargw.Transfer) {
+	for i := range tr.Targets {
+		moved := &tr.Targets[i]
+		h.fences.saw(moved.Fence)
+		t := h.targets[moved.Name]
+		if t == nil {
+			info, ok := h.listed(moved.Name)
+			if !ok {
+				continue
+			}
+			t = newTarget(info)
+			h.add(t)
+		}
+		if t.held {
+			continue // It was claimed before; its runs were stopped.
+		}
+		h.adopt(now, t, moved)
+	}
+}
+
+func (h *Holder) listed(name medlargw.TargetName) (medlargw.Target, bool) {
+	for i := range h.group.Targets {
+		if h.group.Targets[i].Name == name {
+			return h.group.Targets[i], true
+		}
+	}
+	return medlargw.Target{}, false
+}
+
+// adopt takes over the runs of a target and claims it at once.
+func (h *Holder) adopt(now time.Time, t *target, moved *medlargw.TransferredTarget) {
+	t.born = moved.Born
+	t.seen = moved.Seen
+	t.fence = 0 // A claim that is on its way with an older view counts no more.
+	t.renewing = false
+	t.nextRenew = now
+	for i := range moved.Runs {
+		m := &moved.Runs[i]
+		home := h.home(now, m.Home)
+		w := &task{home: home, offered: m.Task, due: now.Add(m.Task.Due), deadline: now.Add(m.Task.Deadline)}
+		r := &run{id: m.Task.Run, room: m.Task.Room, task: w, target: t, state: runRunning, sent: now, acked: now.Add(-m.Elapsed)}
+		w.run = r
+		home.tasks[w.offered.ID] = w
+		t.put(r)
+		h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
+			Home: home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
+		})
+	}
+}
--- /dev/null
+++ b/holder/health.go
@@ -0,0 +1,70 @@
+package holder
+
+import (
+	"time"
+)
+
+// What speaks against a target.
+const (
+	// slowTarget is the slowness from which a target gets only tasks that are
+	// still in time there, and counts as no free room for homes.
+	slowTarget = 2.0
+	// slownessWeight is the weight of one new run in the average.
+	slownessWeight = 0.3
+	// slownessHalf is the time in which the excess of the slowness halves, so
+	// that a target is tried again.
+	slownessHalf = 2 * time.Second
+	maxSlowness  = 10
+
+	firstPause = 300 * time.Millisecond // After a failed run.
+	maxPause   = 4 * time.Second
+)
+
+// health is how a target did lately.
+type health struct {
+	slowness float64 // Run times against the estimates, an average.
+	judged   time.Time
+	failed   int // Runs in a row that failed.
+	paused   time.Time
+}
+
+func newHealth() health { return health{slowness: 1} }
+
+// ran learns the run time of a run that was done.
+func (h *health) ran(now time.Time, elapsed, estimate time.Duration) {
+	h.failed = 0
+	if estimate <= 0 {
+		return
+	}
+	h.judge(now, slownessWeight, min(float64(elapsed)/float64(estimate), maxSlowness))
+}
+
+// stalls takes note that a run makes far less progress than estimated.
+func (h *health) stalls(now time.Time, ratio float64) {
+	h.judge(now, slownessWeight, min(ratio, maxSlowness))
+}
+
+func (h *health) judge(now time.Time, weight, ratio float64) {
+	h.slowness += weight * (ratio - h.slowness)
+	h.judged = now
+}
+
+// decay lets the slowness fade while nothing is learnt.
+func (h *health) decay(now time.Time) {
+	if h.slowness > slowTarget && now.Sub(h.judged) >= slownessHalf {
+		h.judge(now, 0.5, 1)
+	}
+}
+
+// fails holds the target back after failed runs, longer each time.
+func (h *health) fails(now time.Time) {
+	pause := min(firstPause<<min(h.failed, 8), maxPause)
+	h.failed++
+	h.pause(now, pause)
+}
+
+func (h *health) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(h.paused) {
+		h.paused = until
+	}
+}
--- /dev/null
+++ b/holder/offer.go
@@ -0,0 +1,98 @@
+package holder
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+)
+
+// Offer takes a home's offer. The clock is this entry's, in the terms of
+// medlargw.Offer.Valid.
+func (h *Holder) Offer(now time.Time, clock time.Duration, o *medlargw.Offer) medlargw.OfferReply {
+	reply := medlargw.OfferReply{Incarnation: h.self.Incarnation, Clock: clock}
+	if len(o.Tasks) > 0 && clock > o.Valid {
+		h.log.Debug("stale offer refused", zap.String("home", string(o.From.Host)), zap.Duration("late", clock-o.Valid))
+		for i := range o.Tasks {
+			reply.States = append(reply.States, medlargw.OfferedState{ID: o.Tasks[i].ID, State: medlargw.OfferStale})
+		}
+		reply.Room = h.Room(now)
+		return reply
+	}
+	m := h.home(now, medlargw.Peer{Host: o.From.Host, Zone: o.From.Zone, Addr: o.From.Addr, Incarnation: o.From.Incarnation})
+	if clock <= o.Valid {
+		m.heard = now // An old message says nothing of the home's present.
+	}
+	for _, id := range o.Cancels {
+		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
+	}
+	for _, id := range o.Recalls {
+		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.recall(now, m, id)})
+	}
+	fresh := h.accept(now, m, o.Tasks)
+	h.place(now)
+	for i := range o.Tasks {
+		state := h.settle(now, m, &o.Tasks[i], fresh[i])
+		reply.States = append(reply.States, medlargw.OfferedState{ID: o.Tasks[i].ID, State: state})
+	}
+	reply.Room = h.Room(now)
+	return reply
+}
+
+// accept lets the new tasks of an offer wait, and returns which are new.
+func (h *Holder) accept(now time.Time, m *home, offered []medlargw.OfferedTask) []*task {
+	fresh := make([]*task, len(offered))
+	for i := range offered {
+		o := &offered[i]
+		if m.tasks[o.ID] != nil || !m.ended[o.ID].IsZero() {
+			continue
+		}
+		w := &task{home: m, offered: *o, due: now.Add(o.Due), deadline: now.Add(o.Deadline)}
+		m.tasks[o.ID] = w
+		h.wait(w)
+		fresh[i] = w
+	}
+	return fresh
+}
+
+// settle returns the state of an offered task after the placement, and gives
+// back a new one that may not wait here.
+func (h *Holder) settle(now time.Time, m *home, o *medlargw.OfferedTask, fresh *task) medlargw.OfferState {
+	w := m.tasks[o.ID]
+	switch {
+	case w == nil:
+		return medlargw.OfferStarted // It has ended; its report is on its way.
+	case w.run != nil:
+		return medlargw.OfferStarted
+	case o.Queue || fresh == nil:
+		return medlargw.OfferQueued
+	}
+	h.unwait(w)
+	h.forget(now, w)
+	return medlargw.OfferRefused
+}
+
+// recall gives a task back that was not started.
+func (h *Holder) recall(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
+	w := m.tasks[id]
+	switch {
+	case w == nil && m.ended[id].IsZero():
+		m.ended[id] = now // The offer may still be on its way.
+		return medlargw.OfferRefused
+	case w == nil || w.run != nil:
+		return medlargw.OfferStarted
+	}
+	h.unwait(w)
+	h.forget(now, w)
+	return medlargw.OfferRefused
+}
+
+// cancel stops a task or gives it back.
+func (h *Holder) cancel(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
+	state := h.recall(now, m, id)
+	if w := m.tasks[id]; w != nil && w.run != nil && !w.run.stopping {
+		h.stop(now, w.run, "cancelled")
+	}
+	return state
+}
--- /dev/null
+++ b/holder/target.go
@@ -0,0 +1,136 @@
+package holder
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// lapseMargin is added to the end of a lease before it counts as over, for the
+// rounding of the target's clock.
+const lapseMargin = 20 * time.Millisecond
+
+// runState is what is known of a run on a target.
+type runState int
+
+const (
+	runStarting runState = iota // The order is on its way.
+	runDoubtful                 // The order was not answered.
+	runRunning
+)
+
+// run is one run that takes room of a target.
+type run struct {
+	id     medlargw.RunID
+	room   medlargw.Room
+	task   *task // Nil for a run that was started by another holder.
+	target *target
+	state  runState
+	sent   time.Time
+	acked  time.Time     // When the target's word of it arrived.
+	until  time.Duration // End of the lease in its start order, on the target's clock.
+
+	stopping     bool
+	stopSent     time.Time
+	stopAnswered time.Time // Zero until the target has confirmed the stop.
+	reason       string    // Why it is stopped.
+	judged       bool      // Its progress has spoken against its target.
+}
+
+// target is a target that this entry holds or is about to claim.
+type target struct {
+	info  medlargw.Target
+	held  bool // The claim was answered.
+	fence uint64
+	born  time.Time
+	seen  uint64        // Ends up to this number were taken note of.
+	free  medlargw.Room // What no run takes.
+	runs  map[medlargw.RunID]*run
+
+	clock   time.Duration // Of the target, in its last answer.
+	clockAt time.Time     // When that answer arrived; zero is never.
+	until   time.Duration // The latest end of a lease in any order sent.
+
+	renewing  bool
+	nextRenew time.Time
+	heard     time.Time // Last answer.
+	failures  int       // Renewals in a row that were not answered.
+
+	unlisted  time.Time // Since when the list lacks it; zero is listed.
+	releasing bool      // Another entry shall hold it.
+	handing   bool      // The transfer is on its way.
+	releaseTo medlargw.Peer
+	moved     medlargw.TransferredTarget // What the transfer says.
+
+	health
+}
+
+func newTarget(info medlargw.Target) *target {
+	return &target{info: info, born: info.Born, free: info.Room, runs: map[medlargw.RunID]*run{}, health: newHealth()}
+}
+
+// update takes what the list says of the target.
+func (t *target) update(info medlargw.Target) {
+	taken := t.info.Room.Minus(t.free)
+	t.info = info
+	t.free = info.Room.Minus(taken)
+	t.unlisted = time.Time{}
+}
+
+// put takes room for a run.
+func (t *target) put(r *run) {
+	t.runs[r.id] = r
+	t.free = t.free.Minus(r.room)
+}
+
+// take gives the room of a run back.
+func (t *target) take(r *run) {
+	delete(t.runs, r.id)
+	t.free = t.free.Plus(r.room)
+}
+
+// foreign reports whether runs of unknown size are there.
+func (t *target) foreign() bool {
+	for _, r := range t.runs {
+		if r.task == nil && r.room == (medlargw.Room{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether new runs may be started.
+func (t *target) usable(now time.Time) bool {
+	return t.held && !t.info.Leaving && !t.releasing && t.failures == 0 &&
+		!now.Before(t.paused) && !t.foreign()
+}
+
+// hear takes the target's clock of an answer.
+func (t *target) hear(now time.Time, clock time.Duration) {
+	t.heard = now
+	if clock > 0 {
+		t.clock, t.clockAt = clock, now
+	}
+}
+
+// clockNow returns what the target's clock has surely reached.
+func (t *target) clockNow(now time.Time, drift float64) time.Duration {
+	return t.clock + time.Duration(float64(now.Sub(t.clockAt))*(1-drift))
+}
+
+// lapsed reports whether all leases given so far have surely ended.
+func (t *target) lapsed(now time.Time, drift float64) bool {
+	return len(t.runs) > 0 && !t.clockAt.IsZero() && t.clockNow(now, drift) > t.until+lapseMargin
+}
+
+// gone reports whether the target left the list and is used no more.
+func (t *target) gone(now time.Time, unlisted time.Duration) bool {
+	if t.unlisted.IsZero() {
+		return false
+	}
+	return now.Sub(t.unlisted) > unlisted || t.failures > goneFailures
+}
+
+// goneFailures is the number of unanswered renewals after which a target that
+// the list lacks is given up.
+const goneFailures = 3
--- a/interfaces.go
+++ b/interfaces.go
@@ -135,3 +135,9 @@
 	Running() []TeamUse
 	Status() []LimitStatus
 }
+
+// Clock tells the time by a clock that never jumps and goes on while the host
+// is suspended. Only differences of its times mean something.
+type Clock interface {
+	Now() time.Time
+}
--- a/job.go
+++ b/job.go
@@ -21,6 +21,15 @@
 	Deadline   time.Time
 	Runtime    time.Duration // The caller's estimate for one task; zero is unknown.
 	Size       int64         // The declared memory of one task, in bytes; zero is unknown.
+
+	// Of jobs for targets under lease.
+	Key      string   // The caller's own id of the job; empty is none.
+	Pool     PoolName // The targets that may run it.
+	Rank     int      // Of its class; zero is the highest.
+	Room     Room     // What one task takes of a target.
+	Slack    float64  // Its objective is Slack times its longest task, and Grace.
+	Grace    time.Duration
+	Attempts int // Runs of one task that may fail before the job fails.
 }
 
 // PayloadBytes returns the sum of the payload sizes in bytes.
--- a/loan.go
+++ b/loan.go
@@ -10,6 +10,7 @@
 	Targets []Target // Of all zones.
 	Entries []Peer   // Live and leaving ones, this entry included.
 	Unheard bool     // Entries of the zone are listed that this entry never heard of.
+	Listed  []Peer   // Entries that a fresh list of the platform names.
 }
 
 // Peer is one entry that acts together with others.
--- a/member.go
+++ b/member.go
@@ -80,6 +80,7 @@
 	HostsAge   time.Duration // Since an entry of the zone last read the list.
 	Free       int           // Free slots of the targets it owns.
 	Waiting    []ClassDemand
+	Room       HolderRoom // Of the targets that it holds under lease.
 }
 
 // ClassDemand is the number of tasks of a class that wait for a slot, and of
@@ -89,3 +90,14 @@
 	Tasks   int
 	Running int
 }
+
+// Enrolment keeps this entry among those that the platform lists.
+type Enrolment interface {
+	// Enrol lists the entry until the time has passed without a renewal, and
+	// returns the lease to renew.
+	Enrol(ctx context.Context, m Member, ttl time.Duration) (uint64, error)
+	// Extend renews the lease; ErrNotFound says that it has ended.
+	Extend(ctx context.Context, lease uint64) error
+	// Withdraw ends the lease.
+	Withdraw(ctx context.Context, lease uint64) error
+}
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -25,6 +25,7 @@
 			HostsAgeMs: b.Digest.HostsAge.Milliseconds(),
 			Free:       int32(b.Digest.Free),
 			Waiting:    encodeDemand(b.Digest.Waiting),
+			Room:       encodeHolderRoom(&b.Digest.Room),
 		},
 		View: b.View,
 	}
@@ -43,6 +44,7 @@
 			HostsAge:   time.Duration(r.GetDigest().GetHostsAgeMs()) * time.Millisecond,
 			Free:       int(r.GetDigest().GetFree()),
 			Waiting:    decodeDemand(r.GetDigest().GetWaiting()),
+			Room:       decodeHolderRoom(r.GetDigest().GetRoom()),
 		},
 		View: r.GetView(),
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,8 +31,7 @@
 	idleTimeout   = time.Minute
 	stopTimeout   = time.Second
 	maxClients    = 1024            // Peers whose clients are kept.
-	pingAfter     = 2 * time.Second // Silence after which a connection is probed.
-	pingTimeout   = 2 * time.Second // Then it is given up.
+	maxPing       = 2 * time.Second // Longest silence of a connection before it is probed.
 )
 
 // Messenger is the part that reaches the other entries and serves them.
@@ -66,11 +65,12 @@
 	registry metrics.Registry,
 ) *Messenger {
 	count := newCounters(registry)
+	ping := min(settings.Group.Suspect/2, maxPing) // Silence before a probe, and then before the connection is given up.
 	transport := &http.Transport{
 		DialContext:     count.dial,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       http2(),
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: ping},
 	}
 	return &Messenger{
 		log:      log.Named("messenger"),
--- /dev/null
+++ b/messenger/offers.go
@@ -0,0 +1,266 @@
+package messenger
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/messenger/wire"
+)
+
+var _ medlargw.Offerer = (*Messenger)(nil)
+
+// Offer sends a home's offer to a holder.
+func (m *Messenger) Offer(ctx context.Context, to netip.AddrPort, o medlargw.Offer) (medlargw.OfferReply, error) {
+	reply, err := m.peer(to).Offer(ctx, encodeOffer(&o))
+	if err != nil {
+		return medlargw.OfferReply{}, err
+	}
+	return decodeOfferReply(reply), nil
+}
+
+// Report sends a holder's events to a home.
+func (m *Messenger) Report(ctx context.Context, to netip.AddrPort, r medlargw.Report) error {
+	_, err := m.peer(to).Report(ctx, encodeReport(&r))
+	return err
+}
+
+// Transfer hands targets over.
+func (m *Messenger) Transfer(ctx context.Context, to netip.AddrPort, t medlargw.Transfer) error {
+	_, err := m.peer(to).Transfer(ctx, encodeTransfer(&t))
+	return err
+}
+
+// Offer answers a home.
+func (s *server) Offer(ctx context.Context, r *wire.OfferRequest) (*wire.OfferReply, error) {
+	if s.handlers.offers == nil {
+		return nil, absent("offers")
+	}
+	reply, err := s.handlers.offers.HandleOffer(ctx, decodeOffer(r))
+	if err != nil {
+		return nil, err
+	}
+	return encodeOfferReply(&reply), nil
+}
+
+// Report takes a holder's events.
+func (s *server) Report(ctx context.Context, r *wire.ReportRequest) (*wire.ReportReply, error) {
+	if s.handlers.offers == nil {
+		return nil, absent("reports")
+	}
+	if err := s.handlers.offers.HandleReport(ctx, decodeReport(r)); err != nil {
+		return nil, err
+	}
+	return &wire.ReportReply{}, nil
+}
+
+// Transfer takes targets over.
+func (s *server) Transfer(ctx context.Context, r *wire.TransferRequest) (*wire.TransferReply, error) {
+	if s.handlers.offers == nil {
+		return nil, absent("transfers")
+	}
+	if err := s.handlers.offers.HandleTransfer(ctx, decodeTransfer(r)); err != nil {
+		return nil, err
+	}
+	return &wire.TransferReply{}, nil
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func encodeTask(t *medlargw.OfferedTask) *wire.OfferedTask {
+	w := &wire.OfferedTask{
+		Id:         uint64(t.ID),
+		Task:       t.Run.Task,
+		Attempt:    int32(t.Run.Attempt),
+		Payload:    t.Payload,
+		Pool:       string(t.Pool),
+		Room:       encodeRoom(t.Room),
+		Rank:       int32(t.Rank),
+		EstimateUs: t.Estimate.Microseconds(),
+		DueUs:      t.Due.Microseconds(),
+		DeadlineUs: t.Deadline.Microseconds(),
+		Queue:      t.Queue,
+	}
+	for _, name := range t.Avoid {
+		w.Avoid = append(w.Avoid, string(name))
+	}
+	return w
+}
+
+func decodeTask(w *wire.OfferedTask) medlargw.OfferedTask {
+	t := medlargw.OfferedTask{
+		ID:       medlargw.TaskID(w.GetId()),
+		Run:      medlargw.RunID{Task: w.GetTask(), Attempt: int(w.GetAttempt())},
+		Payload:  w.GetPayload(),
+		Pool:     medlargw.PoolName(w.GetPool()),
+		Room:     decodeRoom(w.GetRoom()),
+		Rank:     int(w.GetRank()),
+		Estimate: micros(w.GetEstimateUs()),
+		Due:      micros(w.GetDueUs()),
+		Deadline: micros(w.GetDeadlineUs()),
+		Queue:    w.GetQueue(),
+	}
+	for _, name := range w.GetAvoid() {
+		t.Avoid = append(t.Avoid, medlargw.TargetName(name))
+	}
+	return t
+}
+
+func encodeIDs(all []medlargw.TaskID) []uint64 {
+	var ids []uint64
+	for _, id := range all {
+		ids = append(ids, uint64(id))
+	}
+	return ids
+}
+
+func decodeIDs(all []uint64) []medlargw.TaskID {
+	var ids []medlargw.TaskID
+	for _, id := range all {
+		ids = append(ids, medlargw.TaskID(id))
+	}
+	return ids
+}
+
+func encodeOffer(o *medlargw.Offer) *wire.OfferRequest {
+	w := &wire.OfferRequest{
+		From:    encodeMember(&o.From),
+		ValidUs: o.Valid.Microseconds(),
+		Recalls: encodeIDs(o.Recalls),
+		Cancels: encodeIDs(o.Cancels),
+	}
+	for i := range o.Tasks {
+		w.Tasks = append(w.Tasks, encodeTask(&o.Tasks[i]))
+	}
+	return w
+}
+
+func decodeOffer(w *wire.OfferRequest) medlargw.Offer {
+	o := medlargw.Offer{
+		From:    decodeMember(w.GetFrom()),
+		Valid:   micros(w.GetValidUs()),
+		Recalls: decodeIDs(w.GetRecalls()),
+		Cancels: decodeIDs(w.GetCancels()),
+	}
+	for _, t := range w.GetTasks() {
+		o.Tasks = append(o.Tasks, decodeTask(t))
+	}
+	return o
+}
+
+func encodeOfferReply(r *medlargw.OfferReply) *wire.OfferReply {
+	w := &wire.OfferReply{
+		Incarnation: uint64(r.Incarnation),
+		ClockUs:     r.Clock.Microseconds(),
+		Room:        encodeHolderRoom(&r.Room),
+	}
+	for _, s := range r.States {
+		w.States = append(w.States, &wire.OfferedState{Id: uint64(s.ID), State: int32(s.State)})
+	}
+	return w
+}
+
+func decodeOfferReply(w *wire.OfferReply) medlargw.OfferReply {
+	r := medlargw.OfferReply{
+		Incarnation: medlargw.Incarnation(w.GetIncarnation()),
+		Clock:       micros(w.GetClockUs()),
+		Room:        decodeHolderRoom(w.GetRoom()),
+	}
+	for _, s := range w.GetStates() {
+		r.States = append(r.States, medlargw.OfferedState{
+			ID:    medlargw.TaskID(s.GetId()),
+			State: medlargw.OfferState(s.GetState()),
+		})
+	}
+	return r
+}
+
+func encodeReport(r *medlargw.Report) *wire.ReportRequest {
+	w := &wire.ReportRequest{From: encodeMember(&r.From), Room: encodeHolderRoom(&r.Room)}
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		w.Home = uint64(e.Home.Incarnation)
+		w.Tasks = append(w.Tasks, &wire.TaskReport{
+			Id:        uint64(e.ID),
+			Event:     int32(e.Event),
+			Target:    string(e.Target),
+			ElapsedUs: e.Elapsed.Microseconds(),
+			Reason:    e.Reason,
+		})
+	}
+	return w
+}
+
+func decodeReport(w *wire.ReportRequest) medlargw.Report {
+	r := medlargw.Report{From: decodeMember(w.GetFrom()), Room: decodeHolderRoom(w.GetRoom())}
+	for _, e := range w.GetTasks() {
+		r.Tasks = append(r.Tasks, medlargw.TaskReport{
+			Home:    medlargw.Peer{Incarnation: medlargw.Incarnation(w.GetHome())},
+			ID:      medlargw.TaskID(e.GetId()),
+			Event:   medlargw.TaskEvent(e.GetEvent()),
+			Target:  medlargw.TargetName(e.GetTarget()),
+			Elapsed: micros(e.GetElapsedUs()),
+			Reason:  e.GetReason(),
+		})
+	}
+	return r
+}
+
+func encodePeer(p *medlargw.Peer) *wire.Member {
+	return &wire.Member{
+		Host:        string(p.Host),
+		Zone:        string(p.Zone),
+		Addr:        encodeAddr(p.Addr),
+		Incarnation: uint64(p.Incarnation),
+	}
+}
+
+func decodePeer(w *wire.Member) medlargw.Peer {
+	return medlargw.Peer{
+		Host:        medlargw.HostName(w.GetHost()),
+		Zone:        medlargw.ZoneName(w.GetZone()),
+		Addr:        decodeAddr(w.GetAddr()),
+		Incarnation: medlargw.Incarnation(w.GetIncarnation()),
+	}
+}
+
+func encodeTransfer(t *medlargw.Transfer) *wire.TransferRequest {
+	w := &wire.TransferRequest{From: encodeMember(&t.From)}
+	for i := range t.Targets {
+		moved := &t.Targets[i]
+		target := &wire.TransferredTarget{Name: string(moved.Name), Fence: moved.Fence, Seen: moved.Seen}
+		if !moved.Born.IsZero() {
+			target.BornMs = moved.Born.UnixMilli()
+		}
+		for j := range moved.Runs {
+			r := &moved.Runs[j]
+			target.Runs = append(target.Runs, &wire.TransferredRun{
+				Home:      encodePeer(&r.Home),
+				Task:      encodeTask(&r.Task),
+				ElapsedUs: r.Elapsed.Microseconds(),
+			})
+		}
+		w.Targets = append(w.Targets, target)
+	}
+	return w
+}
+
+func decodeTransfer(w *wire.TransferRequest) medlargw.Transfer {
+	t := medlargw.Transfer{From: decodeMember(w.GetFrom())}
+	for _, m := range w.GetTargets() {
+		moved := medlargw.TransferredTarget{Name: medlargw.TargetName(m.GetName()), Fence: m.GetFence(), Seen: m.GetSeen()}
+		if m.GetBornMs() != 0 {
+			moved.Born = time.UnixMilli(m.GetBornMs())
+		}
+		for _, r := range m.GetRuns() {
+			moved.Runs = append(moved.Runs, medlargw.TransferredRun{
+				Home:    decodePeer(r.GetHome()),
+				Task:    decodeTask(r.GetTask()),
+				Elapsed: micros(r.GetElapsedUs()),
+			})
+		}
+		t.Targets = append(t.Targets, moved)
+	}
+	return t
+}
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -16,6 +16,7 @@
 	beat    medlargw.BeatHandler
 	borrow  medlargw.BorrowHandler
 	forward medlargw.ForwardHandler
+	offers  medlargw.OfferHandler
 	fetch   map[medlargw.FetchKind]medlargw.FetchHandler
 }
 
@@ -24,6 +25,7 @@
 		beat:    find[medlargw.BeatHandler](reg, "tracker"),
 		borrow:  find[medlargw.BorrowHandler](reg, "dispatcher"),
 		forward: find[medlargw.ForwardHandler](reg, "keeper"),
+		offers:  find[medlargw.OfferHandler](reg, "dispatcher"),
 		fetch: map[medlargw.FetchKind]medlargw.FetchHandler{
 			medlargw.FetchConfig:  find[medlargw.FetchHandler](reg, "watcher"),
 			medlargw.FetchHosts:   find[medlargw.FetchHandler](reg, "assigner"),
--- /dev/null
+++ b/room.go
@@ -0,0 +1,55 @@
+package medlargw
+
+// Room is an amount of a target's resources.
+type Room struct {
+	Cores        int64 // Thousandths of a core.
+	Memory       int64 // MiB.
+	Accelerators int64
+}
+
+// Holds reports whether the need fits into the room.
+func (r Room) Holds(need Room) bool {
+	return need.Cores <= r.Cores && need.Memory <= r.Memory && need.Accelerators <= r.Accelerators
+}
+
+// Plus returns the sum.
+func (r Room) Plus(other Room) Room {
+	return Room{
+		Cores:        r.Cores + other.Cores,
+		Memory:       r.Memory + other.Memory,
+		Accelerators: r.Accelerators + other.Accelerators,
+	}
+}
+
+// Minus returns the difference, which may be negative.
+func (r Room) Minus(other Room) Room {
+	return Room{
+		Cores:        r.Cores - other.Cores,
+		Memory:       r.Memory - other.Memory,
+		Accelerators: r.Accelerators - other.Accelerators,
+	}
+}
+
+// PoolName names a set of targets that serve the same services.
+type PoolName string
+
+// PoolRoom is what one holder has free in one pool.
+type PoolRoom struct {
+	Pool     PoolName
+	Free     []Room // One for each target that takes new runs.
+	Capacity int64  // Of those targets, in thousandths of a core.
+	Waiting  []RankWork
+}
+
+// RankWork is the work that waits in the queue of a holder, by rank.
+type RankWork struct {
+	Rank int
+	Work int64 // Thousandths of a core times milliseconds.
+}
+
+// HolderRoom sums up what a holder has free. A higher Number of one incarnation
+// is newer.
+type HolderRoom struct {
+	Number uint64
+	Pools  []PoolRoom
+}
--- a/settings.go
+++ b/settings.go
@@ -18,6 +18,7 @@
 	Intake IntakeSettings
 	Task   TaskSettings
 	Group  GroupSettings
+	Lease  LeaseSettings
 	TLS    TLSSettings
 }
 
@@ -64,6 +65,7 @@
 	Beat    time.Duration // Between two heartbeats to one peer.
 	Suspect time.Duration // Silence after which an entry is suspect.
 	Gone    time.Duration // Silence after which a suspect entry is gone.
+	Read    time.Duration // Between two readings of the list of hosts; zero is a second.
 	Term    time.Duration // Length of a loan.
 	Margin  time.Duration // Time before the term's end at which a borrower stops.
 	Notice  time.Duration // Time in which a planned stop still accepts requests.
@@ -75,3 +77,20 @@
 	Cert string
 	Key  string
 }
+
+// LeaseSettings are the times of the dealings with targets that run tasks under
+// a lease, and between the homes of jobs and the holders of targets.
+type LeaseSettings struct {
+	Lease    time.Duration // Length of a lease.
+	Drift    float64       // Share by which a target's clock may be slow.
+	Stop     time.Duration // Longest time that a stop takes.
+	Poll     time.Duration // Longest wait of a target before it reports.
+	Order    time.Duration // Time in which a target answers an order.
+	Call     time.Duration // Time in which an entry answers an offer or a report.
+	Keep     time.Duration // Between two offers of a home to a holder of its tasks.
+	Silence  time.Duration // Silence of a home after which its tasks are stopped.
+	Unlisted time.Duration // How long a target that answers is used though the list lacks it.
+	Refused  time.Duration // Pause after a target was lost to a higher fencing token.
+	Grace    time.Duration // Longest planned stop.
+	Accept   time.Duration // How long a planned stop takes new jobs.
+}
--- a/submission.go
+++ b/submission.go
@@ -44,6 +44,7 @@
 	Team     Team
 	Classes  []Class
 	Services []Service
+	Routes   []Route
 	Grants   []Grant // Of the operators' team only.
 }
 
--- a/target.go
+++ b/target.go
@@ -13,6 +13,11 @@
 	Slots   int   // Tasks that it runs side by side.
 	Memory  int64 // Largest task that it can hold, in bytes; zero is unlimited.
 	Leaving bool  // It gets no new task.
+
+	// Of targets under lease.
+	Pool PoolName
+	Room Room
+	Born time.Time // Start of its incarnation; zero is unknown.
 }
 
 // EntryHost is one entry host as the platform lists it.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -40,6 +40,7 @@
 	inspector   medlargw.Inspector
 	forward     medlargw.ForwardHandler // Nil when there is no part "keeper".
 	hosts       medlargw.HostsVersioner // Nil when the assigner has none.
+	roomer      medlargw.Roomer         // Nil when the dispatcher holds no targets under lease.
 	observers   []medlargw.BeatObserver
 	listeners   []medlargw.MembersObserver
 	incarnation medlargw.Incarnation
@@ -107,6 +108,7 @@
 	}
 	t.forward, _ = registrar.Find[medlargw.ForwardHandler](t.registry, "keeper")
 	t.hosts, _ = registrar.Find[medlargw.HostsVersioner](t.registry, "assigner")
+	t.roomer, _ = registrar.Find[medlargw.Roomer](t.registry, "dispatcher")
 	for _, name := range []string{"watcher", "assigner", "dispatcher", "sender"} {
 		if o, err := registrar.Find[medlargw.BeatObserver](t.registry, name); err == nil {
 			t.observers = append(t.observers, o)
@@ -226,6 +228,9 @@
 		d.Hosts = t.hosts.HostsVersion()
 		d.HostsAge = t.hosts.HostsAge()
 	}
+	if t.roomer != nil {
+		d.Room = t.roomer.Room()
+	}
 	s, err := t.inspector.Status(ctx)
 	if err != nil {
 		return d
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -86,6 +86,7 @@
 		cfg.Teams = append(cfg.Teams, t.Team)
 		cfg.Classes = append(cfg.Classes, t.Classes...)
 		cfg.Services = append(cfg.Services, t.Services...)
+		cfg.Routes = append(cfg.Routes, t.Routes...)
 	}
 	slices.SortFunc(cfg.Classes, func(a, b medlargw.Class) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name))
