--- a/holder/holder.go
+++ b/holder/holder.go
@@ -78,8 +78,8 @@
 
 func (h *Holder) tickTarget(now time.Time, t *target) {
 	switch {
-	case t.gone(now, h.settings.Unlisted):
-		h.drop(now, t, "no longer listed")
+	case t.droppable(now, h.settings.Unlisted):
+		h.drop(t, "no longer listed")
 		return
 	case t.lapsed(now, h.settings.Drift):
 		h.endAll(now, t, "lease ended")
@@ -107,9 +107,8 @@
 }
 
 // drop gives up a target that nobody will hold.
-func (h *Holder) drop(now time.Time, t *target, reason string) {
-	h.log.Info("target dropped", zap.String("target", string(t.info.Name)), zap.String("reason", reason), zap.Int("runs", len(t.runs)))
-	h.endAll(now, t, reason)
+func (h *Holder) drop(t *target, reason string) {
+	h.log.Info("target dropped", zap.String("target", string(t.info.Name)), zap.String("reason", reason))
 	h.remove(t)
 }
 
@@ -127,7 +126,7 @@
 		return &sum.Pools[len(sum.Pools)-1]
 	}
 	for _, t := range h.order {
-		if !t.usable(now) {
+		if !t.usable(now, h.settings.Unlisted) {
 			continue
 		}
 		p := pool(t.info.Pool)
--- a/holder/place.go
+++ b/holder/place.go
@@ -38,7 +38,7 @@
 func (h *Holder) pick(now time.Time, w *task, late bool) *target {
 	var best *target
 	for _, t := range h.order {
-		if t.info.Pool != w.offered.Pool || !t.free.Holds(w.offered.Room) || !t.usable(now) {
+		if t.info.Pool != w.offered.Pool || !t.free.Holds(w.offered.Room) || !t.usable(now, h.settings.Unlisted) {
 			continue
 		}
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
--- a/holder/target.go
+++ b/holder/target.go
@@ -100,9 +100,9 @@
 }
 
 // usable reports whether new runs may be started.
-func (t *target) usable(now time.Time) bool {
+func (t *target) usable(now time.Time, unlisted time.Duration) bool {
 	return t.held && !t.info.Leaving && !t.releasing && t.failures == 0 &&
-		!now.Before(t.paused) && !t.foreign()
+		!now.Before(t.paused) && !t.foreign() && !t.gone(now, unlisted)
 }
 
 // hear takes the target's clock of an answer.
@@ -131,6 +131,12 @@
 	return now.Sub(t.unlisted) > unlisted || t.failures > goneFailures
 }
 
+// droppable reports whether a target that is gone can be forgotten: nothing
+// runs on it any more.
+func (t *target) droppable(now time.Time, unlisted time.Duration) bool {
+	return len(t.runs) == 0 && t.gone(now, unlisted)
+}
+
 // goneFailures is the number of unanswered renewals after which a target that
 // the list lacks is given up.
 const goneFailures = 3
