Acknowledge transfers of targets that were claimed before

Cause: after a loss of all hosts the first ones back claimed targets of other zones and handed them on in chains. Change: handed on only when the claim is answered; a late transfer tells whom the stopped runs belong to; no claims of other zones in the first 2 s; jobs wait while no target is known instead of being refused at once.

--- /dev/null
+++ b/conductor/fleet_test.go
@@ -0,0 +1,361 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/conductor"
+	"medlargw.example/medlargw/registrar"
+)
+
+// resendAfter is the time after which a caller whose entry was lost asks again.
+const resendAfter = 1300 * time.Millisecond
+
+// lease returns the times of an installation with leases of a second.
+func lease() medlargw.LeaseSettings {
+	return medlargw.LeaseSettings{
+		Lease: 800 * time.Millisecond, Drift: 0.025, Stop: 50 * time.Millisecond, Poll: 100 * time.Millisecond,
+		Order: 200 * time.Millisecond, Call: 200 * time.Millisecond, Keep: 120 * time.Millisecond,
+		Silence: 500 * time.Millisecond, Unlisted: 2500 * time.Millisecond, Refused: 2 * time.Second,
+	}
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// entry is one entry of the fleet.
+type entry struct {
+	host      string
+	peer      medlargw.Peer
+	conductor *conductor.Conductor
+	dead      bool
+}
+
+// fleet is a group of entries with conductors, in virtual time.
+type fleet struct {
+	w       *world
+	entries []*entry
+	next    int
+	ended   map[string]int // Outcomes by code; "" is complete.
+	open    int
+}
+
+// inFleet runs a test with entries in two zones and three targets for each.
+func inFleet(t *testing.T, seed uint64, hosts []string, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{w: newWorld(t, seed), ended: map[string]int{}}
+		for i, host := range hosts {
+			for j := range 3 {
+				f.w.addTarget(fmt.Sprintf("%s-t%d", host, j), zoneOf(host), 32000+16000*int64((i+j)%3/2))
+			}
+		}
+		for _, host := range hosts {
+			f.add(host)
+		}
+		f.assign()
+		time.Sleep(3 * time.Second)
+		test(f)
+		for _, e := range f.entries {
+			if !e.dead {
+				f.stop(e)
+			}
+		}
+		time.Sleep(15 * time.Second) // What is on its way ends.
+	})
+}
+
+// zoneOf returns the zone of a host by the first letter of its name.
+func zoneOf(host string) string { return host[:1] }
+
+// add starts an entry.
+func (f *fleet) add(host string) *entry {
+	f.w.mu.Lock()
+	f.next++
+	number := f.next
+	f.w.mu.Unlock()
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7000)
+	settings := medlargw.Settings{
+		Host: medlargw.HostName(host), Zone: medlargw.ZoneName(zoneOf(host)),
+		Listen: medlargw.ListenSettings{Peers: addr}, Lease: lease(),
+	}
+	incarnation := medlargw.Incarnation(number)
+	reg := registrar.New(zap.NewNop())
+	reg.Add(&fakeOfferer{w: f.w, host: host})
+	c := conductor.New(zap.NewNop(), reg, &settings, incarnation, systemClock{}, &fakeRunner{w: f.w, host: host}, metrics.NewRegistry())
+	if err := c.Start(context.Background()); err != nil {
+		f.w.t.Fatal(err)
+	}
+	e := &entry{host: host, conductor: c, peer: medlargw.Peer{
+		Host: settings.Host, Zone: settings.Zone, Addr: addr, Incarnation: incarnation,
+	}}
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	f.entries = append(f.entries, e)
+	f.w.entries[addr] = e
+	return e
+}
+
+// stop ends an entry as a lost process does: nothing of it goes on.
+func (f *fleet) stop(e *entry) {
+	f.w.mu.Lock()
+	e.dead = true
+	f.w.mu.Unlock()
+	if err := e.conductor.Stop(context.Background()); err != nil {
+		f.w.t.Error(err)
+	}
+}
+
+// assign tells all entries who there is, as each can see it.
+func (f *fleet) assign(leaving ...*entry) {
+	for _, e := range f.entries {
+		if e.dead {
+			continue
+		}
+		g := medlargw.Group{}
+		for _, other := range f.entries {
+			if !other.dead && !f.w.isCut(e.host, other.host) {
+				p := other.peer
+				p.Leaving = slices.Contains(leaving, other)
+				g.Entries = append(g.Entries, p)
+			}
+		}
+		for _, t := range f.w.targets {
+			g.Targets = append(g.Targets, t.info)
+		}
+		slices.SortFunc(g.Targets, func(a, b medlargw.Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+		e.conductor.SetGroup(g)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// submit sends a job to an entry; where that is lost, it is sent again.
+func (f *fleet) submit(e *entry, key string, tasks int, work time.Duration, cores int64) {
+	f.count(func() { f.open++ })
+	go func() {
+		defer f.count(func() { f.open-- })
+		for range 3 {
+			outcome := f.attempt(e, key, tasks, work, cores)
+			if outcome.Complete || outcome.Code != medlargw.CodeAttemptLost {
+				f.count(func() { f.ended[string(outcome.Code)]++ })
+				f.remember(key, tasks, &outcome)
+				return
+			}
+			time.Sleep(resendAfter)
+			if e = f.living(); e == nil {
+				return
+			}
+		}
+	}()
+}
+
+func (f *fleet) count(change func()) {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	change()
+}
+
+// remember notes the tasks of a job that was said not to have run.
+func (f *fleet) remember(key string, tasks int, o *medlargw.Outcome) {
+	if o.Complete || len(o.Tasks) == 0 || !o.NotRun() {
+		return
+	}
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	for i := range tasks {
+		f.w.refused[fmt.Sprintf("%s.%d", key, i)] = true
+	}
+}
+
+func (f *fleet) attempt(e *entry, key string, tasks int, work time.Duration, cores int64) medlargw.Outcome {
+	job := &medlargw.Job{
+		Key: key, Service: "s", Pool: "pool", Attempts: 2, Slack: 1.6, Grace: 60 * time.Millisecond,
+		Room: medlargw.Room{Cores: cores, Memory: 64}, Runtime: work,
+		Arrived: time.Now(), Deadline: time.Now().Add(2500 * time.Millisecond),
+	}
+	f.w.mu.Lock()
+	for i := range tasks {
+		id := fmt.Sprintf("%s.%d", key, i)
+		f.w.works[id] = work
+		f.w.rooms[id] = job.Room
+		job.Tasks = append(job.Tasks, medlargw.Task{ID: id})
+	}
+	f.w.mu.Unlock()
+	return e.conductor.Submit(context.Background(), job)
+}
+
+func (f *fleet) living() *entry {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	var all []*entry
+	for _, e := range f.entries {
+		if !e.dead {
+			all = append(all, e)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all[f.w.rand.IntN(len(all))]
+}
+
+// load submits jobs of three kinds at random for a while.
+func (f *fleet) load(d time.Duration, perSecond float64) {
+	kinds := []struct {
+		tasks int
+		work  time.Duration
+	}{{8, 60 * time.Millisecond}, {4, 900 * time.Millisecond}, {2, 200 * time.Millisecond}, {2, 200 * time.Millisecond}}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(rand.New(f.w.rand).ExpFloat64() / perSecond * float64(time.Second)))
+		kind := kinds[f.w.rand.IntN(len(kinds))]
+		work := time.Duration(float64(kind.work) * (0.7 + 0.6*f.w.rand.Float64()))
+		var key string
+		f.count(func() {
+			f.next++
+			key = fmt.Sprintf("job%d", f.next)
+		})
+		if e := f.living(); e != nil {
+			f.submit(e, key, kind.tasks, work, 11000+f.w.rand.Int64N(6000))
+		}
+	}
+}
+
+// cutHost cuts a host off from hosts or targets, both ways.
+func (f *fleet) cutHost(host, other string, cut bool) {
+	f.w.setCut(host, other, cut)
+	f.w.setCut(other, host, cut)
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(f *fleet)
+		least float64 // Share of the jobs that complete, at least.
+	}{
+		{"calm", func(*fleet) {}, 0.95},
+		{"a home and holder is lost", func(f *fleet) {
+			f.stop(f.entries[0])
+			time.Sleep(500 * time.Millisecond)
+			f.assign()
+		}, 0.6},
+		{"a home and holder is lost and comes back", func(f *fleet) {
+			f.stop(f.entries[0])
+			time.Sleep(400 * time.Millisecond)
+			f.assign()
+			time.Sleep(600 * time.Millisecond)
+			f.add(f.entries[0].host)
+			f.assign()
+		}, 0.6},
+		{"a zone has no entry for a while", func(f *fleet) {
+			f.stop(f.entries[2])
+			time.Sleep(400 * time.Millisecond)
+			f.assign()
+			time.Sleep(2 * time.Second)
+			f.add(f.entries[2].host)
+			f.assign()
+		}, 0.5},
+		{"planned stop of a holder", func(f *fleet) {
+			e := f.entries[0]
+			f.assign(e)
+			time.Sleep(4 * time.Second)
+			f.stop(e)
+			f.assign()
+		}, 0.9},
+		{"planned stop of a holder that takes back what it handed over", func(f *fleet) {
+			e := f.entries[0]
+			f.assign(e)
+			time.Sleep(20 * time.Millisecond)
+			f.assign()
+			time.Sleep(20 * time.Millisecond)
+			f.assign(f.entries[1])
+		}, 0.8},
+		{"two entries see each other gone", func(f *fleet) {
+			f.cutHost("a1", "a2", true)
+			f.assign()
+			time.Sleep(3 * time.Second)
+			f.cutHost("a1", "a2", false)
+			f.assign()
+		}, 0.3},
+		{"orders carried out 3 s late", func(f *fleet) {
+			f.w.set("a1-t0", func(t *fakeTarget) { t.lateBy = 3 * time.Second })
+			time.Sleep(2 * time.Second)
+			f.w.set("a1-t0", func(t *fakeTarget) { t.lateBy = 0 })
+		}, 0.8},
+		{"target cut off and back", func(f *fleet) {
+			for _, host := range []string{"a1", "a2", "b1"} {
+				f.cutHost(host, "a1-t1", true)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for _, host := range []string{"a1", "a2", "b1"} {
+				f.cutHost(host, "a1-t1", false)
+			}
+		}, 0.8},
+		{"answers of a target are lost", func(f *fleet) {
+			for _, host := range []string{"a1", "a2", "b1"} {
+				f.w.setCut("a2-t1", host, true)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for _, host := range []string{"a1", "a2", "b1"} {
+				f.w.setCut("a2-t1", host, false)
+			}
+		}, 0.8},
+		{"new incarnation at the old address", func(f *fleet) {
+			f.w.crash(f.w.targets["a1-t0"])
+			time.Sleep(300 * time.Millisecond)
+			f.w.crash(f.w.targets["b1-t0"])
+		}, 0.8},
+		{"a home and a holder are cut off from each other, one way", func(f *fleet) {
+			f.w.setCut("a1", "b1", true)
+			time.Sleep(1500 * time.Millisecond)
+			f.w.setCut("a1", "b1", false)
+			time.Sleep(500 * time.Millisecond)
+			f.w.setCut("a2", "a1", true)
+			time.Sleep(1500 * time.Millisecond)
+			f.w.setCut("a2", "a1", false)
+		}, 0.5},
+		{"targets hang, are slow and fail", func(f *fleet) {
+			f.w.set("a1-t0", func(t *fakeTarget) { t.hang = true })
+			f.w.set("a2-t0", func(t *fakeTarget) { t.slow = 8 })
+			f.w.set("b1-t0", func(t *fakeTarget) { t.fail = true })
+			time.Sleep(3 * time.Second)
+			f.w.set("a1-t0", func(t *fakeTarget) { t.hang = false })
+			f.w.set("a2-t0", func(t *fakeTarget) { t.slow = 1 })
+			f.w.set("b1-t0", func(t *fakeTarget) { t.fail = false })
+		}, 0.6},
+	}
+	for _, test := range tests {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				inFleet(t, seed, []string{"a1", "a2", "b1"}, func(f *fleet) {
+					go func() {
+						time.Sleep(time.Second)
+						test.fault(f)
+					}()
+					f.load(8*time.Second, 6)
+					time.Sleep(8 * time.Second)
+					if f.open != 0 {
+						t.Errorf("jobs without an outcome: got %d, want 0", f.open)
+					}
+					total := 0
+					for _, n := range f.ended {
+						total += n
+					}
+					if got := float64(f.ended[""]) / float64(total); got < test.least {
+						t.Errorf("share of complete jobs: got %.2f of %d, want at least %.2f: %v", got, total, test.least, f.ended)
+					}
+				})
+			})
+		}
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -71,7 +71,7 @@
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
 	}
 	c.jobs = append(c.jobs, j)
-	if wait, ok := c.expectedWait(j); !ok || (wait > 0 && now.Add(wait).After(j.latest())) {
+	if wait, ok := c.expectedWait(j); ok && wait > 0 && now.Add(wait).After(j.latest()) {
 		c.refuse(now, j, wait, "no room in time")
 		return
 	}
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -13,10 +13,18 @@
 // target over before it claims the target itself.
 const transferWait = 600 * time.Millisecond
 
+// settleTime is the time after its start in which an entry claims no targets of
+// other zones: their own entries may be starting too.
+const settleTime = 2 * time.Second
+
 // Assign takes the hosts that act together: it claims the targets that this
 // entry owns now, and releases those that another one owns.
 func (h *Holder) Assign(now time.Time, g medlargw.Group) {
 	h.group = g
+	h.assigned = now
+	if h.began.IsZero() {
+		h.began = now
+	}
 	listed := make(map[medlargw.TargetName]bool, len(g.Targets))
 	for i := range g.Targets {
 		info := &g.Targets[i]
@@ -36,7 +44,7 @@
 }
 
 func (h *Holder) assignTarget(now time.Time, info *medlargw.Target) {
-	owner, found := h.owner(info)
+	owner, found := h.owner(now, info)
 	before, known := h.owners[info.Name]
 	h.owners[info.Name] = owner.Incarnation
 	t := h.targets[info.Name]
@@ -73,13 +81,26 @@
 
 // owner returns the entry that shall hold the target: of its zone, or of any
 // zone when that one has none.
-func (h *Holder) owner(t *medlargw.Target) (medlargw.Peer, bool) {
+func (h *Holder) owner(now time.Time, t *medlargw.Target) (medlargw.Peer, bool) {
 	if p, ok := rendezvous(t.Name, h.candidates(t.Zone, true)); ok {
 		return p, true
 	}
+	if !h.leavingZone(t.Zone) && now.Sub(h.began) < settleTime {
+		return medlargw.Peer{}, false
+	}
 	return rendezvous(t.Name, h.candidates(t.Zone, false))
 }
 
+// leavingZone reports whether entries of the zone are in a planned stop.
+func (h *Holder) leavingZone(zone medlargw.ZoneName) bool {
+	for _, p := range h.group.Entries {
+		if p.Zone == zone && p.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the entries that may hold targets of the zone. An entry
 // that is silent but has a lease at the platform still counts in its zone: it
 // may be cut off from here alone.
@@ -118,14 +139,16 @@
 // release hands a target over when no order is on its way, and reports whether
 // it is out of use.
 func (h *Holder) release(now time.Time, t *target) bool {
+	if t.handing {
+		return false
+	}
 	if !t.held {
-		h.endAll(now, t, "released")
+		if len(t.runs) > 0 {
+			return false // What was handed over to here is handed on when the claim is answered.
+		}
 		h.remove(t)
 		return true
 	}
-	if t.handing {
-		return false
-	}
 	for _, r := range t.runs {
 		if r.state != runRunning {
 			return false
@@ -211,12 +234,41 @@
 			h.add(t)
 		}
 		if t.held {
-			continue // It was claimed before; its runs were stopped.
+			h.acknowledge(now, t, moved)
+			continue
 		}
 		h.adopt(now, t, moved)
 	}
 }
 
+// acknowledge takes a transfer of a target that was claimed before it arrived.
+// The runs that were there are being stopped as unknown ones; now it is known
+// whom to tell of their ends.
+func (h *Holder) acknowledge(now time.Time, t *target, moved *medlargw.TransferredTarget) {
+	for i := range moved.Runs {
+		m := &moved.Runs[i]
+		w := h.transferred(now, m)
+		r := t.runs[m.Task.Run]
+		if r == nil {
+			h.end(now, w, medlargw.TaskStopped, nil, "ended before it was handed over")
+			continue
+		}
+		t.take(r)
+		r.room = m.Task.Room
+		t.put(r)
+		r.task = w
+		w.run = r
+	}
+}
+
+// transferred takes a task from its former holder.
+func (h *Holder) transferred(now time.Time, m *medlargw.TransferredRun) *task {
+	home := h.home(now, m.Home)
+	w := &task{home: home, offered: m.Task, due: now.Add(m.Task.Due), deadline: now.Add(m.Task.Deadline)}
+	home.tasks[w.offered.ID] = w
+	return w
+}
+
 func (h *Holder) listed(name medlargw.TargetName) (medlargw.Target, bool) {
 	for i := range h.group.Targets {
 		if h.group.Targets[i].Name == name {
@@ -233,16 +285,15 @@
 	t.fence = 0 // A claim that is on its way with an older view counts no more.
 	t.renewing = false
 	t.nextRenew = now
+	t.adopted = now
 	for i := range moved.Runs {
 		m := &moved.Runs[i]
-		home := h.home(now, m.Home)
-		w := &task{home: home, offered: m.Task, due: now.Add(m.Task.Due), deadline: now.Add(m.Task.Deadline)}
+		w := h.transferred(now, m)
 		r := &run{id: m.Task.Run, room: m.Task.Room, task: w, target: t, state: runRunning, sent: now, acked: now.Add(-m.Elapsed)}
 		w.run = r
-		home.tasks[w.offered.ID] = w
 		t.put(r)
 		h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
-			Home: home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
+			Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
 		})
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -38,6 +38,8 @@
 	homes    map[medlargw.Incarnation]*home
 	waiting  []*task
 	group    medlargw.Group
+	began    time.Time // First assignment.
+	assigned time.Time // Last assignment.
 	leaving  bool
 	number   uint64
 	actions  medlargw.HolderActions
@@ -69,6 +71,9 @@
 // Tick lets time alone change the state.
 func (h *Holder) Tick(now time.Time) {
 	h.expireHomes(now)
+	if !h.began.IsZero() && now.Sub(h.began) >= settleTime && h.assigned.Sub(h.began) < settleTime {
+		h.Assign(now, h.group) // Targets of zones without an entry are due.
+	}
 	for _, t := range slices.Clone(h.order) {
 		h.tickTarget(now, t)
 	}
@@ -81,7 +86,7 @@
 	case t.droppable(now, h.settings.Unlisted):
 		h.drop(t, "no longer listed")
 		return
-	case t.lapsed(now, h.settings.Drift):
+	case t.lapsed(now, &h.settings):
 		h.endAll(now, t, "lease ended")
 	}
 	if t.releasing && h.release(now, t) {
--- a/holder/target.go
+++ b/holder/target.go
@@ -54,6 +54,7 @@
 	renewing  bool
 	nextRenew time.Time
 	heard     time.Time // Last answer.
+	adopted   time.Time // When it was handed over to here; zero is never.
 	failures  int       // Renewals in a row that were not answered.
 
 	unlisted  time.Time // Since when the list lacks it; zero is listed.
@@ -118,9 +119,17 @@
 	return t.clock + time.Duration(float64(now.Sub(t.clockAt))*(1-drift))
 }
 
-// lapsed reports whether all leases given so far have surely ended.
-func (t *target) lapsed(now time.Time, drift float64) bool {
-	return len(t.runs) > 0 && !t.clockAt.IsZero() && t.clockNow(now, drift) > t.until+lapseMargin
+// lapsed reports whether all leases given so far have surely ended. Those that
+// a former holder gave began before it handed the target over.
+func (t *target) lapsed(now time.Time, s *medlargw.LeaseSettings) bool {
+	if len(t.runs) == 0 {
+		return false
+	}
+	given := now.Sub(t.adopted) > time.Duration(float64(s.Lease)*(1+s.Drift))+lapseMargin
+	if t.clockAt.IsZero() {
+		return !t.adopted.IsZero() && given
+	}
+	return given && t.clockNow(now, s.Drift) > t.until+lapseMargin
 }
 
 // gone reports whether the target left the list and is used no more.
