--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -159,7 +159,7 @@
 		return reply
 	}
 	f.fence = o.Fence
-	f.until = max(f.until, o.Until)
+	f.until = max(f.until, min(o.Until, f.clock()+time.Second))
 	if f.runs[o.Run] != nil {
 		return reply
 	}
@@ -235,7 +235,7 @@
 		return report
 	}
 	f.fence = n.Fence
-	f.until = max(f.until, n.Until)
+	f.until = max(f.until, min(n.Until, f.clock()+time.Second))
 	f.ends = slices.DeleteFunc(f.ends, func(e medlargw.RunEnd) bool { return e.Number <= n.Seen })
 	report.Ended = slices.Clone(f.ends)
 	for _, r := range sorted(f.runs) {
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -25,7 +25,7 @@
 // lease returns the times of an installation with leases of a second.
 func lease() medlargw.LeaseSettings {
 	return medlargw.LeaseSettings{
-		Lease: 800 * time.Millisecond, Drift: 0.025, Stop: 50 * time.Millisecond, Poll: 100 * time.Millisecond,
+		Lease: 800 * time.Millisecond, Longest: time.Second, Drift: 0.025, Stop: 50 * time.Millisecond, Poll: 100 * time.Millisecond,
 		Order: 200 * time.Millisecond, Call: 200 * time.Millisecond, Keep: 120 * time.Millisecond,
 		Silence: 500 * time.Millisecond, Unlisted: 2500 * time.Millisecond, Refused: 2 * time.Second,
 	}
@@ -52,12 +52,12 @@
 	open    int
 }
 
-// inFleet runs a test with entries in two zones and three targets for each.
+// inFleet runs a test with entries in two zones and five targets for each.
 func inFleet(t *testing.T, seed uint64, hosts []string, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{w: newWorld(t, seed), ended: map[string]int{}}
 		for i, host := range hosts {
-			for j := range 3 {
+			for j := range 5 {
 				f.w.addTarget(fmt.Sprintf("%s-t%d", host, j), zoneOf(host), 32000+16000*int64((i+j)%3/2))
 			}
 		}
@@ -65,8 +65,11 @@
 			f.add(host)
 		}
 		f.assign()
+		beats := make(chan struct{})
+		go f.beat(beats)
 		time.Sleep(3 * time.Second)
 		test(f)
+		close(beats)
 		for _, e := range f.entries {
 			if !e.dead {
 				f.stop(e)
@@ -76,6 +79,25 @@
 	})
 }
 
+// beat tells all entries of each other's room, as heartbeats do.
+func (f *fleet) beat(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		all := f.alive()
+		for _, from := range all {
+			for _, to := range all {
+				if from != to && !f.w.isCut(from.host, to.host) {
+					to.conductor.HeardBeat(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{Room: from.conductor.Room()})
+				}
+			}
+		}
+	}
+}
+
 // zoneOf returns the zone of a host by the first letter of its name.
 func zoneOf(host string) string { return host[:1] }
 
@@ -195,7 +217,8 @@
 	return e.conductor.Submit(context.Background(), job)
 }
 
-func (f *fleet) living() *entry {
+// alive returns the entries that are not lost.
+func (f *fleet) alive() []*entry {
 	f.w.mu.Lock()
 	defer f.w.mu.Unlock()
 	var all []*entry
@@ -204,6 +227,12 @@
 			all = append(all, e)
 		}
 	}
+	return all
+}
+
+// living returns one of them, or nil.
+func (f *fleet) living() *entry {
+	all := f.alive()
 	if len(all) == 0 {
 		return nil
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -70,7 +70,7 @@
 		return
 	}
 	h.answered(now, t)
-	h.rebirth(now, t, report)
+	h.rebirth(t, report)
 	t.hear(now, report.Clock)
 	h.takeEnds(now, t, report)
 	h.takeActive(now, sent, t, report)
@@ -104,22 +104,19 @@
 	}
 }
 
-// rebirth notices a new incarnation, in which nothing of the former one runs.
-func (h *Holder) rebirth(now time.Time, t *target, report *medlargw.RunReport) {
+// rebirth notices a new incarnation. What runs in it is what the report lists
+// as active; an order meant for the former one may have been carried out, under
+// a lease that was cut to the longest.
+func (h *Holder) rebirth(t *target, report *medlargw.RunReport) {
 	if report.Born.IsZero() || report.Born.Equal(t.born) {
 		return
 	}
 	if !t.born.IsZero() {
 		h.log.Info("new incarnation of a target", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
-		for _, r := range t.inOrder() {
-			if r.state == runRunning {
-				h.ended(now, r, medlargw.TaskStopped, "target restarted")
-			}
-		}
 	}
 	t.born = report.Born
 	t.seen = 0
-	t.until = 0
+	t.until = report.Clock + h.settings.Longest
 	t.health = newHealth()
 }
 
--- a/settings.go
+++ b/settings.go
@@ -82,6 +82,7 @@
 // a lease, and between the homes of jobs and the holders of targets.
 type LeaseSettings struct {
 	Lease    time.Duration // Length of a lease.
+	Longest  time.Duration // To which a target cuts longer leases.
 	Drift    float64       // Share by which a target's clock may be slow.
 	Stop     time.Duration // Longest time that a stop takes.
 	Poll     time.Duration // Longest wait of a target before it reports.
