Judge a run by the other tasks of its job; copy a peer's room

Cause: a home took room from the list that its heartbeats were being sent from (found by the race detector in the fault table). A job whose estimate was too low had all its runs stopped as stalled, up to three times each, since every run spoke against its own target. Change: the coordinator copies what it sees; the run times of sibling tasks on other targets say how far the estimate of the job is off. Test: TestFaults with the race detector; its kinds of job are services of their own, as on the platform, and its heartbeats carry room.

--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -56,7 +56,7 @@
 	rooms   map[string]medlargw.Room
 	alive   map[string]int // Runs of a task that are alive.
 	refused map[string]bool
-	rand    *rand.Rand
+	rand    *rand.Rand // Of the load alone.
 	mu      sync.Mutex // Guards all of it, and the state of the targets.
 }
 
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -175,7 +175,7 @@
 				return
 			}
 			time.Sleep(resendAfter)
-			if e = f.living(); e == nil {
+			if e = f.living(len(key) + tasks); e == nil {
 				return
 			}
 		}
@@ -202,7 +202,7 @@
 
 func (f *fleet) attempt(e *entry, key string, tasks int, work time.Duration, cores int64) medlargw.Outcome {
 	job := &medlargw.Job{
-		Key: key, Service: "s", Pool: "pool", Attempts: 2, Slack: 1.6, Grace: 60 * time.Millisecond,
+		Key: key, Service: medlargw.ServiceName(fmt.Sprintf("of-%d", tasks)), Pool: "pool", Attempts: 2, Slack: 1.6, Grace: 60 * time.Millisecond,
 		Room: medlargw.Room{Cores: cores, Memory: 64}, Runtime: work,
 		Arrived: time.Now(), Deadline: time.Now().Add(2500 * time.Millisecond),
 	}
@@ -230,13 +230,13 @@
 	return all
 }
 
-// living returns one of them, or nil.
-func (f *fleet) living() *entry {
+// living returns one of them by a number, or nil.
+func (f *fleet) living(number int) *entry {
 	all := f.alive()
 	if len(all) == 0 {
 		return nil
 	}
-	return all[f.w.rand.IntN(len(all))]
+	return all[number%len(all)]
 }
 
 // load submits jobs of three kinds at random for a while.
@@ -254,7 +254,7 @@
 			f.next++
 			key = fmt.Sprintf("job%d", f.next)
 		})
-		if e := f.living(); e != nil {
+		if e := f.living(f.w.rand.IntN(1 << 20)); e != nil {
 			f.submit(e, key, kind.tasks, work, 11000+f.w.rand.Int64N(6000))
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -34,6 +34,7 @@
 	holders   map[medlargw.Incarnation]*holder
 	order     []*holder // This entry first, then its zone, then the others.
 	estimator medlargw.Estimator
+	nextJob   uint64
 	nextID    medlargw.TaskID
 	finishes  []medlargw.Finish
 }
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -95,6 +95,7 @@
 	m := t.job.job
 	return medlargw.OfferedTask{
 		ID:       t.id,
+		Job:      t.job.number,
 		Run:      medlargw.RunID{Task: m.Tasks[t.index].ID, Attempt: t.attempt},
 		Payload:  m.Tasks[t.index].Payload,
 		Pool:     m.Pool,
@@ -114,7 +115,7 @@
 	if h == nil || room.Number <= h.room.Number {
 		return
 	}
-	h.room = room
+	h.room = room.Clone() // What is offered is taken from it.
 	c.rebalance(now)
 }
 
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -23,6 +23,7 @@
 // job is a job that has not ended.
 type job struct {
 	job      *medlargw.Job
+	number   uint64
 	estimate time.Duration // Of one task.
 	due      time.Time     // When its objective is missed.
 	tasks    []*task
@@ -65,7 +66,8 @@
 
 // Submit takes a job in, or refuses it at once when it could not be in time.
 func (c *Coordinator) Submit(now time.Time, m *medlargw.Job) {
-	j := &job{job: m, estimate: c.estimator.Estimate(m)}
+	c.nextJob++
+	j := &job{job: m, number: c.nextJob, estimate: c.estimator.Estimate(m)}
 	j.due = m.Arrived.Add(time.Duration(m.Slack*float64(j.estimate)) + m.Grace)
 	for i := range m.Tasks {
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -265,7 +265,7 @@
 func (h *Holder) transferred(now time.Time, m *medlargw.TransferredRun) *task {
 	home := h.home(now, m.Home)
 	w := &task{home: home, offered: m.Task, due: now.Add(m.Task.Due), deadline: now.Add(m.Task.Deadline)}
-	home.tasks[w.offered.ID] = w
+	home.add(w)
 	return w
 }
 
--- a/holder/health.go
+++ b/holder/health.go
@@ -30,13 +30,10 @@
 
 func newHealth() health { return health{slowness: 1} }
 
-// ran learns the run time of a run that was done.
-func (h *health) ran(now time.Time, elapsed, estimate time.Duration) {
+// ran learns from a run that was done, by its run time against the expected.
+func (h *health) ran(now time.Time, ratio float64) {
 	h.failed = 0
-	if estimate <= 0 {
-		return
-	}
-	h.judge(now, slownessWeight, min(float64(elapsed)/float64(estimate), maxSlowness))
+	h.judge(now, slownessWeight, min(ratio, maxSlowness))
 }
 
 // stalls takes note that a run makes far less progress than estimated.
--- a/holder/home.go
+++ b/holder/home.go
@@ -20,9 +20,37 @@
 	peer  medlargw.Peer
 	heard time.Time
 	tasks map[medlargw.TaskID]*task
+	jobs  map[uint64]*siblings
 	ended map[medlargw.TaskID]time.Time
 }
 
+// siblings are the tasks of one job that are here.
+type siblings struct {
+	tasks   map[medlargw.TaskID]*task
+	fastest float64 // The least run time of an ended one, by its estimate; zero is none.
+}
+
+// add takes in a task.
+func (m *home) add(w *task) {
+	m.tasks[w.offered.ID] = w
+	s := m.jobs[w.offered.Job]
+	if s == nil {
+		s = &siblings{tasks: map[medlargw.TaskID]*task{}}
+		m.jobs[w.offered.Job] = s
+	}
+	s.tasks[w.offered.ID] = w
+	w.siblings = s
+}
+
+// remove forgets a task.
+func (m *home) remove(w *task) {
+	delete(m.tasks, w.offered.ID)
+	delete(w.siblings.tasks, w.offered.ID)
+	if len(w.siblings.tasks) == 0 {
+		delete(m.jobs, w.offered.Job)
+	}
+}
+
 // task is an offered task that has not ended.
 type task struct {
 	home     *home
@@ -30,6 +58,7 @@
 	due      time.Time
 	deadline time.Time
 	run      *run // Nil while it waits.
+	siblings *siblings
 }
 
 // latest returns the time at which the task must start to end when it is due.
@@ -48,7 +77,7 @@
 func (h *Holder) home(now time.Time, peer medlargw.Peer) *home {
 	m := h.homes[peer.Incarnation]
 	if m == nil {
-		m = &home{peer: peer, tasks: map[medlargw.TaskID]*task{}, ended: map[medlargw.TaskID]time.Time{}}
+		m = &home{peer: peer, tasks: map[medlargw.TaskID]*task{}, jobs: map[uint64]*siblings{}, ended: map[medlargw.TaskID]time.Time{}}
 		h.homes[peer.Incarnation] = m
 		m.heard = now
 	}
@@ -95,7 +124,7 @@
 }
 
 func (h *Holder) forget(now time.Time, w *task) {
-	delete(w.home.tasks, w.offered.ID)
+	w.home.remove(w)
 	w.home.ended[w.offered.ID] = now
 }
 
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		w := &task{home: m, offered: *o, due: now.Add(o.Due), deadline: now.Add(o.Deadline)}
-		m.tasks[o.ID] = w
+		m.add(w)
 		h.wait(w)
 		fresh[i] = w
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -141,7 +141,7 @@
 	switch kind {
 	case medlargw.RunDone:
 		if r.task != nil {
-			t.ran(now, now.Sub(r.acked), r.task.offered.Estimate)
+			h.learn(now, r)
 		}
 		h.ended(now, r, medlargw.TaskDone, "")
 	case medlargw.RunFailed:
--- a/holder/target.go
+++ b/holder/target.go
@@ -35,6 +35,7 @@
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why it is stopped.
 	judged       bool      // Its progress has spoken against its target.
+	ratio        float64   // Its run time against the estimate, as its progress has it; zero is unknown.
 }
 
 // target is a target that this entry holds or is about to claim.
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -71,6 +71,7 @@
 func encodeTask(t *medlargw.OfferedTask) *wire.OfferedTask {
 	w := &wire.OfferedTask{
 		Id:         uint64(t.ID),
+		Job:        t.Job,
 		Task:       t.Run.Task,
 		Attempt:    int32(t.Run.Attempt),
 		Payload:    t.Payload,
@@ -91,6 +92,7 @@
 func decodeTask(w *wire.OfferedTask) medlargw.OfferedTask {
 	t := medlargw.OfferedTask{
 		ID:       medlargw.TaskID(w.GetId()),
+		Job:      w.GetJob(),
 		Run:      medlargw.RunID{Task: w.GetTask(), Attempt: int(w.GetAttempt())},
 		Payload:  w.GetPayload(),
 		Pool:     medlargw.PoolName(w.GetPool()),
--- a/offer.go
+++ b/offer.go
@@ -12,6 +12,7 @@
 // OfferedTask is a task that a home asks a holder to run once.
 type OfferedTask struct {
 	ID       TaskID
+	Job      uint64 // The same for all tasks of one job of the home.
 	Run      RunID
 	Payload  []byte
 	Pool     PoolName
--- a/room.go
+++ b/room.go
@@ -1,5 +1,7 @@
 package medlargw
 
+import "slices"
+
 // Room is an amount of a target's resources.
 type Room struct {
 	Cores        int64 // Thousandths of a core.
@@ -53,3 +55,13 @@
 	Number uint64
 	Pools  []PoolRoom
 }
+
+// Clone returns a copy that shares nothing.
+func (r *HolderRoom) Clone() HolderRoom {
+	c := HolderRoom{Number: r.Number, Pools: slices.Clone(r.Pools)}
+	for i := range c.Pools {
+		c.Pools[i].Free = slices.Clone(c.Pools[i].Free)
+		c.Pools[i].Waiting = slices.Clone(c.Pools[i].Waiting)
+	}
+	return c
+}
