--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +15,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/conductor"
+	"medlargw.example/medlargw/imitator"
 	"medlargw.example/medlargw/registrar"
 )
 
@@ -153,10 +153,7 @@
 				g.Entries = append(g.Entries, p)
 			}
 		}
-		for _, t := range f.w.targets {
-			g.Targets = append(g.Targets, t.info)
-		}
-		slices.SortFunc(g.Targets, func(a, b medlargw.Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+		g.Targets = f.w.targets.Targets()
 		e.conductor.SetGroup(g)
 		time.Sleep(time.Millisecond)
 	}
@@ -193,10 +190,8 @@
 	if o.Complete || len(o.Tasks) == 0 || !o.NotRun() {
 		return
 	}
-	f.w.mu.Lock()
-	defer f.w.mu.Unlock()
 	for i := range tasks {
-		f.w.refused[fmt.Sprintf("%s.%d", key, i)] = true
+		f.w.targets.Refused(fmt.Sprintf("%s.%d", key, i))
 	}
 }
 
@@ -209,8 +204,7 @@
 	f.w.mu.Lock()
 	for i := range tasks {
 		id := fmt.Sprintf("%s.%d", key, i)
-		f.w.works[id] = work
-		f.w.rooms[id] = job.Room
+		f.w.works[id] = imitator.Work{Time: work, Room: job.Room}
 		job.Tasks = append(job.Tasks, medlargw.Task{ID: id})
 	}
 	f.w.mu.Unlock()
@@ -317,9 +311,9 @@
 			f.assign()
 		}, 0.3},
 		{"orders carried out 3 s late", func(f *fleet) {
-			f.w.set("a1-t0", func(t *fakeTarget) { t.lateBy = 3 * time.Second })
+			f.w.targets.Set("a1-t0", medlargw.TargetFaults{Late: 3 * time.Second})
 			time.Sleep(2 * time.Second)
-			f.w.set("a1-t0", func(t *fakeTarget) { t.lateBy = 0 })
+			f.w.targets.Set("a1-t0", medlargw.TargetFaults{Late: 0})
 		}, 0.8},
 		{"target cut off and back", func(f *fleet) {
 			for _, host := range []string{"a1", "a2", "b1"} {
@@ -340,9 +334,9 @@
 			}
 		}, 0.8},
 		{"new incarnation at the old address", func(f *fleet) {
-			f.w.crash(f.w.targets["a1-t0"])
+			f.w.targets.Crash("a1-t0")
 			time.Sleep(300 * time.Millisecond)
-			f.w.crash(f.w.targets["b1-t0"])
+			f.w.targets.Crash("b1-t0")
 		}, 0.8},
 		{"a home and a holder are cut off from each other, one way", func(f *fleet) {
 			f.w.setCut("a1", "b1", true)
@@ -354,13 +348,13 @@
 			f.w.setCut("a2", "a1", false)
 		}, 0.5},
 		{"targets hang, are slow and fail", func(f *fleet) {
-			f.w.set("a1-t0", func(t *fakeTarget) { t.hang = true })
-			f.w.set("a2-t0", func(t *fakeTarget) { t.slow = 8 })
-			f.w.set("b1-t0", func(t *fakeTarget) { t.fail = true })
+			f.w.targets.Set("a1-t0", medlargw.TargetFaults{Hang: true})
+			f.w.targets.Set("a2-t0", medlargw.TargetFaults{Slow: 8})
+			f.w.targets.Set("b1-t0", medlargw.TargetFaults{Fail: true})
 			time.Sleep(3 * time.Second)
-			f.w.set("a1-t0", func(t *fakeTarget) { t.hang = false })
-			f.w.set("a2-t0", func(t *fakeTarget) { t.slow = 1 })
-			f.w.set("b1-t0", func(t *fakeTarget) { t.fail = false })
+			f.w.targets.Set("a1-t0", medlargw.TargetFaults{})
+			f.w.targets.Set("a2-t0", medlargw.TargetFaults{})
+			f.w.targets.Set("b1-t0", medlargw.TargetFaults{})
 		}, 0.6},
 	}
 	for _, test := range tests {
@@ -373,6 +367,9 @@
 					}()
 					f.load(8*time.Second, 6)
 					time.Sleep(8 * time.Second)
+					for _, broken := range f.w.targets.Broken() {
+						t.Error(broken)
+					}
 					if f.open != 0 {
 						t.Errorf("jobs without an outcome: got %d, want 0", f.open)
 					}
--- a/faults.go
+++ b/faults.go
@@ -9,3 +9,11 @@
 	LostReplies int           // Next writes that take effect and return an error.
 	Lag         time.Duration // Age of the list of hosts that is served, at least.
 }
+
+// TargetFaults are the faults that a stand-in for a target under lease shows.
+type TargetFaults struct {
+	Slow float64       // Factor of all run times; zero is one.
+	Hang bool          // Runs make no progress.
+	Fail bool          // Runs fail at their end.
+	Late time.Duration // Orders are not answered and carried out so much later.
+}
