--- a/assigner/reading.go
+++ b/assigner/reading.go
@@ -17,7 +17,9 @@
 
 // Times and numbers of the readings.
 const (
-	pollInterval = time.Second            // Between two readings of one reader.
+	pollInterval = time.Second // Between two readings of one reader.
+	startTime    = time.Second // After its start an entry looks for the others more often.
+	startPause   = 100 * time.Millisecond
 	blindAfter   = 2 * time.Second        // Without a reading in the zone, all entries read.
 	firstPause   = 200 * time.Millisecond // After a reading that failed.
 	maxPause     = 2 * time.Second        // Between two readings that failed.
@@ -34,10 +36,12 @@
 		switch {
 		case !a.Reads():
 			pause = pollInterval
-		case a.read(ctx):
-			pause = interval
-		default:
+		case !a.read(ctx):
 			pause = min(max(2*pause, firstPause), maxPause)
+		case time.Since(a.began) < startTime:
+			pause = min(startPause, interval)
+		default:
+			pause = interval
 		}
 		select {
 		case <-time.After(spread(pause)):
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -21,7 +21,7 @@
 
 const (
 	// tick is the time between two looks at what time alone has changed.
-	tick = 10 * time.Millisecond
+	tick = 20 * time.Millisecond
 	// frozenAfter is the pause of the control goroutine after which callers may
 	// have asked again elsewhere.
 	frozenAfter = time.Second
@@ -55,6 +55,7 @@
 	events chan event
 	room   atomic.Pointer[medlargw.HolderRoom]
 	status atomic.Pointer[medlargw.CoreStatus]
+	ready  atomic.Bool // Targets are known.
 
 	ctx     context.Context //nolint:containedctx // Ends with the part.
 	cancel  context.CancelFunc
@@ -212,6 +213,9 @@
 // Room returns what this entry has free as a holder.
 func (c *Conductor) Room() medlargw.HolderRoom { return *c.room.Load() }
 
+// Ready reports whether this entry knows targets for its jobs.
+func (c *Conductor) Ready() bool { return c.ready.Load() }
+
 // Status returns a summary of the control state.
 func (c *Conductor) Status(context.Context) (medlargw.CoreStatus, error) {
 	return *c.status.Load(), nil
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -28,6 +28,7 @@
 			c.offer(now, &home.Offers[i])
 		}
 	}
+	c.ready.Store(c.home.HasTargets())
 	if changed {
 		room := c.holder.Room(now)
 		c.room.Store(&room)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -37,6 +37,8 @@
 	nextJob   uint64
 	nextID    medlargw.TaskID
 	finishes  []medlargw.Finish
+	asked     time.Time // Last questions for room.
+	turn      int       // Of the holders of other zones that are asked.
 }
 
 // New returns a coordinator without jobs.
@@ -54,8 +56,9 @@
 // TakeActions returns what must be done and forgets it.
 func (c *Coordinator) TakeActions(now time.Time) medlargw.HomeActions {
 	var a medlargw.HomeActions
+	asked := c.asks(now)
 	for _, h := range c.order {
-		if o, ok := c.message(now, h); ok {
+		if o, ok := c.message(now, h, asked[h]); ok {
 			a.Offers = append(a.Offers, medlargw.HomeOffer{To: h.peer, Offer: o})
 		}
 	}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -12,6 +12,11 @@
 	// validity is the time in which an offer must arrive, beside the way of
 	// the answer that told the holder's clock.
 	validity = 400 * time.Millisecond
+	// askEvery is the time between two questions for the room of holders while
+	// tasks wait; heartbeats tell it too late for tasks of some 50 ms.
+	askEvery = 25 * time.Millisecond
+	// askAbroad is the number of holders of other zones that are asked at a time.
+	askAbroad = 4
 	// lostKeeps is the number of keeps without an answer after which a holder
 	// is lost.
 	lostKeeps = 5
@@ -58,8 +63,45 @@
 	return false
 }
 
+// asks returns the holders to ask for their room now, because tasks wait: those
+// of the zone, and some of the others in turn.
+func (c *Coordinator) asks(now time.Time) map[*holder]bool {
+	if now.Sub(c.asked) < askEvery || !c.anyWaiting() {
+		return nil
+	}
+	c.asked = now
+	all := map[*holder]bool{}
+	var abroad []*holder
+	for _, h := range c.order {
+		switch {
+		case !h.offerable() || h.peer.Incarnation == c.self.Incarnation || now.Sub(h.sent) < askEvery:
+		case h.peer.Zone == c.self.Zone:
+			all[h] = true
+		default:
+			abroad = append(abroad, h)
+		}
+	}
+	for range min(len(abroad), askAbroad) {
+		all[abroad[c.turn%len(abroad)]] = true
+		c.turn++
+	}
+	return all
+}
+
+// anyWaiting reports whether a task waits for room, here or at a holder.
+func (c *Coordinator) anyWaiting() bool {
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.state == taskIdle || t.state == taskQueued {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // message returns what must be sent to a holder now.
-func (c *Coordinator) message(now time.Time, h *holder) (medlargw.Offer, bool) {
+func (c *Coordinator) message(now time.Time, h *holder, asked bool) (medlargw.Offer, bool) {
 	if h.lost {
 		return medlargw.Offer{}, false
 	}
@@ -80,7 +122,7 @@
 			}
 		}
 	}
-	if len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 && (now.Sub(h.sent) < c.settings.Keep || !c.uses(h)) {
+	if !asked && len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 && (now.Sub(h.sent) < c.settings.Keep || !c.uses(h)) {
 		return o, false
 	}
 	h.sent = now
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -121,6 +121,18 @@
 	return work
 }
 
+// HasTargets reports whether any holder has a target that takes runs.
+func (c *Coordinator) HasTargets() bool {
+	for _, h := range c.order {
+		for i := range h.room.Pools {
+			if h.offerable() && h.room.Pools[i].Capacity > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // expectedWait returns how long a new job waits for room, over all holders; it
 // is zero while there is room for one task. False says that no target is known.
 func (c *Coordinator) expectedWait(j *job) (time.Duration, bool) {
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -13,6 +13,10 @@
 // target over before it claims the target itself.
 const transferWait = 600 * time.Millisecond
 
+// meetTime is the time after its start in which an entry claims nothing: others
+// that started with it have then been heard of.
+const meetTime = 300 * time.Millisecond
+
 // settleTime is the time after its start in which an entry claims no targets of
 // other zones: their own entries may be starting too.
 const settleTime = 2 * time.Second
@@ -55,7 +59,7 @@
 	case found && owner.Incarnation == h.self.Incarnation:
 		if t == nil {
 			t = newTarget(*info)
-			t.nextRenew = now.Add(h.claimDelay(before, known))
+			t.nextRenew = now.Add(max(h.claimDelay(before, known), h.began.Add(meetTime).Sub(now)))
 			h.add(t)
 		}
 		t.releasing = false
--- a/holder/fence.go
+++ b/holder/fence.go
@@ -3,7 +3,7 @@
 import "net/netip"
 
 // addressBits is the number of low bits of a fencing token that hold the end of
-// the entry's address, so that two entries never use the same one.
+// the entry's address and its port, so that two entries never use the same one.
 const addressBits = 24
 
 // fencer makes fencing tokens: a rising term, and the entry's own number.
@@ -13,9 +13,10 @@
 	step   uint64 // Doubles while claims are refused.
 }
 
-func newFencer(addr netip.Addr) fencer {
-	raw := addr.As16()
+func newFencer(addr netip.AddrPort) fencer {
+	raw := addr.Addr().As16()
 	number := uint64(raw[13])<<16 | uint64(raw[14])<<8 | uint64(raw[15])
+	number = (number + uint64(addr.Port())) & (1<<addressBits - 1)
 	return fencer{term: 1, number: number, step: 1}
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -51,7 +51,7 @@
 		log:      log.Named("holder"),
 		settings: settings,
 		self:     self,
-		fences:   newFencer(self.Addr.Addr()),
+		fences:   newFencer(self.Addr),
 		targets:  map[medlargw.TargetName]*target{},
 		owners:   map[medlargw.TargetName]medlargw.Incarnation{},
 		homes:    map[medlargw.Incarnation]*home{},
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,7 +32,9 @@
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.recall(now, m, id)})
 	}
 	fresh := h.accept(now, m, o.Tasks)
+	reported := len(h.actions.Reports)
 	h.place(now)
+	h.untell(m, reported, fresh)
 	for i := range o.Tasks {
 		state := h.settle(now, m, &o.Tasks[i], fresh[i])
 		reply.States = append(reply.States, medlargw.OfferedState{ID: o.Tasks[i].ID, State: state})
@@ -40,6 +43,15 @@
 	return reply
 }
 
+// untell drops the reports of starts that the answer to the offer tells too.
+func (h *Holder) untell(m *home, from int, fresh []*task) {
+	kept := slices.DeleteFunc(h.actions.Reports[from:], func(e medlargw.TaskReport) bool {
+		return e.Event == medlargw.TaskStarted && e.Home.Incarnation == m.peer.Incarnation &&
+			slices.ContainsFunc(fresh, func(w *task) bool { return w != nil && w.offered.ID == e.ID })
+	})
+	h.actions.Reports = h.actions.Reports[:from+len(kept)]
+}
+
 // accept lets the new tasks of an offer wait, and returns which are new.
 func (h *Holder) accept(now time.Time, m *home, offered []medlargw.OfferedTask) []*task {
 	fresh := make([]*task, len(offered))
