A holder that answers after it was lost goes on with its tasks

A task that was handed over after its job had ended was stopped by nobody while its home went on sending other offers. A recall whose answer was lost was answered the second time as if the task had started. Change: a holder that answers again is offered its tasks by the same ids and reports the ends again; starts of forgotten tasks are cancelled; what was given back is said to be refused.

--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -303,6 +305,26 @@
 			time.Sleep(20 * time.Millisecond)
 			f.assign(f.entries[1])
 		}, 0.8},
+		{"planned stop whose transfers are not answered", func(f *fleet) {
+			e := f.entries[0]
+			f.w.setCut("a2", "a1", true)
+			f.assign(e)
+			time.Sleep(300 * time.Millisecond)
+			f.w.setCut("a2", "a1", false)
+			time.Sleep(3 * time.Second)
+			f.stop(e)
+			f.assign()
+		}, 0.7},
+		{"answers of holders are lost for a moment, again and again", func(f *fleet) {
+			for range 6 {
+				f.w.setCut("b1", "a1", true)
+				f.w.setCut("a2", "a1", true)
+				time.Sleep(650 * time.Millisecond)
+				f.w.setCut("b1", "a1", false)
+				f.w.setCut("a2", "a1", false)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}, 0.5},
 		{"two entries see each other gone", func(f *fleet) {
 			f.cutHost("a1", "a2", true)
 			f.assign()
@@ -358,7 +380,7 @@
 		}, 0.6},
 	}
 	for _, test := range tests {
-		for seed := range uint64(4) {
+		for seed := range seeds() {
 			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
 				inFleet(t, seed, []string{"a1", "a2", "b1"}, func(f *fleet) {
 					go func() {
@@ -385,3 +407,13 @@
 		}
 	}
 }
+
+// seeds returns the number of seeds of each row; MEDLARGW_SEEDS asks for more
+// than the four of CI.
+func seeds() uint64 {
+	n, err := strconv.ParseUint(os.Getenv("MEDLARGW_SEEDS"), 10, 32)
+	if err != nil {
+		return 4
+	}
+	return n
+}
--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,182 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/coordinator"
+	"medlargw.example/medlargw/estimator"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// home is a coordinator with one holder in another entry, "h".
+type home struct {
+	t   *testing.T
+	c   *coordinator.Coordinator
+	now time.Time
+}
+
+var holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
+
+func newHome(t *testing.T) *home {
+	settings := medlargw.LeaseSettings{
+		Lease: 800 * time.Millisecond, Stop: 50 * time.Millisecond, Keep: 120 * time.Millisecond, Silence: 500 * time.Millisecond,
+	}
+	self := medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}
+	h := &home{t: t, now: start, c: coordinator.New(zap.NewNop(), settings, self, estimator.New())}
+	h.c.Assign(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}})
+	h.c.See(h.now, holder.Incarnation, room(1, 2))
+	return h
+}
+
+// room returns the room of a holder with so many free targets of 32 cores.
+func room(number uint64, free int) medlargw.HolderRoom {
+	p := medlargw.PoolRoom{Pool: "pool", Capacity: 64000}
+	for range free {
+		p.Free = append(p.Free, medlargw.Room{Cores: 32000})
+	}
+	return medlargw.HolderRoom{Number: number, Pools: []medlargw.PoolRoom{p}}
+}
+
+func job(tasks int) *medlargw.Job {
+	j := &medlargw.Job{
+		Key: "k", Service: "s", Pool: "pool", Attempts: 2, Slack: 1.6, Grace: 60 * time.Millisecond,
+		Room: medlargw.Room{Cores: 14000}, Runtime: 900 * time.Millisecond, Arrived: start, Deadline: start.Add(5 * time.Second),
+	}
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, medlargw.Task{ID: string(rune('a' + i))})
+	}
+	return j
+}
+
+// offers returns what is sent now to the holder.
+func (h *home) offers() []medlargw.HomeOffer { return h.c.TakeActions(h.now).Offers }
+
+// pass lets time go on in steps of a tick.
+func (h *home) pass(d time.Duration, each func()) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.c.Tick(h.now)
+		each()
+	}
+}
+
+// started submits a job and lets the holder answer that its tasks started.
+func (h *home) started(tasks int) medlargw.HomeOffer {
+	h.t.Helper()
+	h.c.Submit(h.now, job(tasks))
+	all := h.offers()
+	if len(all) != 1 || len(all[0].Offer.Tasks) != tasks {
+		h.t.Fatalf("offers: got %v, want one of %d tasks", all, tasks)
+	}
+	h.answer(&all[0], medlargw.OfferStarted)
+	return all[0]
+}
+
+// answer answers an offer with one state for all of its tasks.
+func (h *home) answer(o *medlargw.HomeOffer, state medlargw.OfferState) {
+	reply := medlargw.OfferReply{Incarnation: holder.Incarnation, Clock: h.now.Sub(start)}
+	for i := range o.Offer.Tasks {
+		reply.States = append(reply.States, medlargw.OfferedState{ID: o.Offer.Tasks[i].ID, State: state})
+	}
+	h.c.OfferAnswered(h.now, h.now, o, &reply, nil)
+}
+
+// TestHolderAnswersAfterItWasLost asserts that a task is not offered anew while
+// a holder that was taken for lost hears of this home again and runs it.
+func TestHolderAnswersAfterItWasLost(t *testing.T) {
+	h := newHome(t)
+	first := h.started(1)
+	var last medlargw.HomeOffer
+	h.pass(700*time.Millisecond, func() {
+		for _, o := range h.offers() {
+			last = o
+		}
+	})
+	h.answer(&last, medlargw.OfferStarted)
+	h.pass(3*time.Second, func() {
+		for _, o := range h.offers() {
+			for _, task := range o.Offer.Tasks {
+				if got, want := task.ID, first.Offer.Tasks[0].ID; got != want {
+					t.Fatalf("task offered after %v: got id %d, want %d again", h.now.Sub(start), got, want)
+				}
+			}
+			h.answer(&o, medlargw.OfferStarted)
+		}
+	})
+}
+
+// TestStartOfAForgottenTask asserts that a holder is told to stop a task whose
+// job has ended meanwhile.
+func TestStartOfAForgottenTask(t *testing.T) {
+	h := newHome(t)
+	first := h.started(1)
+	id := first.Offer.Tasks[0].ID
+	report := medlargw.Report{
+		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
+		Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+	}
+	h.c.Report(h.now, &report)
+	for _, o := range h.offers() {
+		h.answer(&o, medlargw.OfferStarted)
+	}
+	report.Tasks[0].Event = medlargw.TaskStarted
+	h.c.Report(h.now, &report)
+	all := h.offers()
+	if len(all) != 1 || len(all[0].Offer.Cancels) != 1 || all[0].Offer.Cancels[0] != id {
+		t.Errorf("offers after the start of a forgotten task: got %v, want a cancel of %d", all, id)
+	}
+}
+
+// TestRefusalOnlyWhileNothingStarted asserts what is said of a job for which
+// there is no room.
+func TestRefusalOnlyWhileNothingStarted(t *testing.T) {
+	tests := []struct {
+		name   string
+		states []medlargw.OfferState // Of the tasks of the job, in the first answer.
+		notRun bool
+	}{
+		{"all refused", []medlargw.OfferState{medlargw.OfferRefused, medlargw.OfferRefused}, true},
+		{"one started", []medlargw.OfferState{medlargw.OfferStarted, medlargw.OfferRefused}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHome(t)
+			h.c.Submit(h.now, job(2))
+			var finish *medlargw.Finish
+			first := true
+			h.pass(6*time.Second, func() {
+				a := h.c.TakeActions(h.now)
+				for i := range a.Finishes {
+					finish = &a.Finishes[i]
+				}
+				for _, o := range a.Offers {
+					reply := medlargw.OfferReply{Incarnation: holder.Incarnation, Clock: h.now.Sub(start)}
+					for i := range o.Offer.Tasks {
+						state := medlargw.OfferRefused
+						if first {
+							state = test.states[i]
+						}
+						reply.States = append(reply.States, medlargw.OfferedState{ID: o.Offer.Tasks[i].ID, State: state})
+					}
+					first = false
+					for _, id := range o.Offer.Recalls {
+						reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: medlargw.OfferRefused})
+					}
+					reply.Room = room(uint64(h.now.Sub(start)), 0)
+					h.c.OfferAnswered(h.now, h.now, &o, &reply, nil)
+				}
+			})
+			if finish == nil {
+				t.Fatal("got no outcome, want one")
+			}
+			if got := finish.Outcome.NotRun(); got != test.notRun {
+				t.Errorf("said not to have run: got %v, want %v", got, test.notRun)
+			}
+		})
+	}
+}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -177,8 +177,7 @@
 	}
 	h.clock, h.clockAt = reply.Clock, now
 	if h.lost {
-		h.lost = false
-		c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)))
+		c.found(h)
 	}
 	c.See(now, o.To.Incarnation, reply.Room)
 	for _, s := range reply.States {
@@ -188,6 +187,18 @@
 	}
 }
 
+// found takes a lost holder back. It may hear this home in time to go on with
+// the tasks, so that their ends are no longer proven: they are offered again by
+// the same ids, to learn what became of them.
+func (c *Coordinator) found(h *holder) {
+	h.lost = false
+	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)))
+	for _, t := range c.tasksOf(h) {
+		t.proven = time.Time{}
+		t.resend = true
+	}
+}
+
 // unanswered sends an offer again whose fate is not known. The holder knows a
 // task by its id, so that it is not run twice.
 func (c *Coordinator) unanswered(now time.Time, h *holder, o *medlargw.Offer, err error) {
@@ -260,7 +271,13 @@
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
-		if t == nil || from == nil {
+		if from == nil {
+			continue
+		}
+		if t == nil {
+			if e.Event == medlargw.TaskStarted { // Its job has ended meanwhile.
+				from.cancels = append(from.cancels, e.ID)
+			}
 			continue
 		}
 		if t.holder != from && e.Event == medlargw.TaskUnknown {
--- a/holder/home.go
+++ b/holder/home.go
@@ -21,7 +21,13 @@
 	heard time.Time
 	tasks map[medlargw.TaskID]*task
 	jobs  map[uint64]*siblings
-	ended map[medlargw.TaskID]time.Time
+	ended map[medlargw.TaskID]ending
+}
+
+// ending is what is remembered of a task that has ended here.
+type ending struct {
+	at     time.Time
+	report medlargw.TaskReport // Without a home when it was only given back.
 }
 
 // siblings are the tasks of one job that are here.
@@ -77,7 +83,7 @@
 func (h *Holder) home(now time.Time, peer medlargw.Peer) *home {
 	m := h.homes[peer.Incarnation]
 	if m == nil {
-		m = &home{peer: peer, tasks: map[medlargw.TaskID]*task{}, jobs: map[uint64]*siblings{}, ended: map[medlargw.TaskID]time.Time{}}
+		m = &home{peer: peer, tasks: map[medlargw.TaskID]*task{}, jobs: map[uint64]*siblings{}, ended: map[medlargw.TaskID]ending{}}
 		h.homes[peer.Incarnation] = m
 		m.heard = now
 	}
@@ -120,12 +126,13 @@
 		}
 	}
 	h.forget(now, w)
+	w.home.ended[w.offered.ID] = ending{at: now, report: report}
 	h.actions.Reports = append(h.actions.Reports, report)
 }
 
 func (h *Holder) forget(now time.Time, w *task) {
 	w.home.remove(w)
-	w.home.ended[w.offered.ID] = now
+	w.home.ended[w.offered.ID] = ending{at: now}
 }
 
 // expireHomes stops the tasks of homes that have fallen silent: their callers
@@ -135,8 +142,8 @@
 		if now.Sub(m.heard) > h.settings.Silence && len(m.tasks) > 0 {
 			h.abandon(now, m, "home silent")
 		}
-		for id, at := range m.ended {
-			if now.Sub(at) > remembered {
+		for id, e := range m.ended {
+			if now.Sub(e.at) > remembered {
 				delete(m.ended, id)
 			}
 		}
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -57,7 +57,7 @@
 	fresh := make([]*task, len(offered))
 	for i := range offered {
 		o := &offered[i]
-		if m.tasks[o.ID] != nil || !m.ended[o.ID].IsZero() {
+		if m.tasks[o.ID] != nil || m.hasEnded(o.ID) {
 			continue
 		}
 		w := &task{home: m, offered: *o, due: now.Add(o.Due), deadline: now.Add(o.Deadline)}
@@ -68,13 +68,30 @@
 	return fresh
 }
 
+// endedState returns the state of a task that has ended or was given back, and
+// reports its end again: the first report may be lost.
+func (h *Holder) endedState(m *home, id medlargw.TaskID) medlargw.OfferState {
+	e := m.ended[id]
+	if e.report.Home.Incarnation == 0 {
+		return medlargw.OfferRefused
+	}
+	h.actions.Reports = append(h.actions.Reports, e.report)
+	return medlargw.OfferStarted
+}
+
+// hasEnded reports whether a task has ended here or was given back.
+func (m *home) hasEnded(id medlargw.TaskID) bool {
+	_, ok := m.ended[id]
+	return ok
+}
+
 // settle returns the state of an offered task after the placement, and gives
 // back a new one that may not wait here.
 func (h *Holder) settle(now time.Time, m *home, o *medlargw.OfferedTask, fresh *task) medlargw.OfferState {
 	w := m.tasks[o.ID]
 	switch {
 	case w == nil:
-		return medlargw.OfferStarted // It has ended; its report is on its way.
+		return h.endedState(m, o.ID)
 	case w.run != nil:
 		return medlargw.OfferStarted
 	case o.Queue || fresh == nil:
@@ -89,10 +106,12 @@
 func (h *Holder) recall(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
 	w := m.tasks[id]
 	switch {
-	case w == nil && m.ended[id].IsZero():
-		m.ended[id] = now // The offer may still be on its way.
+	case w == nil && !m.hasEnded(id):
+		m.ended[id] = ending{at: now} // The offer may still be on its way.
 		return medlargw.OfferRefused
-	case w == nil || w.run != nil:
+	case w == nil:
+		return h.endedState(m, id)
+	case w.run != nil:
 		return medlargw.OfferStarted
 	}
 	h.unwait(w)
