--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -1,11 +1,20 @@
 package conductor
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
 	"medlargw.example/medlargw"
 )
 
+// Of the histograms: the size of the sample, and how much the newest of its
+// values count; both are the customary ones of the library.
+const (
+	samples = 1028
+	decay   = 0.015
+)
+
 // counters count what the conductor sends and what became of it.
 type counters struct {
 	registry metrics.Registry
@@ -27,8 +36,15 @@
 	}
 }
 
-// job counts the end of a job.
-func (c *counters) job(o *medlargw.Outcome) {
+// job counts the end of a job and its response time.
+func (c *counters) job(f *medlargw.Finish, response time.Duration) {
+	o := &f.Outcome
+	histogram := c.registry.GetOrRegister("response-ms."+string(f.Job.Class), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(samples, decay))
+	})
+	if h, ok := histogram.(metrics.Histogram); ok {
+		h.Update(response.Milliseconds())
+	}
 	name := "complete"
 	if !o.Complete {
 		name = string(o.Code)
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -21,7 +21,7 @@
 			break
 		}
 		changed = true
-		c.finish(home.Finishes)
+		c.finish(now, home.Finishes)
 		c.order(&held)
 		c.report(now, held.Reports)
 		for i := range home.Offers {
--- a/conductor/submit.go
+++ b/conductor/submit.go
@@ -35,14 +35,14 @@
 }
 
 // finish gives the outcomes to those that wait for them.
-func (c *Conductor) finish(finishes []medlargw.Finish) {
+func (c *Conductor) finish(now time.Time, finishes []medlargw.Finish) {
 	for i := range finishes {
 		f := &finishes[i]
 		if w := c.waiters[f.Job]; w != nil {
 			delete(c.waiters, f.Job)
 			w.outcome <- f.Outcome
 		}
-		c.counters.job(&f.Outcome)
+		c.counters.job(f, now.Sub(f.Job.Arrived))
 	}
 }
 
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -301,7 +301,7 @@
 		c.detach(t)
 		t.job.done++
 		if t.job.done == len(t.job.tasks) {
-			c.complete(t.job)
+			c.complete(now, t.job)
 		}
 	case medlargw.TaskFailed:
 		c.start(now, t)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -191,7 +191,14 @@
 }
 
 // complete answers a job all of whose tasks are done.
-func (c *Coordinator) complete(j *job) {
+func (c *Coordinator) complete(now time.Time, j *job) {
+	attempts := 0
+	for _, t := range j.tasks {
+		attempts += t.attempt
+	}
+	c.log.Info("job complete", zap.String("job", j.job.Key), zap.String("service", string(j.job.Service)),
+		zap.Int("tasks", len(j.tasks)), zap.Int("attempts", attempts), zap.Duration("age", now.Sub(j.job.Arrived)),
+		zap.Duration("left", j.due.Sub(now)))
 	o := medlargw.Outcome{Complete: true, Tasks: make([]medlargw.TaskResult, len(j.tasks))}
 	for i := range o.Tasks {
 		o.Tasks[i] = medlargw.TaskResult{ID: j.job.Tasks[i].ID, Fate: medlargw.FateDone}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -4,8 +4,10 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // Bounds of a storm: of the lines with one message and level in one second, the
@@ -23,20 +25,29 @@
 	Level zap.AtomicLevel
 }
 
-// New returns the log to standard error, from level info.
+// New returns the log to standard output, from level info.
 func New() (*Logger, error) {
 	cfg := zap.NewProductionConfig()
-	if isTerminal(os.Stderr) {
+	if isTerminal(os.Stdout) {
 		cfg = zap.NewDevelopmentConfig()
 		cfg.Level.SetLevel(zap.InfoLevel)
 	}
 	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
 	cfg.Sampling = &zap.SamplingConfig{Initial: firstLines, Thereafter: oneOfLines}
-	return build(cfg)
+	return build(cfg, newQueue(os.Stdout))
 }
 
-func build(cfg zap.Config) (*Logger, error) {
-	log, err := cfg.Build()
+// build makes a log of the configuration that writes to out.
+func build(cfg zap.Config, out zapcore.WriteSyncer) (*Logger, error) {
+	encoder := zapcore.NewJSONEncoder(cfg.EncoderConfig)
+	if cfg.Encoding == "console" {
+		encoder = zapcore.NewConsoleEncoder(cfg.EncoderConfig)
+	}
+	log, err := cfg.Build(zap.WrapCore(func(zapcore.Core) zapcore.Core {
+		core := zapcore.NewCore(encoder, out, cfg.Level)
+		return zapcore.NewSamplerWithOptions(core, time.Second, cfg.Sampling.Initial, cfg.Sampling.Thereafter)
+	}))
 	if err != nil {
 		return nil, fmt.Errorf("build log: %w", err)
 	}
