Refuse at once while jobs of the same rank wait without a start

Ruled out: the order of the queue. Change: the prediction counts the share of the cores that tasks can be packed into; patience is a fifth of the objective; a job that goes before and has waited a tenth of its own refuses the next ones at once.

--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -15,7 +15,11 @@
 	maxAvoid = 4
 	// patience is the share of the time to a job's objective in which it must
 	// be started or be expected to start in time.
-	patience = 0.25
+	patience = 0.2
+	// congestion is the share of that time after which a job without a start
+	// shows that there is no room for others of its rank. Half of the patience
+	// lets enough work wait to keep the targets busy.
+	congestion = patience / 2
 	// comeBack is the least time that a refused caller is told to wait.
 	comeBack = time.Second
 )
@@ -73,13 +77,27 @@
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
 	}
 	c.jobs = append(c.jobs, j)
-	if wait, ok := c.expectedWait(j); ok && wait > 0 && now.Add(wait).After(j.latest()) {
+	if wait, ok := c.expectedWait(j); ok && wait > 0 && (now.Add(wait).After(j.latest()) || c.congested(now, j)) {
 		c.refuse(now, j, wait, "no room in time")
 		return
 	}
 	c.placeIdle(now, j)
 }
 
+// congested reports whether a job that goes before the given one has waited so
+// long for its first start that another one would hardly be served in time.
+func (c *Coordinator) congested(now time.Time, j *job) bool {
+	for _, other := range c.jobs {
+		if other.started || other == j || other.job.Pool != j.job.Pool || other.job.Rank > j.job.Rank {
+			continue
+		}
+		if now.Sub(other.job.Arrived) > time.Duration(congestion*float64(other.due.Sub(other.job.Arrived))) {
+			return true
+		}
+	}
+	return false
+}
+
 // Cancel ends a job whose caller is gone.
 func (c *Coordinator) Cancel(now time.Time, m *medlargw.Job) {
 	for _, j := range c.jobs {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -12,6 +12,9 @@
 	// maxRefusals is the number of refused offers after which a task waits at
 	// a holder instead of trying others.
 	maxRefusals = 3
+	// packed is the share of the cores that tasks of a third to a half of a
+	// target can use.
+	packed = 0.8
 	// abroad is the wait that a holder of another zone must save.
 	abroad = 10 * time.Millisecond
 )
@@ -152,7 +155,7 @@
 	if capacity == 0 {
 		return 0, false
 	}
-	return time.Duration(work/capacity) * time.Millisecond, true
+	return time.Duration(float64(work)/(float64(capacity)*packed)) * time.Millisecond, true
 }
 
 // rebalance recalls waiting tasks for which another holder has room.
