--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -16,6 +16,9 @@
 	// patience is the share of the time to a job's objective in which it must
 	// be started or be expected to start in time.
 	patience = 0.2
+	// leastPatience lets holders answer for their room, which heartbeats tell
+	// late.
+	leastPatience = askEvery * 8 / 5
 	// congestion is the share of that time after which a job without a start
 	// shows that there is no room for others of its rank. Half of the patience
 	// lets enough work wait to keep the targets busy.
@@ -133,7 +136,7 @@
 	if now.After(j.latest()) {
 		return true
 	}
-	if now.Sub(j.job.Arrived) < time.Duration(patience*float64(j.due.Sub(j.job.Arrived))) {
+	if now.Sub(j.job.Arrived) < max(leastPatience, time.Duration(patience*float64(j.due.Sub(j.job.Arrived)))) {
 		return false
 	}
 	wait, ok := c.expectedWait(j)
