Stand-in of the platform as a command; domain types of stand-ins in the root

Cause: the stand-in of the platform could be reached from tests only, and two packages exported a second type.

--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -24,7 +24,7 @@
 	mu      sync.Mutex
 	entries map[netip.AddrPort]*entry
 	cut     map[[2]string]bool // By names of a host and a host or target, one way.
-	works   map[string]imitator.Work
+	works   map[string]medlargw.TaskWork
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -33,9 +33,9 @@
 		rand:    rand.New(rand.NewPCG(seed, 1)),
 		entries: map[netip.AddrPort]*entry{},
 		cut:     map[[2]string]bool{},
-		works:   map[string]imitator.Work{},
+		works:   map[string]medlargw.TaskWork{},
 	}
-	w.targets = imitator.New(time.Now, func(task string, _ []byte) imitator.Work {
+	w.targets = imitator.New(time.Now, func(task string, _ []byte) medlargw.TaskWork {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		return w.works[task]
--- a/faults.go
+++ b/faults.go
@@ -8,6 +8,8 @@
 	Slow        time.Duration // Added to every call.
 	LostReplies int           // Next writes that take effect and return an error.
 	Lag         time.Duration // Age of the list of hosts that is served, at least.
+	Silent      bool          // No call is answered.
+	Busy        bool          // Every call is refused as too many.
 }
 
 // TargetFaults are the faults that a stand-in for a target under lease shows.
@@ -17,3 +19,9 @@
 	Fail bool          // Runs fail at their end.
 	Late time.Duration // Orders are not answered and carried out so much later.
 }
+
+// TaskWork is what a task takes of a stand-in for a target under lease.
+type TaskWork struct {
+	Time time.Duration
+	Room Room
+}
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -24,7 +24,7 @@
 // Imitator holds targets and what runs on them.
 type Imitator struct {
 	now      func() time.Time
-	describe func(task string, payload []byte) Work
+	describe func(task string, payload []byte) medlargw.TaskWork
 
 	mu      sync.Mutex
 	targets map[medlargw.TargetName]*target
@@ -33,12 +33,6 @@
 	broken  []string
 }
 
-// Work is what a task takes.
-type Work = struct {
-	Time time.Duration
-	Room medlargw.Room
-}
-
 // target is one imitated target.
 type target struct {
 	info  medlargw.Target
@@ -65,7 +59,7 @@
 
 // New returns an imitator without targets. The function tells what a task
 // takes.
-func New(now func() time.Time, describe func(task string, payload []byte) Work) *Imitator {
+func New(now func() time.Time, describe func(task string, payload []byte) medlargw.TaskWork) *Imitator {
 	return &Imitator{
 		now:      now,
 		describe: describe,
--- a/rehearser/rehearser.go
+++ b/rehearser/rehearser.go
@@ -41,7 +41,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(targetCommand(), storeCommand(), loadCommand(), demoCommand())
+	root.AddCommand(targetCommand(), storeCommand(), loadCommand(), demoCommand(), platformCommand())
 	return &Rehearser{root: root}
 }
 
