A holder that was replaced while it stood still takes targets over with their runs

Cause: a host frozen for 3.5 s still believed to hold its targets when the entries that had held them meanwhile handed them back. Ruled out: the lease's arithmetic; the first run lapsed at its time. Change: a transfer with a higher token than the own claim ends that claim. Test: TestTransferToAStaleHolder, failing before; two rows of a process that stands still in TestFaults.

--- a/conductor/faults_test.go
+++ b/conductor/faults_test.go
@@ -115,6 +115,23 @@
 			time.Sleep(1500 * time.Millisecond)
 			f.w.setCut("a2", "a1", false)
 		}, 0.5},
+		{"a home and holder stands still past every lease", func(f *fleet) {
+			f.entries[0].clock.freeze(3 * time.Second)
+			time.Sleep(600 * time.Millisecond)
+			f.cutHost("a1", "a2", true)
+			f.cutHost("a1", "b1", true)
+			f.assign()
+			time.Sleep(2500 * time.Millisecond)
+			f.cutHost("a1", "a2", false)
+			f.cutHost("a1", "b1", false)
+			f.assign()
+		}, 0.4},
+		{"a home and holder stands still for less than a lease", func(f *fleet) {
+			for range 3 {
+				f.entries[1].clock.freeze(600 * time.Millisecond)
+				time.Sleep(1500 * time.Millisecond)
+			}
+		}, 0.6},
 		{"targets hang, are slow and fail", func(f *fleet) {
 			f.w.targets.Set("a1-t0", medlargw.TargetFaults{Hang: true})
 			f.w.targets.Set("a2-t0", medlargw.TargetFaults{Slow: 8})
--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,15 +33,29 @@
 	}
 }
 
-type systemClock struct{}
+// freezableClock stops whoever asks it for the time until a given time, as the
+// suspension of a process does.
+type freezableClock struct{ until atomic.Pointer[time.Time] }
 
-func (systemClock) Now() time.Time { return time.Now() }
+// freeze stops the control goroutine of the clock's entry.
+func (c *freezableClock) freeze(d time.Duration) {
+	until := time.Now().Add(d)
+	c.until.Store(&until)
+}
+
+func (c *freezableClock) Now() time.Time {
+	if until := c.until.Load(); until != nil {
+		time.Sleep(time.Until(*until))
+	}
+	return time.Now()
+}
 
 // entry is one entry of the fleet.
 type entry struct {
 	host      string
 	peer      medlargw.Peer
 	conductor *conductor.Conductor
+	clock     *freezableClock
 	dead      bool
 }
 
@@ -114,13 +129,14 @@
 		Listen: medlargw.ListenSettings{Peers: addr}, Lease: lease(),
 	}
 	incarnation := medlargw.Incarnation(number)
+	clock := &freezableClock{}
 	reg := registrar.New(zap.NewNop())
 	reg.Add(&fakeOfferer{w: f.w, host: host})
-	c := conductor.New(zap.NewNop(), reg, &settings, incarnation, systemClock{}, &fakeRunner{w: f.w, host: host}, metrics.NewRegistry())
+	c := conductor.New(zap.NewNop(), reg, &settings, incarnation, clock, &fakeRunner{w: f.w, host: host}, metrics.NewRegistry())
 	if err := c.Start(context.Background()); err != nil {
 		f.w.t.Fatal(err)
 	}
-	e := &entry{host: host, conductor: c, peer: medlargw.Peer{
+	e := &entry{host: host, conductor: c, clock: clock, peer: medlargw.Peer{
 		Host: settings.Host, Zone: settings.Zone, Addr: addr, Incarnation: incarnation,
 	}}
 	f.w.mu.Lock()
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -237,6 +237,9 @@
 			t = newTarget(info)
 			h.add(t)
 		}
+		if t.held && t.fence < moved.Fence {
+			h.stepDown(now, t) // This entry was replaced and has not noticed yet.
+		}
 		if t.held {
 			h.acknowledge(now, t, moved)
 			continue
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -199,3 +199,29 @@
 		t.Error("stops after 600 ms of silence: got 0, want some")
 	}
 }
+
+// TestTransferToAStaleHolder asserts that a holder which stood still, and was
+// replaced meanwhile, takes a target over with its runs, and does not call them
+// ended because it never knew them.
+func TestTransferToAStaleHolder(t *testing.T) {
+	x := newHeld(t)
+	fence := x.cmd.Renewal.Fence + 1<<24
+	x.h.Transfer(x.now, &medlargw.Transfer{
+		From: medlargw.Member{Host: "other", Incarnation: 9},
+		Targets: []medlargw.TransferredTarget{{Name: "t", Born: start, Fence: fence, Runs: []medlargw.TransferredRun{{
+			Home: medlargw.Peer{Host: "home", Incarnation: 7},
+			Task: medlargw.OfferedTask{ID: 1, Run: medlargw.RunID{Task: "a", Attempt: 1}, Pool: "pool", Room: medlargw.Room{Cores: 14000}},
+		}}}},
+	})
+	a := x.h.TakeActions()
+	for _, r := range a.Reports {
+		if r.Event.Ends() {
+			t.Errorf("report of a run that goes on: got %s, want none that it has ended", r.Event)
+		}
+	}
+	x.h.Tick(x.now)
+	claims := x.h.TakeActions().Renewals
+	if len(claims) != 1 || claims[0].Renewal.Fence <= fence {
+		t.Fatalf("claims after the transfer: got %v, want one above %d", claims, fence)
+	}
+}
--- a/holder/order.go
+++ b/holder/order.go
@@ -126,6 +126,12 @@
 		h.handedOver(now, t, &t.moved)
 		return
 	}
+	h.stepDown(now, t)
+	t.nextRenew = now.Add(h.settings.Refused)
+}
+
+// stepDown gives up the claim to a target that another entry holds.
+func (h *Holder) stepDown(now time.Time, t *target) {
 	h.log.Warn("target lost to a higher fencing token", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
 	for _, r := range t.inOrder() {
 		t.take(r)
@@ -136,7 +142,6 @@
 	t.held = false
 	t.renewing = false
 	t.fence = 0
-	t.nextRenew = now.Add(h.settings.Refused)
 }
 
 // endAll ends all runs of a target: none of them can go on.
