--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -156,6 +156,6 @@
 	case !j.started && c.hopeless(now, j):
 		c.withdraw(now, j)
 	default:
-		c.placeIdle(now, j)
+		c.placeIdle(j)
 	}
 }
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -246,7 +246,7 @@
 			c.settle(now, t.job)
 			return
 		}
-		c.place(now, t)
+		c.place(t)
 	}
 }
 
@@ -260,7 +260,7 @@
 	t.job.started = true
 	if t.job.refusing {
 		t.job.refusing = false
-		c.placeIdle(now, t.job)
+		c.placeIdle(t.job)
 	}
 }
 
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -84,7 +84,7 @@
 		c.refuse(now, j, wait, "no room in time")
 		return
 	}
-	c.placeIdle(now, j)
+	c.placeIdle(j)
 }
 
 // congested reports whether a job that goes before the given one has waited so
@@ -120,13 +120,13 @@
 }
 
 // placeIdle offers the tasks that no holder has.
-func (c *Coordinator) placeIdle(now time.Time, j *job) {
+func (c *Coordinator) placeIdle(j *job) {
 	if j.ended || j.refusing {
 		return
 	}
 	for _, t := range j.tasks {
 		if t.state == taskIdle {
-			c.place(now, t)
+			c.place(t)
 		}
 	}
 }
@@ -262,7 +262,7 @@
 		c.settle(now, j)
 		return
 	}
-	c.place(now, t)
+	c.place(t)
 }
 
 // failed counts a failed run, and fails the job at the last attempt allowed.
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -20,7 +20,7 @@
 )
 
 // place offers a task to the best holder.
-func (c *Coordinator) place(now time.Time, t *task) {
+func (c *Coordinator) place(t *task) {
 	m := t.job.job
 	if t.refusals < maxRefusals {
 		if h := c.withRoom(m); h != nil {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -40,7 +40,6 @@
 	group    medlargw.Group
 	began    time.Time // First assignment.
 	assigned time.Time // Last assignment.
-	leaving  bool
 	number   uint64
 	actions  medlargw.HolderActions
 }
--- a/holder/progress.go
+++ b/holder/progress.go
@@ -65,10 +65,7 @@
 	if estimate <= 0 || elapsed < max(judgedAfter, estimate/2) {
 		return
 	}
-	total := maxSlowness * max(estimate, elapsed)
-	if percent > 0 {
-		total = elapsed * 100 / time.Duration(percent)
-	}
+	total := expectedTotal(estimate, elapsed, percent)
 	r.ratio = float64(total) / float64(estimate)
 	usual := r.task.siblings.usual(r)
 	ratio := r.ratio / max(usual, 1) // The estimate of the whole job may be off.
@@ -80,12 +77,8 @@
 		r.target.stalls(now, ratio)
 	}
 	known := r.target.slowness >= slowTarget || usual > 0 || ratio >= stalledRatio
-	if !known || r.id.Attempt > maxMoves {
-		return
-	}
-	left := total - elapsed
 	again := restartCost + time.Duration(float64(estimate)*max(usual, 1.25))
-	if left <= again || now.Add(again).After(r.task.deadline) || !now.Add(left).After(r.task.due) {
+	if !known || r.id.Attempt > maxMoves || !r.gains(now, total-elapsed, again) {
 		return
 	}
 	h.log.Info("stalled run stopped", zap.String("task", r.id.Task), zap.Int("attempt", r.id.Attempt),
@@ -94,3 +87,17 @@
 		zap.Duration("estimate", estimate))
 	h.stop(now, r, "stalled")
 }
+
+// expectedTotal returns the run time of a run by its progress.
+func expectedTotal(estimate, elapsed time.Duration, percent int) time.Duration {
+	if percent <= 0 {
+		return maxSlowness * max(estimate, elapsed)
+	}
+	return elapsed * 100 / time.Duration(percent)
+}
+
+// gains reports whether a run that has so much left, too much to be in time,
+// would end sooner and before its deadline if it was started again.
+func (r *run) gains(now time.Time, left, again time.Duration) bool {
+	return left > again && now.Add(left).After(r.task.due) && !now.Add(again).After(r.task.deadline)
+}
