--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -229,7 +229,7 @@
 	t.holder.unsent = time.Time{}
 	switch state {
 	case medlargw.OfferStarted:
-		c.start(now, t)
+		c.start(t)
 	case medlargw.OfferQueued:
 		if t.state == taskOffered {
 			t.state = taskQueued
@@ -251,7 +251,7 @@
 }
 
 // start takes note that a run of the task may have begun.
-func (c *Coordinator) start(now time.Time, t *task) {
+func (c *Coordinator) start(t *task) {
 	if t.state == taskDone {
 		return
 	}
@@ -293,9 +293,9 @@
 	switch e.Event {
 	case medlargw.TaskStarted:
 		t.resend = false
-		c.start(now, t)
+		c.start(t)
 	case medlargw.TaskDone:
-		c.start(now, t)
+		c.start(t)
 		c.estimator.Learn(t.job.job, e.Elapsed)
 		t.state = taskDone
 		c.detach(t)
@@ -304,15 +304,15 @@
 			c.complete(now, t.job)
 		}
 	case medlargw.TaskFailed:
-		c.start(now, t)
+		c.start(t)
 		c.failed(now, t, e.Target)
 	case medlargw.TaskStopped:
-		c.start(now, t)
+		c.start(t)
 		c.again(now, t, e.Target)
 	case medlargw.TaskReturned:
 		c.again(now, t, e.Target)
 	case medlargw.TaskUnknown:
-		c.start(now, t)
+		c.start(t)
 		c.giveUp(now, t.job, medlargw.CodeAttemptLost, "the target went to another holder")
 	}
 }
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -42,23 +42,11 @@
 	t.queue = queue
 	c.tasks[t.id] = t
 	if queue {
-		p := h.pool(t.job.job.Pool)
-		p.Waiting = addWork(p.Waiting, t.job)
+		m := t.job.job
+		h.pool(m.Pool).AddWaiting(m.Rank, m.Room, t.job.estimate)
 	}
 }
 
-func addWork(all []medlargw.RankWork, j *job) []medlargw.RankWork {
-	m := j.job
-	work := m.Room.Cores * j.estimate.Milliseconds()
-	for i := range all {
-		if all[i].Rank == m.Rank {
-			all[i].Work += work
-			return all
-		}
-	}
-	return append(all, medlargw.RankWork{Rank: m.Rank, Work: work})
-}
-
 // withRoom returns the nearest holder that is believed to have room for one
 // task, and takes the room from what is believed.
 func (c *Coordinator) withRoom(m *medlargw.Job) *holder {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -140,18 +140,7 @@
 		}
 	}
 	for _, w := range h.waiting {
-		p := pool(w.offered.Pool)
-		p.Waiting = addWork(p.Waiting, w.offered.Rank, w.offered.Room.Cores*w.offered.Estimate.Milliseconds())
+		pool(w.offered.Pool).AddWaiting(w.offered.Rank, w.offered.Room, w.offered.Estimate)
 	}
 	return sum
 }
-
-func addWork(all []medlargw.RankWork, rank int, work int64) []medlargw.RankWork {
-	for i := range all {
-		if all[i].Rank == rank {
-			all[i].Work += work
-			return all
-		}
-	}
-	return append(all, medlargw.RankWork{Rank: rank, Work: work})
-}
--- a/room.go
+++ b/room.go
@@ -1,6 +1,9 @@
 package medlargw
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Room is an amount of a target's resources.
 type Room struct {
@@ -49,6 +52,18 @@
 	Work int64 // Thousandths of a core times milliseconds.
 }
 
+// AddWaiting counts a waiting task of a rank that takes so much for so long.
+func (p *PoolRoom) AddWaiting(rank int, room Room, d time.Duration) {
+	work := room.Cores * d.Milliseconds()
+	for i := range p.Waiting {
+		if p.Waiting[i].Rank == rank {
+			p.Waiting[i].Work += work
+			return
+		}
+	}
+	p.Waiting = append(p.Waiting, RankWork{Rank: rank, Work: work})
+}
+
 // HolderRoom sums up what a holder has free. A higher Number of one incarnation
 // is newer.
 type HolderRoom struct {
