--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -180,3 +180,48 @@
 		})
 	}
 }
+
+// TestBurstOfOneKind names the pattern: many jobs of one rank come at once, and
+// there is no room for them. The first ones wait; as soon as one has waited a
+// tenth of its objective, further ones of its rank are refused at once.
+func TestBurstOfOneKind(t *testing.T) {
+	h := newHome(t)
+	h.c.See(h.now, holder.Incarnation, room(2, 0))
+	refused := func() int {
+		n := 0
+		a := h.c.TakeActions(h.now)
+		for _, f := range a.Finishes {
+			if got, want := f.Outcome.Code, medlargw.CodeOverloaded; got != want {
+				t.Errorf("code: got %s, want %s", got, want)
+			}
+			if f.Outcome.RetryAfter <= 0 || !f.Outcome.NotRun() {
+				t.Errorf("refusal: got %+v, want when to come back and that nothing has run", f.Outcome)
+			}
+			n++
+		}
+		for _, o := range a.Offers {
+			h.answer(&o, medlargw.OfferQueued)
+		}
+		return n
+	}
+	at := func() *medlargw.Job {
+		j := job(2)
+		j.Arrived, j.Deadline = h.now, h.now.Add(5*time.Second)
+		return j
+	}
+	h.c.Submit(h.now, at())
+	if got := refused(); got != 0 {
+		t.Errorf("refusals of the first job: got %d, want 0", got)
+	}
+	h.now = h.now.Add(200 * time.Millisecond) // A tenth of 1.5 s has passed.
+	h.c.Submit(h.now, at())
+	if got := refused(); got != 1 {
+		t.Errorf("refusals while a job of the rank waits: got %d, want 1 at once", got)
+	}
+	urgent := at()
+	urgent.Rank = -1
+	h.c.Submit(h.now, urgent)
+	if got := refused(); got != 0 {
+		t.Errorf("refusals of a more urgent job: got %d, want 0", got)
+	}
+}
