Settings of targets under lease in the product's own file

Change: the loader reads and checks them; one copy of the defaults, which the platform's reader takes too and overrides by the platform's bounds. No value on the platform changes.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -50,6 +50,7 @@
 		Intake: intake(p.Object("intake")),
 		Task:   task(p.Object("task")),
 		Group:  group(p.Object("group")),
+		Lease:  lease(p.Object("lease")),
 		TLS:    tls(p.Object("tls")),
 	}
 	if shortest := s.Group.Notice + s.Intake.Deadline; s.Group.Drain < shortest {
@@ -137,6 +138,7 @@
 		Beat:    p.Duration("beat", time.Second, 10*time.Millisecond, time.Minute),
 		Suspect: p.Duration("suspect", 3*time.Second, 50*time.Millisecond, time.Hour),
 		Gone:    p.Duration("gone", 10*time.Second, 100*time.Millisecond, time.Hour),
+		Read:    p.Duration("read", time.Second, 50*time.Millisecond, time.Minute),
 		Term:    p.Duration("term", 2*time.Second, 50*time.Millisecond, time.Minute),
 		Margin:  p.Duration("margin", 200*time.Millisecond, 5*time.Millisecond, time.Minute),
 		Notice:  p.Duration("notice", 5*time.Second, 0, time.Hour),
@@ -148,6 +150,32 @@
 	return g
 }
 
+func lease(p *parser.Parser) medlargw.LeaseSettings {
+	defer p.Close()
+	d := medlargw.DefaultLease()
+	const least, most = 10 * time.Millisecond, time.Minute
+	l := medlargw.LeaseSettings{
+		Lease:    p.Duration("lease", d.Lease, least, most),
+		Longest:  p.Duration("longest", d.Longest, least, most),
+		Drift:    p.Number("drift", d.Drift, 0, 0.5),
+		Stop:     p.Duration("stop", d.Stop, 0, most),
+		Poll:     p.Duration("poll", d.Poll, least, most),
+		Order:    p.Duration("order", d.Order, least, most),
+		Call:     p.Duration("call", d.Call, least, most),
+		Keep:     p.Duration("keep", d.Keep, least, most),
+		Silence:  p.Duration("silence", d.Silence, least, most),
+		Unlisted: p.Duration("unlisted", d.Unlisted, 0, most),
+		Refused:  p.Duration("refused", d.Refused, least, most),
+	}
+	if l.Lease > l.Longest {
+		p.Fault("lease", "got %s, want at most the longest, %s", l.Lease, l.Longest)
+	}
+	if l.Silence < 2*l.Keep {
+		p.Fault("silence", "got %s, want at least two keeps, %s", l.Silence, 2*l.Keep)
+	}
+	return l
+}
+
 func tls(p *parser.Parser) medlargw.TLSSettings {
 	defer p.Close()
 	t := medlargw.TLSSettings{Cert: p.String("cert", ""), Key: p.String("key", "")}
--- a/settings.go
+++ b/settings.go
@@ -65,7 +65,7 @@
 	Beat    time.Duration // Between two heartbeats to one peer.
 	Suspect time.Duration // Silence after which an entry is suspect.
 	Gone    time.Duration // Silence after which a suspect entry is gone.
-	Read    time.Duration // Between two readings of the list of hosts; zero is a second.
+	Read    time.Duration // Between two readings of the list of hosts.
 	Term    time.Duration // Length of a loan.
 	Margin  time.Duration // Time before the term's end at which a borrower stops.
 	Notice  time.Duration // Time in which a planned stop still accepts requests.
@@ -77,21 +77,3 @@
 	Cert string
 	Key  string
 }
-
-// LeaseSettings are the times of the dealings with targets that run tasks under
-// a lease, and between the homes of jobs and the holders of targets.
-type LeaseSettings struct {
-	Lease    time.Duration // Length of a lease.
-	Longest  time.Duration // To which a target cuts longer leases.
-	Drift    float64       // Share by which a target's clock may be slow.
-	Stop     time.Duration // Longest time that a stop takes.
-	Poll     time.Duration // Longest wait of a target before it reports.
-	Order    time.Duration // Time in which a target answers an order.
-	Call     time.Duration // Time in which an entry answers an offer or a report.
-	Keep     time.Duration // Between two offers of a home to a holder of its tasks.
-	Silence  time.Duration // Silence of a home after which its tasks are stopped.
-	Unlisted time.Duration // How long a target that answers is used though the list lacks it.
-	Refused  time.Duration // Pause after a target was lost to a higher fencing token.
-	Grace    time.Duration // Longest planned stop.
-	Accept   time.Duration // How long a planned stop takes new jobs.
-}
