--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -31,7 +31,7 @@
 	peer    medlargw.Peer
 	room    medlargw.HolderRoom
 	clock   time.Duration // Its clock in its last answer.
-	clockAt time.Time     // When that was sent for; zero is never.
+	clockAt time.Time     // When that answer arrived; zero is never.
 	heard   time.Time     // Sending of the last offer that was answered.
 	sent    time.Time     // Last offer.
 	lost    bool
@@ -40,7 +40,7 @@
 	unsent  time.Time // Since when cancels wait for an answer.
 }
 
-// capacity returns the cores of the pool's targets that take runs.
+// pool returns what the holder has of a pool, or nil.
 func (h *holder) pool(name medlargw.PoolName) *medlargw.PoolRoom {
 	for i := range h.room.Pools {
 		if h.room.Pools[i].Pool == name {
