--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -65,9 +65,92 @@
 
 // asks returns the holders to ask for their room now, because tasks wait: those
 // of the zone, and some of the others in turn.
+func (c *Coordinator) asks(now time.Time) map[*holder]bool {
+	if now.Sub(c.asked) < askEvery || !c.anyWaiting() {
+		return nil
+	}
+	c.asked = now
+	all := map[*holder]bool{}
+	var abroad []*holder
+	for _, h := range c.order {
+		switch {
+		case !h.offerable() || h.peer.Incarnation == c.self.Incarnation || now.Sub(h.sent) < askEvery:
+		case h.peer.Zone == c.self.Zone:
+			all[h] = true
+		default:
+			abroad = append(abroad, h)
+		}
+	}
+	for range min(len(abroad), askAbroad) {
+		all[abroad[c.turn%len(abroad)]] = true
+		c.turn++
+	}
+	return all
+}
+
 // anyWaiting reports whether a task waits for room, here or at a holder.
+func (c *Coordinator) anyWaiting() bool {
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.state == taskIdle || t.state == taskQueued {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // message returns what must be sent to a holder now.
+func (c *Coordinator) message(now time.Time, h *holder, asked bool) (medlargw.Offer, bool) {
+	if h.lost {
+		return medlargw.Offer{}, false
+	}
+	o := medlargw.Offer{From: c.self, Cancels: h.cancels}
+	h.cancels = nil
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.holder != h {
+				continue
+			}
+			if t.resend {
+				t.resend = false
+				o.Tasks = append(o.Tasks, t.offer(now))
+			}
+			if t.recalled && t.state == taskQueued {
+				t.state = taskOffered // Until the recall is answered.
+				o.Recalls = append(o.Recalls, t.id)
+			}
+		}
+	}
+	if !asked && len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 && (now.Sub(h.sent) < c.settings.Keep || !c.uses(h)) {
+		return o, false
+	}
+	h.sent = now
+	if !h.clockAt.IsZero() {
+		o.Valid = h.clock + now.Sub(h.clockAt) + validity
+	}
+	return o, true
+}
+
 // offer returns the task as it is offered.
+func (t *task) offer(now time.Time) medlargw.OfferedTask {
+	m := t.job.job
+	return medlargw.OfferedTask{
+		ID:       t.id,
+		Job:      t.job.number,
+		Run:      medlargw.RunID{Task: m.Tasks[t.index].ID, Attempt: t.attempt},
+		Payload:  m.Tasks[t.index].Payload,
+		Pool:     m.Pool,
+		Room:     m.Room,
+		Rank:     m.Rank,
+		Estimate: t.job.estimate,
+		Due:      t.job.due.Sub(now),
+		Deadline: m.Deadline.Sub(now),
+		Avoid:    t.avoid,
+		Queue:    t.queue,
+	}
+}
+
 // See takes what a holder says of its room. Older words are ignored.
 func (c *Coordinator) See(now time.Time, incarnation medlargw.Incarnation, room medlargw.HolderRoom) {
 	h := c.holders[incarnation]
@@ -80,14 +163,160 @@
 
 // OfferAnswered takes the answer to an offer that was sent at that time, or
 // the error without one.
+func (c *Coordinator) OfferAnswered(now, sent time.Time, o *medlargw.HomeOffer, reply *medlargw.OfferReply, err error) {
+	h := c.holders[o.To.Incarnation]
+	if h == nil {
+		return
+	}
+	if err != nil || reply.Incarnation != o.To.Incarnation {
+		c.unanswered(now, h, &o.Offer, err)
+		return
+	}
+	if sent.After(h.heard) {
+		h.heard = sent
+	}
+	h.clock, h.clockAt = reply.Clock, now
+	if h.lost {
+		c.found(h)
+	}
+	c.See(now, o.To.Incarnation, reply.Room)
+	for _, s := range reply.States {
+		if t := c.tasks[s.ID]; t != nil && t.holder == h {
+			c.offered(now, t, s.State)
+		}
+	}
+}
+
 // found takes a lost holder back. It may hear this home in time to go on with
 // the tasks, so that their ends are no longer proven: they are offered again by
 // the same ids, to learn what became of them.
+func (c *Coordinator) found(h *holder) {
+	h.lost = false
+	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)))
+	for _, t := range c.tasksOf(h) {
+		t.proven = time.Time{}
+		t.resend = true
+	}
+}
+
 // unanswered sends an offer again whose fate is not known. The holder knows a
 // task by its id, so that it is not run twice.
+func (c *Coordinator) unanswered(now time.Time, h *holder, o *medlargw.Offer, err error) {
+	c.log.Debug("offer not answered", zap.String("holder", string(h.peer.Host)), zap.Int("tasks", len(o.Tasks)), zap.Error(err))
+	for i := range o.Tasks {
+		if t := c.tasks[o.Tasks[i].ID]; t != nil && t.holder == h && t.state == taskOffered {
+			t.resend = true
+		}
+	}
+	for _, id := range o.Recalls {
+		if t := c.tasks[id]; t != nil && t.holder == h && t.state == taskOffered {
+			t.state = taskQueued
+		}
+	}
+	if len(o.Cancels) == 0 {
+		return
+	}
+	if h.unsent.IsZero() {
+		h.unsent = now
+	}
+	if now.Sub(h.unsent) < cancelFor {
+		h.cancels = append(h.cancels, o.Cancels...)
+	}
+}
+
 // offered takes the state of an offered task.
+func (c *Coordinator) offered(now time.Time, t *task, state medlargw.OfferState) {
+	t.holder.unsent = time.Time{}
+	switch state {
+	case medlargw.OfferStarted:
+		c.start(t)
+	case medlargw.OfferQueued:
+		if t.state == taskOffered {
+			t.state = taskQueued
+		}
+	case medlargw.OfferRefused, medlargw.OfferStale:
+		if t.state == taskStarted {
+			return
+		}
+		if state == medlargw.OfferRefused && !t.recalled {
+			t.refusals++
+		}
+		c.detach(t)
+		if t.job.refusing {
+			c.settle(now, t.job)
+			return
+		}
+		c.place(t)
+	}
+}
+
 // start takes note that a run of the task may have begun.
+func (c *Coordinator) start(t *task) {
+	if t.state == taskDone {
+		return
+	}
+	t.state = taskStarted
+	t.recalled = false
+	t.job.started = true
+	if t.job.refusing {
+		t.job.refusing = false
+		c.placeIdle(t.job)
+	}
+}
+
 // Report takes a holder's events.
+func (c *Coordinator) Report(now time.Time, r *medlargw.Report) {
+	c.See(now, r.From.Incarnation, r.Room)
+	from := c.holders[r.From.Incarnation]
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		t := c.tasks[e.ID]
+		if from == nil {
+			continue
+		}
+		if t == nil {
+			if e.Event == medlargw.TaskStarted { // Its job has ended meanwhile.
+				from.cancels = append(from.cancels, e.ID)
+			}
+			continue
+		}
+		if t.holder != from && e.Event == medlargw.TaskUnknown {
+			continue // It was handed over since.
+		}
+		t.holder = from
+		t.proven = time.Time{}
+		c.take(now, t, e)
+	}
+}
+
+func (c *Coordinator) take(now time.Time, t *task, e *medlargw.TaskReport) {
+	switch e.Event {
+	case medlargw.TaskStarted:
+		t.resend = false
+		c.start(t)
+	case medlargw.TaskDone:
+		c.start(t)
+		c.estimator.Learn(t.job.job, e.Elapsed)
+		t.state = taskDone
+		c.detach(t)
+		t.job.done++
+		if t.job.done == len(t.job.tasks) {
+			c.complete(now, t.job)
+		}
+	case medlargw.TaskFailed:
+		c.start(t)
+		c.failed(now, t, e.Target)
+	case medlargw.TaskStopped:
+		c.start(t)
+		c.again(now, t, e.Target)
+	case medlargw.TaskReturned:
+		c.again(now, t, e.Target)
+	case medlargw.TaskUnknown:
+		c.start(t)
+		c.giveUp(now, t.job, medlargw.CodeAttemptLost, "the target went to another holder")
+	}
+}
+
 // tickHolder notices a holder that has fallen silent, and the time at which
 // what it may have started has surely ended.
 func (c *Coordinator) tickHolder(now time.Time, h *holder) {
