--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -225,3 +226,71 @@
 		t.Errorf("refusals of a more urgent job: got %d, want 0", got)
 	}
 }
+
+// TestCancelIsSentAgain asserts that the cancel of a task whose job has ended
+// reaches its holder, though messages were lost before, once and again.
+func TestCancelIsSentAgain(t *testing.T) {
+	h := newHome(t)
+	lose := func(o *medlargw.HomeOffer) { h.c.OfferAnswered(h.now, h.now, o, &medlargw.OfferReply{}, errLost) }
+	cancel := func() medlargw.TaskID {
+		first := h.started(1)
+		id := first.Offer.Tasks[0].ID
+		h.c.Report(h.now, &medlargw.Report{
+			From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
+			Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+		})
+		return id
+	}
+	sent := func() []medlargw.TaskID {
+		for _, o := range h.offers() {
+			if len(o.Offer.Cancels) > 0 {
+				lose(&o)
+				return o.Offer.Cancels
+			}
+		}
+		return nil
+	}
+	cancel()
+	if got := sent(); len(got) != 1 {
+		t.Fatalf("cancels: got %v, want one", got)
+	}
+	// The next message is answered, with no word of a task.
+	for _, o := range h.offers() {
+		h.answer(&o, medlargw.OfferStarted)
+	}
+	h.now = h.now.Add(3 * time.Second)
+	id := cancel()
+	for range 3 {
+		if got := sent(); len(got) != 1 || got[0] != id {
+			t.Fatalf("cancels after a lost message: got %v, want %d again", got, id)
+		}
+	}
+}
+
+// TestCancelOfALostHolder asserts that a holder which is lost and answers again
+// is told to stop the tasks of jobs that were given up meanwhile.
+func TestCancelOfALostHolder(t *testing.T) {
+	h := newHome(t)
+	first := h.started(1)
+	var last medlargw.HomeOffer
+	h.pass(700*time.Millisecond, func() {
+		for _, o := range h.offers() {
+			last = o
+		}
+	})
+	h.c.Report(h.now, &medlargw.Report{ // Late: the job is given up.
+		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
+		Tasks: []medlargw.TaskReport{{ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
+	})
+	h.answer(&last, medlargw.OfferStarted)
+	for _, o := range h.offers() {
+		for _, id := range o.Offer.Cancels {
+			if id == first.Offer.Tasks[0].ID {
+				return
+			}
+		}
+	}
+	t.Error("cancels to a holder that answers again: got none, want one of the task whose job was given up")
+}
+
+var errLost = errors.New("no answer")
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -109,7 +109,6 @@
 		return
 	}
 	h.lost = true
-	h.cancels = nil
 	all := c.tasksOf(h)
 	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.heard)), zap.Int("tasks", len(all)))
 	for _, t := range all {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -23,6 +23,7 @@
 		h.heard = sent
 	}
 	h.clock, h.clockAt = reply.Clock, now
+	h.unsent = time.Time{}
 	if h.lost {
 		c.found(h)
 	}
@@ -73,7 +74,6 @@
 
 // offered takes the state of an offered task.
 func (c *Coordinator) offered(now time.Time, t *task, state medlargw.OfferState) {
-	t.holder.unsent = time.Time{}
 	switch state {
 	case medlargw.OfferStarted:
 		c.start(t)
