A holder has ended when it is silent, not when another incarnation is seen

Ruled out: lost cancels, the resend of the caller (the second run was the next attempt). Change: the shortcut for replaced incarnations is gone; silence and the time after the last offer are the only proof. Test: TestOldIncarnationIsSeenAgain, failing before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -81,14 +81,13 @@
 	return n
 }
 
-// Assign takes the hosts that act together. A holder that is no longer among
-// them, and was replaced by a later incarnation, has ended.
+// Assign takes the hosts that act together. Whether a holder that is no longer
+// among them has ended is told by its silence alone: what this entry sees of the
+// members may be old.
 func (c *Coordinator) Assign(now time.Time, g medlargw.Group) {
 	present := map[medlargw.Incarnation]bool{}
-	hosts := map[medlargw.HostName]medlargw.Incarnation{}
 	for _, p := range g.Entries {
 		present[p.Incarnation] = true
-		hosts[p.Host] = p.Incarnation
 		h := c.holders[p.Incarnation]
 		if h == nil {
 			h = &holder{heard: now}
@@ -104,9 +103,6 @@
 		if h.absent.IsZero() {
 			h.absent = now
 		}
-		if other, ok := hosts[h.peer.Host]; ok && other != incarnation {
-			c.lose(now, h, c.settings.Lease+c.settings.Lease/10)
-		}
 		if now.Sub(h.absent) > forgetHolder && !c.uses(h) {
 			delete(c.holders, incarnation)
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -294,3 +294,28 @@
 }
 
 var errLost = errors.New("no answer")
+
+// TestOldIncarnationIsSeenAgain asserts that a holder which answers is not
+// taken for ended because this entry, back from a cut, sees a former incarnation
+// of its host in its place.
+func TestOldIncarnationIsSeenAgain(t *testing.T) {
+	h := newHome(t)
+	id := h.started(1).Offer.Tasks[0].ID
+	former := holder
+	former.Incarnation = 9
+	former.Leaving = true
+	h.c.Assign(h.now, medlargw.Group{Entries: []medlargw.Peer{former}})
+	h.pass(2*time.Second, func() {
+		for _, o := range h.offers() {
+			for _, task := range o.Offer.Tasks {
+				if task.ID != id {
+					t.Fatalf("after %v: got offer %d, want none but %d", h.now.Sub(start), task.ID, id)
+				}
+			}
+			if o.To.Incarnation == holder.Incarnation {
+				h.answer(&o, medlargw.OfferStarted)
+			}
+		}
+		h.c.See(h.now, former.Incarnation, room(uint64(h.now.Sub(start)), 2))
+	})
+}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if !h.lost && now.Sub(h.heard) > lostKeeps*c.settings.Keep {
-		c.lose(now, h, c.endsAfter()-now.Sub(h.sent))
+		c.lose(now, h)
 	}
 	for _, t := range c.tasksOf(h) {
 		if !t.proven.IsZero() && !now.Before(t.proven) {
@@ -102,17 +102,14 @@
 	return validity + c.settings.Silence + c.settings.Lease + c.settings.Stop + c.settings.Keep
 }
 
-// lose gives up a holder. Its tasks have ended when the given time has passed;
-// a job that can't wait for this is given up at once.
-func (c *Coordinator) lose(now time.Time, h *holder, ends time.Duration) {
-	if h.lost {
-		return
-	}
+// lose gives up a holder. Its tasks have ended some time after the last offer to
+// it; a job that can't wait for this is given up at once.
+func (c *Coordinator) lose(now time.Time, h *holder) {
 	h.lost = true
 	all := c.tasksOf(h)
 	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.heard)), zap.Int("tasks", len(all)))
 	for _, t := range all {
-		t.proven = now.Add(ends)
+		t.proven = h.sent.Add(c.endsAfter())
 		t.job.started = true // Its offer may have been heard.
 		if t.job.refusing {
 			t.job.refusing = false
