Dead methods gone; the fault table takes the product's own lease times

Cause: read of the whole change: Holder.Targets and Imitator.Leave were called by nobody, and the fault table wrote the defaults of leases out again. The values are the same but for the poll, which stays at the table's 100 ms. Tests of holder, imitator, conductor, coordinator and platform pass; lint clean.

--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -26,11 +26,9 @@
 
 // lease returns the times of an installation with leases of a second.
 func lease() medlargw.LeaseSettings {
-	return medlargw.LeaseSettings{
-		Lease: 800 * time.Millisecond, Longest: time.Second, Drift: 0.025, Stop: 50 * time.Millisecond, Poll: 100 * time.Millisecond,
-		Order: 200 * time.Millisecond, Call: 200 * time.Millisecond, Keep: 120 * time.Millisecond,
-		Silence: 500 * time.Millisecond, Unlisted: 2500 * time.Millisecond, Refused: 2 * time.Second,
-	}
+	l := medlargw.DefaultLease()
+	l.Poll = 100 * time.Millisecond
+	return l
 }
 
 // freezableClock stops whoever asks it for the time until a given time, as the
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -64,9 +64,6 @@
 	return a
 }
 
-// Targets returns the number of targets that are held or being claimed.
-func (h *Holder) Targets() int { return len(h.targets) }
-
 // Tick lets time alone change the state.
 func (h *Holder) Tick(now time.Time) {
 	h.expireHomes(now)
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -132,13 +132,6 @@
 	return im.targets[name].fault
 }
 
-// Leave lets a target say that it is leaving.
-func (im *Imitator) Leave(name medlargw.TargetName) {
-	im.mu.Lock()
-	defer im.mu.Unlock()
-	im.targets[name].info.Leaving = true
-}
-
 // Crash ends everything on a target and starts a new incarnation of it.
 func (im *Imitator) Crash(name medlargw.TargetName) {
 	im.mu.Lock()
