Coordinator: what an event costs no longer grows with holders times tasks

Cause: with each word of a holder the home looked through all tasks of all jobs once for each holder, to find what it had to tell that holder. Ruled out: the size of the answers; the allocations are the same before and after. Change: each holder knows its own tasks and whether one of them has to be offered or recalled; the numbers of tasks by state tell whether any waits.

--- /dev/null
+++ b/coordinator/bench_test.go
@@ -0,0 +1,54 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/coordinator"
+	"medlargw.example/medlargw/estimator"
+)
+
+// BenchmarkEvent is the cost of one word of a holder at a home whose tasks all
+// run, by the number of holders and of tasks.
+func BenchmarkEvent(b *testing.B) {
+	for _, size := range []struct{ holders, tasks int }{{6, 32}, {12, 64}, {36, 256}} {
+		b.Run(fmt.Sprintf("holders=%d/tasks=%d", size.holders, size.tasks), func(b *testing.B) {
+			c := busyHome(size.holders, size.tasks)
+			now := start.Add(time.Millisecond)
+			b.ReportAllocs()
+			for i := range b.N {
+				c.See(now, medlargw.Incarnation(2+i%size.holders), room(uint64(i+2), 1))
+				c.TakeActions(now)
+			}
+		})
+	}
+}
+
+// busyHome returns a home whose tasks have all started, spread over holders.
+func busyHome(holders, tasks int) *coordinator.Coordinator {
+	settings := medlargw.LeaseSettings{Lease: time.Second, Keep: time.Second, Silence: time.Second}
+	c := coordinator.New(zap.NewNop(), settings, medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}, estimator.New())
+	var g medlargw.Group
+	for i := range holders {
+		g.Entries = append(g.Entries, medlargw.Peer{Host: medlargw.HostName(fmt.Sprintf("h%02d", i)), Zone: "z", Incarnation: medlargw.Incarnation(2 + i)})
+	}
+	c.Assign(start, g)
+	for _, p := range g.Entries {
+		c.See(start, p.Incarnation, room(1, tasks/holders+1))
+	}
+	for range tasks / 4 {
+		c.Submit(start, job(4))
+	}
+	for _, o := range c.TakeActions(start).Offers {
+		reply := medlargw.OfferReply{Incarnation: o.To.Incarnation, Room: room(1, 1)}
+		for _, t := range o.Offer.Tasks {
+			reply.States = append(reply.States, medlargw.OfferedState{ID: t.ID, State: medlargw.OfferStarted})
+		}
+		c.OfferAnswered(start, start, &o, &reply, nil)
+	}
+	return c
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	self      medlargw.Member
 	jobs      []*job // In the order of arrival.
 	tasks     map[medlargw.TaskID]*task
+	in        [taskDone + 1]int // Number of tasks in each state.
 	holders   map[medlargw.Incarnation]*holder
 	order     []*holder // This entry first, then its zone, then the others.
 	estimator medlargw.Estimator
@@ -90,7 +91,7 @@
 		present[p.Incarnation] = true
 		h := c.holders[p.Incarnation]
 		if h == nil {
-			h = &holder{heard: now}
+			h = newHolder(now)
 			c.holders[p.Incarnation] = h
 		}
 		h.peer = p
@@ -103,7 +104,7 @@
 		if h.absent.IsZero() {
 			h.absent = now
 		}
-		if now.Sub(h.absent) > forgetHolder && !c.uses(h) {
+		if now.Sub(h.absent) > forgetHolder && len(h.tasks) == 0 {
 			delete(c.holders, incarnation)
 		}
 	}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +37,9 @@
 	heard   time.Time     // Sending of the last offer that was answered.
 	sent    time.Time     // Last offer.
 	lost    bool
-	absent  time.Time // Since when it is not among the entries; zero is present.
+	absent  time.Time                 // Since when it is not among the entries; zero is present.
+	tasks   map[medlargw.TaskID]*task // Those that are with it.
+	unsaid  bool                      // One of them may have to be offered or recalled.
 	cancels []medlargw.TaskID
 	unsent  time.Time // Since when cancels wait for an answer.
 }
@@ -53,14 +57,18 @@
 // offerable reports whether the holder may get tasks.
 func (h *holder) offerable() bool { return !h.lost && h.absent.IsZero() }
 
-// uses reports whether tasks are at the holder.
-func (c *Coordinator) uses(h *holder) bool {
-	for _, t := range c.tasks {
-		if t.holder == h {
-			return true
-		}
+func newHolder(now time.Time) *holder {
+	return &holder{heard: now, tasks: map[medlargw.TaskID]*task{}}
+}
+
+// attach puts a task with a holder.
+func (h *holder) attach(t *task) {
+	if t.holder != nil {
+		delete(t.holder.tasks, t.id)
 	}
-	return false
+	t.holder = h
+	h.tasks[t.id] = t
+	h.unsaid = true
 }
 
 // See takes what a holder says of its room. Older words are ignored.
@@ -76,7 +84,7 @@
 // tickHolder notices a holder that has fallen silent, and the time at which
 // what it may have started has surely ended.
 func (c *Coordinator) tickHolder(now time.Time, h *holder) {
-	if !c.uses(h) {
+	if len(h.tasks) == 0 {
 		if !h.lost {
 			h.heard = now
 		}
@@ -89,7 +97,10 @@
 	if !h.lost && now.Sub(h.heard) > lostKeeps*c.settings.Keep {
 		c.lose(now, h)
 	}
-	for _, t := range c.tasksOf(h) {
+	if !h.lost {
+		return
+	}
+	for _, t := range h.inOrder() {
 		if !t.proven.IsZero() && !now.Before(t.proven) {
 			c.again(now, t, "")
 		}
@@ -106,7 +117,7 @@
 // it; a job that can't wait for this is given up at once.
 func (c *Coordinator) lose(now time.Time, h *holder) {
 	h.lost = true
-	all := c.tasksOf(h)
+	all := h.inOrder()
 	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.heard)), zap.Int("tasks", len(all)))
 	for _, t := range all {
 		t.proven = h.sent.Add(c.endsAfter())
@@ -120,15 +131,13 @@
 	}
 }
 
-// tasksOf returns the tasks that are at a holder, in order.
-func (c *Coordinator) tasksOf(h *holder) []*task {
-	var all []*task
-	for _, j := range c.jobs {
-		for _, t := range j.tasks {
-			if t.holder == h {
-				all = append(all, t)
-			}
-		}
+// inOrder returns the tasks that are with the holder, in the order of their
+// offers.
+func (h *holder) inOrder() []*task {
+	all := make([]*task, 0, len(h.tasks))
+	for _, t := range h.tasks {
+		all = append(all, t)
 	}
+	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -80,6 +80,7 @@
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
 	}
 	c.jobs = append(c.jobs, j)
+	c.in[taskIdle] += len(j.tasks)
 	if wait, ok := c.expectedWait(j); ok && wait > 0 && (now.Add(wait).After(j.latest()) || c.congested(now, j)) {
 		c.refuse(now, j, wait, "no room in time")
 		return
@@ -148,7 +149,7 @@
 	j.refusing = true
 	for _, t := range j.tasks {
 		if t.state != taskIdle {
-			t.recalled = true
+			t.recall()
 		}
 	}
 	c.settle(now, j)
@@ -207,6 +208,7 @@
 			t.holder.cancels = append(t.holder.cancels, t.id)
 		}
 		c.detach(t)
+		c.in[t.state]--
 	}
 	c.finishes = append(c.finishes, medlargw.Finish{Job: j.job, Outcome: o})
 }
@@ -227,10 +229,33 @@
 	c.finish(j, o)
 }
 
+// move puts a task into a state.
+func (c *Coordinator) move(t *task, state taskState) {
+	c.in[t.state]--
+	t.state = state
+	c.in[state]++
+	if state == taskQueued {
+		t.holder.unsaid = true // It may have been recalled before it was queued.
+	}
+}
+
+// offerAgain lets the next message to the holder offer the task.
+func (t *task) offerAgain() {
+	t.resend = true
+	t.holder.unsaid = true
+}
+
+// recall lets the next message to the holder recall the task if it waits there.
+func (t *task) recall() {
+	t.recalled = true
+	t.holder.unsaid = true
+}
+
 // detach takes a task away from its holder.
 func (c *Coordinator) detach(t *task) {
-	if t.id != 0 {
+	if t.holder != nil {
 		delete(c.tasks, t.id)
+		delete(t.holder.tasks, t.id)
 	}
 	t.id = 0
 	t.holder = nil
@@ -238,7 +263,7 @@
 	t.resend = false
 	t.proven = time.Time{}
 	if t.state != taskDone {
-		t.state = taskIdle
+		c.move(t, taskIdle)
 	}
 }
 
--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -32,40 +32,23 @@
 }
 
 // anyWaiting reports whether a task waits for room, here or at a holder.
-func (c *Coordinator) anyWaiting() bool {
-	for _, j := range c.jobs {
-		for _, t := range j.tasks {
-			if t.state == taskIdle || t.state == taskQueued {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (c *Coordinator) anyWaiting() bool { return c.in[taskIdle]+c.in[taskQueued] > 0 }
 
 // message returns what must be sent to a holder now.
 func (c *Coordinator) message(now time.Time, h *holder, asked bool) (medlargw.Offer, bool) {
 	if h.lost {
 		return medlargw.Offer{}, false
 	}
+	due := len(h.tasks) > 0 && now.Sub(h.sent) >= c.settings.Keep
+	if !asked && !due && !h.unsaid && len(h.cancels) == 0 {
+		return medlargw.Offer{}, false
+	}
 	o := medlargw.Offer{From: c.self, Cancels: h.cancels}
 	h.cancels = nil
-	for _, j := range c.jobs {
-		for _, t := range j.tasks {
-			if t.holder != h {
-				continue
-			}
-			if t.resend {
-				t.resend = false
-				o.Tasks = append(o.Tasks, t.offer(now))
-			}
-			if t.recalled && t.state == taskQueued {
-				t.state = taskOffered // Until the recall is answered.
-				o.Recalls = append(o.Recalls, t.id)
-			}
-		}
+	if h.unsaid {
+		c.say(now, h, &o)
 	}
-	if !asked && len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 && (now.Sub(h.sent) < c.settings.Keep || !c.uses(h)) {
+	if !asked && !due && len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 {
 		return o, false
 	}
 	h.sent = now
@@ -75,6 +58,21 @@
 	return o, true
 }
 
+// say adds the tasks to be offered and to be recalled.
+func (c *Coordinator) say(now time.Time, h *holder, o *medlargw.Offer) {
+	h.unsaid = false
+	for _, t := range h.inOrder() {
+		if t.resend {
+			t.resend = false
+			o.Tasks = append(o.Tasks, t.offer(now))
+		}
+		if t.recalled && t.state == taskQueued {
+			c.move(t, taskOffered) // Until the recall is answered.
+			o.Recalls = append(o.Recalls, t.id)
+		}
+	}
+}
+
 // offer returns the task as it is offered.
 func (t *task) offer(now time.Time) medlargw.OfferedTask {
 	m := t.job.job
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -36,9 +36,9 @@
 func (c *Coordinator) offerTo(t *task, h *holder, queue bool) {
 	c.nextID++
 	t.id = c.nextID
-	t.holder = h
-	t.state = taskOffered
-	t.resend = true
+	h.attach(t)
+	c.move(t, taskOffered)
+	t.offerAgain()
 	t.queue = queue
 	c.tasks[t.id] = t
 	if queue {
@@ -148,6 +148,9 @@
 
 // rebalance recalls waiting tasks for which another holder has room.
 func (c *Coordinator) rebalance(time.Time) {
+	if c.in[taskQueued] == 0 {
+		return
+	}
 	var queued []*task
 	for _, j := range c.jobs {
 		for _, t := range j.tasks {
@@ -168,7 +171,7 @@
 			if r := h.tightest(t.job.job); r != nil {
 				promised[r] = *r
 				*r = r.Minus(t.job.job.Room) // Believed taken until the task comes back.
-				t.recalled = true
+				t.recall()
 				t.refusals = 0
 				break
 			}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -41,9 +41,9 @@
 func (c *Coordinator) found(h *holder) {
 	h.lost = false
 	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)))
-	for _, t := range c.tasksOf(h) {
+	for _, t := range h.inOrder() {
 		t.proven = time.Time{}
-		t.resend = true
+		t.offerAgain()
 	}
 }
 
@@ -53,12 +53,12 @@
 	c.log.Debug("offer not answered", zap.String("holder", string(h.peer.Host)), zap.Int("tasks", len(o.Tasks)), zap.Error(err))
 	for i := range o.Tasks {
 		if t := c.tasks[o.Tasks[i].ID]; t != nil && t.holder == h && t.state == taskOffered {
-			t.resend = true
+			t.offerAgain()
 		}
 	}
 	for _, id := range o.Recalls {
 		if t := c.tasks[id]; t != nil && t.holder == h && t.state == taskOffered {
-			t.state = taskQueued
+			c.move(t, taskQueued)
 		}
 	}
 	if len(o.Cancels) == 0 {
@@ -79,7 +79,7 @@
 		c.start(t)
 	case medlargw.OfferQueued:
 		if t.state == taskOffered {
-			t.state = taskQueued
+			c.move(t, taskQueued)
 		}
 	case medlargw.OfferRefused, medlargw.OfferStale:
 		if t.state == taskStarted {
@@ -102,7 +102,7 @@
 	if t.state == taskDone {
 		return
 	}
-	t.state = taskStarted
+	c.move(t, taskStarted)
 	t.recalled = false
 	t.job.started = true
 	if t.job.refusing {
@@ -130,7 +130,7 @@
 		if t.holder != from && e.Event == medlargw.TaskUnknown {
 			continue // It was handed over since.
 		}
-		t.holder = from
+		from.attach(t)
 		t.proven = time.Time{}
 		c.take(now, t, e)
 	}
@@ -144,7 +144,7 @@
 	case medlargw.TaskDone:
 		c.start(t)
 		c.estimator.Learn(t.job.job, e.Elapsed)
-		t.state = taskDone
+		c.move(t, taskDone)
 		c.detach(t)
 		t.job.done++
 		if t.job.done == len(t.job.tasks) {
