Tracker: the sum of a view needs no sorted copy of it

A peer's fetch reads the view itself, so its counters fit the sum it is told. Ruled out: a sum kept between changes; counters change in many places.

--- a/tracker/codec.go
+++ b/tracker/codec.go
@@ -64,12 +64,11 @@
 // HandleFetch gives the whole view to a peer.
 func (t *Tracker) HandleFetch(_ context.Context, r medlargw.FetchRequest) (medlargw.FetchReply, error) {
 	t.mu.Lock()
-	version := t.view.hash()
+	version, all := t.view.hash(), t.view.members()
 	t.mu.Unlock()
 	if r.Version == version {
 		return medlargw.FetchReply{Version: version}, nil
 	}
-	all := t.Members()
 	wire := viewWire{From: encodeMember(&all[0])}
 	for i := range all[1:] {
 		wire.Members = append(wire.Members, encodeMember(&all[1+i]))
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -167,7 +167,9 @@
 	before := t.view.version
 	alter(t.view)
 	changed := t.view.version != before
-	t.publish()
+	if changed {
+		t.publish()
+	}
 	t.mu.Unlock()
 	if !changed {
 		return
@@ -204,6 +206,7 @@
 		if v.self.State != before {
 			to = v.reachable() // The others must know at once who owns what.
 		}
+		t.publish() // The times of the last words change without a state.
 	})
 	for _, addr := range to {
 		t.running.Go(func() { t.beat(ctx, addr, digest) })
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -300,17 +300,22 @@
 }
 
 // hash sums up the view. A suspect member counts as live, since suspicion is
-// this entry's opinion alone; a gone one does not count.
+// this entry's opinion alone; a gone one does not count. The sum does not depend
+// on the order, so that the members need not be sorted.
 func (v *view) hash() uint64 {
-	var buf []byte
-	all := v.members()
-	slices.SortFunc(all, func(a, b medlargw.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	for i := range all {
-		if all[i].State == medlargw.MemberGone {
-			continue
-		}
-		buf = binary.LittleEndian.AppendUint64(buf, uint64(all[i].Incarnation))
-		buf = binary.LittleEndian.AppendUint64(buf, all[i].Counter)
+	sum := hashOf(&v.self)
+	for _, p := range v.peers {
+		sum += hashOf(&p.member)
+	}
+	return sum
+}
+
+func hashOf(m *medlargw.Member) uint64 {
+	if m.State == medlargw.MemberGone {
+		return 0
 	}
-	return xxhash.Sum64(buf)
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:], uint64(m.Incarnation))
+	binary.LittleEndian.PutUint64(buf[8:], m.Counter)
+	return xxhash.Sum64(buf[:])
 }
