A task that finds no room waits where a run is expected to end first

Cause: at 90% load and above, a task without room went to the holder with the least work before it. Mostly no work waits anywhere, so the choice fell on the first holder in order, however long its runs still took, while room came free elsewhere. Change: a holder tells when the first of its runs is expected to end; the home adds that, less the age of the word, to the work that waits there. The stand-in of targets now lets waiting renewals know of a later start; before, it told some ends late.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -150,9 +150,9 @@
 	case !now.Before(j.job.Deadline):
 		c.giveUp(now, j, medlargw.CodeDeadline, "the deadline has passed")
 	case j.refusing:
-	case !j.started && c.hopeless(now, j):
+	case !j.started && c.isLost(now, j):
 		c.withdraw(now, j)
 	default:
-		c.placeIdle(j)
+		c.placeIdle(now, j)
 	}
 }
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -85,7 +85,7 @@
 		c.refuse(now, j, wait, "no room in time")
 		return
 	}
-	c.placeIdle(j)
+	c.placeIdle(now, j)
 }
 
 // congested reports whether a job that goes before the given one has waited so
@@ -121,19 +121,19 @@
 }
 
 // placeIdle offers the tasks that no holder has.
-func (c *Coordinator) placeIdle(j *job) {
+func (c *Coordinator) placeIdle(now time.Time, j *job) {
 	if j.ended || j.refusing {
 		return
 	}
 	for _, t := range j.tasks {
 		if t.state == taskIdle {
-			c.place(t)
+			c.place(now, t)
 		}
 	}
 }
 
-// hopeless reports whether a job without a start should be refused now.
-func (c *Coordinator) hopeless(now time.Time, j *job) bool {
+// isLost reports whether a job without a start should be refused now.
+func (c *Coordinator) isLost(now time.Time, j *job) bool {
 	if now.After(j.latest()) {
 		return true
 	}
@@ -287,7 +287,7 @@
 		c.settle(now, j)
 		return
 	}
-	c.place(t)
+	c.place(now, t)
 }
 
 // failed counts a failed run, and fails the job at the last attempt allowed.
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -20,7 +20,7 @@
 )
 
 // place offers a task to the best holder.
-func (c *Coordinator) place(t *task) {
+func (c *Coordinator) place(now time.Time, t *task) {
 	m := t.job.job
 	if t.refusals < maxRefusals {
 		if h := c.withRoom(m); h != nil {
@@ -28,7 +28,7 @@
 			return
 		}
 	}
-	if h := c.leastWork(m); h != nil {
+	if h := c.leastWork(now, m); h != nil {
 		c.offerTo(t, h, true)
 	}
 }
@@ -82,7 +82,7 @@
 }
 
 // leastWork returns the holder with the shortest wait.
-func (c *Coordinator) leastWork(m *medlargw.Job) *holder {
+func (c *Coordinator) leastWork(now time.Time, m *medlargw.Job) *holder {
 	var best *holder
 	var shortest time.Duration
 	for _, h := range c.order {
@@ -90,7 +90,7 @@
 		if p == nil || p.Capacity == 0 || !h.offerable() {
 			continue
 		}
-		wait := time.Duration(workBefore(p, m.Rank)/p.Capacity) * time.Millisecond
+		wait := max(0, p.Next-now.Sub(h.seen)) + time.Duration(workBefore(p, m.Rank)/p.Capacity)*time.Millisecond
 		if h.peer.Zone != c.self.Zone {
 			wait += abroad
 		}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -76,7 +76,7 @@
 func (c *Coordinator) offered(now time.Time, t *task, state medlargw.OfferState) {
 	switch state {
 	case medlargw.OfferStarted:
-		c.start(t)
+		c.start(now, t)
 	case medlargw.OfferQueued:
 		if t.state == taskOffered {
 			c.move(t, taskQueued)
@@ -93,12 +93,12 @@
 			c.settle(now, t.job)
 			return
 		}
-		c.place(t)
+		c.place(now, t)
 	}
 }
 
 // start takes note that a run of the task may have begun.
-func (c *Coordinator) start(t *task) {
+func (c *Coordinator) start(now time.Time, t *task) {
 	if t.state == taskDone {
 		return
 	}
@@ -107,7 +107,7 @@
 	t.job.started = true
 	if t.job.refusing {
 		t.job.refusing = false
-		c.placeIdle(t.job)
+		c.placeIdle(now, t.job)
 	}
 }
 
@@ -140,9 +140,9 @@
 	switch e.Event {
 	case medlargw.TaskStarted:
 		t.resend = false
-		c.start(t)
+		c.start(now, t)
 	case medlargw.TaskDone:
-		c.start(t)
+		c.start(now, t)
 		c.estimator.Learn(t.job.job, e.Elapsed)
 		c.move(t, taskDone)
 		c.detach(t)
@@ -151,15 +151,15 @@
 			c.complete(now, t.job)
 		}
 	case medlargw.TaskFailed:
-		c.start(t)
+		c.start(now, t)
 		c.failed(now, t, e.Target)
 	case medlargw.TaskStopped:
-		c.start(t)
+		c.start(now, t)
 		c.again(now, t, e.Target)
 	case medlargw.TaskReturned:
 		c.again(now, t, e.Target)
 	case medlargw.TaskUnknown:
-		c.start(t)
+		c.start(now, t)
 		c.giveUp(now, t.job, medlargw.CodeAttemptLost, "the target went to another holder")
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -135,6 +135,7 @@
 		p.Capacity += t.info.Room.Cores
 		if t.slowness < slowTarget {
 			p.Free = append(p.Free, t.free)
+			p.Next = t.nextEnd(now, p.Next)
 		}
 	}
 	for _, w := range h.waiting {
--- a/holder/target.go
+++ b/holder/target.go
@@ -91,6 +91,22 @@
 	t.free = t.free.Plus(r.room)
 }
 
+// nextEnd returns the least time until one of the runs is expected to end, or
+// the given one if that is less and not zero. A run that is over its time may
+// end at any moment.
+func (t *target) nextEnd(now time.Time, least time.Duration) time.Duration {
+	for _, r := range t.runs {
+		if r.task == nil {
+			continue
+		}
+		left := max(r.sent.Add(t.expected(r.task)).Sub(now), time.Millisecond)
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // foreign reports whether runs of unknown size are there.
 func (t *target) foreign() bool {
 	for _, r := range t.runs {
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -31,6 +31,8 @@
 	alive   map[string]int // Runs of a task that are alive.
 	refused map[string]bool
 	broken  []string
+	done    float64 // Core-seconds of runs that ended well.
+	wasted  float64 // Core-seconds of all other runs.
 }
 
 // target is one imitated target.
@@ -43,7 +45,7 @@
 	high  map[string]int // Highest attempt that was stopped or has ended, by task.
 	ends  []medlargw.RunEnd
 	last  uint64
-	wake  chan struct{} // Closed at an end.
+	wake  chan struct{} // Closed at a start and at an end.
 	fault medlargw.TargetFaults
 }
 
@@ -132,13 +134,31 @@
 	return im.targets[name].fault
 }
 
+// Spent returns the core-seconds of the runs that ended well, and of those that
+// did not.
+func (im *Imitator) Spent() (done, wasted float64) {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	return im.done, im.wasted
+}
+
+func (im *Imitator) spend(r *run, kind medlargw.RunEndKind) {
+	spent := im.now().Sub(r.started).Seconds() * float64(r.room.Cores) / 1000
+	if kind == medlargw.RunDone {
+		im.done += spent
+		return
+	}
+	im.wasted += spent
+}
+
 // Crash ends everything on a target and starts a new incarnation of it.
 func (im *Imitator) Crash(name medlargw.TargetName) {
 	im.mu.Lock()
 	defer im.mu.Unlock()
 	t := im.targets[name]
-	for id := range t.runs {
+	for id, r := range t.runs {
 		im.alive[id.Task]--
+		im.spend(r, medlargw.RunStopped)
 	}
 	close(t.wake)
 	im.reset(t)
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -37,9 +37,15 @@
 func (im *Imitator) end(t *target, r *run, kind medlargw.RunEndKind) {
 	delete(t.runs, r.id)
 	im.alive[r.id.Task]--
+	im.spend(r, kind)
 	t.high[r.id.Task] = max(t.high[r.id.Task], r.id.Attempt)
 	t.last++
 	t.ends = append(t.ends, medlargw.RunEnd{Number: t.last, Run: r.id, Kind: kind})
+	t.stir()
+}
+
+// stir lets waiting renewals look again.
+func (t *target) stir() {
 	close(t.wake)
 	t.wake = make(chan struct{})
 }
@@ -102,6 +108,7 @@
 		r.kind = medlargw.RunFailed
 	}
 	t.runs[o.Run] = r
+	t.stir() // Whoever waits for the next end must know of this one.
 }
 
 // Stop carries out a stop order.
--- a/messenger/room.go
+++ b/messenger/room.go
@@ -1,6 +1,8 @@
 package messenger
 
 import (
+	"time"
+
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/messenger/wire"
 )
@@ -21,7 +23,7 @@
 	w := &wire.HolderRoom{Number: r.Number}
 	for i := range r.Pools {
 		p := &r.Pools[i]
-		pool := &wire.PoolRoom{Pool: string(p.Pool), Capacity: p.Capacity}
+		pool := &wire.PoolRoom{Pool: string(p.Pool), Capacity: p.Capacity, NextUs: p.Next.Microseconds()}
 		for _, free := range p.Free {
 			pool.Free = append(pool.Free, encodeRoom(free))
 		}
@@ -36,7 +38,10 @@
 func decodeHolderRoom(w *wire.HolderRoom) medlargw.HolderRoom {
 	r := medlargw.HolderRoom{Number: w.GetNumber()}
 	for _, p := range w.GetPools() {
-		pool := medlargw.PoolRoom{Pool: medlargw.PoolName(p.GetPool()), Capacity: p.GetCapacity()}
+		pool := medlargw.PoolRoom{
+			Pool: medlargw.PoolName(p.GetPool()), Capacity: p.GetCapacity(),
+			Next: time.Duration(p.GetNextUs()) * time.Microsecond,
+		}
 		for _, free := range p.GetFree() {
 			pool.Free = append(pool.Free, decodeRoom(free))
 		}
--- a/room.go
+++ b/room.go
@@ -44,6 +44,7 @@
 	Free     []Room // One for each target that takes new runs.
 	Capacity int64  // Of those targets, in thousandths of a core.
 	Waiting  []RankWork
+	Next     time.Duration // Until a run is expected to end and to leave room; zero is unknown.
 }
 
 // RankWork is the work that waits in the queue of a holder, by rank.
