--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -154,6 +154,19 @@
 	}
 }
 
+// powerCut ends all entries at once and starts as many after a while.
+func (f *fleet) powerCut(off time.Duration) {
+	lost := f.alive()
+	for _, e := range lost {
+		f.stop(e)
+	}
+	time.Sleep(off)
+	for _, e := range lost {
+		f.add(e.host)
+	}
+	f.assign()
+}
+
 // assign tells all entries who there is, as each can see it.
 func (f *fleet) assign(leaving ...*entry) {
 	for _, e := range f.entries {
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -32,7 +32,7 @@
 type holder struct {
 	peer    medlargw.Peer
 	room    medlargw.HolderRoom
-	seen    time.Time // When that word of its room came.
+	seen    time.Time     // When that word of its room came.
 	clock   time.Duration // Its clock in its last answer.
 	clockAt time.Time     // When that answer arrived; zero is never.
 	heard   time.Time     // Sending of the last offer that was answered.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -23,6 +23,9 @@
 	// shows that there is no room for others of its rank. Half of the patience
 	// lets enough work wait to keep the targets busy.
 	congestion = patience / 2
+	// hopeless is the share of the estimate of a task that must fit into the time
+	// until the deadline; estimates are seldom off by more.
+	hopeless = 0.5
 	// comeBack is the least time that a refused caller is told to wait.
 	comeBack = time.Second
 )
@@ -81,6 +84,10 @@
 	}
 	c.jobs = append(c.jobs, j)
 	c.in[taskIdle] += len(j.tasks)
+	if time.Duration(float64(j.estimate)*hopeless) > m.Deadline.Sub(now) {
+		c.giveUp(now, j, medlargw.CodeDeadline, "one task takes longer than the time until the deadline")
+		return
+	}
 	if wait, ok := c.expectedWait(j); ok && wait > 0 && (now.Add(wait).After(j.latest()) || c.congested(now, j)) {
 		c.refuse(now, j, wait, "no room in time")
 		return
