--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -133,14 +133,22 @@
 	return time.Since(a.began) - time.Duration(a.confirmed.Load())
 }
 
-// confirm notes that an entry of the zone read the list at that time.
+// confirm notes that an entry of the zone read the list at that time. The first
+// word after a pause makes a list that is the same as before a fresh one.
 func (a *Assigner) confirm(at time.Time) {
+	blind := a.HostsAge() >= blindAfter
 	confirmed := int64(at.Sub(a.began))
 	for {
 		before := a.confirmed.Load()
-		if confirmed <= before || a.confirmed.CompareAndSwap(before, confirmed) {
+		if confirmed <= before {
 			return
 		}
+		if a.confirmed.CompareAndSwap(before, confirmed) {
+			break
+		}
+	}
+	if blind && a.HostsAge() < blindAfter {
+		a.MembersChanged(nil)
 	}
 }
 
