A long task is stopped for its target's sake only when other jobs speak against it

They are long by themselves, also beside short ones of their job; and a single run could make its own target known as slow, which then spoke against that run. Change: a run is stopped when the runs of more than one job were far too long on its target in a row, or when it hardly moves (six times its estimate). The tasks of one job count once. Ruled out: a higher ratio; slow targets show four times and more, and the long tasks reach 4.7. Test that failed first: TestRunsOfUnevenLength, rows of long tasks: 1, 1 and 3 stops, want 0.

--- a/holder/health.go
+++ b/holder/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"medlargw.example/medlargw"
 )
 
 // What speaks against a target.
@@ -20,10 +22,18 @@
 	maxPause   = 4 * time.Second
 )
 
+// slowJob names the job that last spoke against a target.
+type slowJob struct {
+	home   medlargw.Incarnation
+	number uint64
+}
+
 // health is how a target did lately.
 type health struct {
 	slowness float64 // Run times against the estimates, an average.
 	judged   time.Time
+	slowJobs int // Jobs in a row whose runs took far longer than estimated.
+	lastSlow slowJob
 	failed   int // Runs in a row that failed.
 	paused   time.Time
 }
@@ -31,16 +41,30 @@
 func newHealth() health { return health{slowness: 1} }
 
 // ran learns from a run that was done, by its run time against the expected.
-func (h *health) ran(now time.Time, ratio float64) {
+func (h *health) ran(now time.Time, r *run, ratio float64) {
 	h.failed = 0
-	h.judge(now, slownessWeight, min(ratio, maxSlowness))
+	if ratio < slowRatio {
+		h.slowJobs = 0
+		h.lastSlow = slowJob{}
+	}
+	h.stalls(now, r, ratio)
 }
 
-// stalls takes note that a run makes far less progress than estimated.
-func (h *health) stalls(now time.Time, ratio float64) {
+// stalls takes note of how much longer than estimated a run seems to take. The
+// tasks of one job may all be long, so that they count once.
+func (h *health) stalls(now time.Time, r *run, ratio float64) {
 	h.judge(now, slownessWeight, min(ratio, maxSlowness))
+	job := slowJob{home: r.task.home.peer.Incarnation, number: r.task.offered.Job}
+	if ratio >= slowRatio && job != h.lastSlow {
+		h.lastSlow = job
+		h.slowJobs++
+	}
 }
 
+// isSlow reports whether the runs of more than one job speak against the
+// target.
+func (h *health) isSlow() bool { return h.slowJobs > 1 && h.slowness >= slowTarget }
+
 func (h *health) judge(now time.Time, weight, ratio float64) {
 	h.slowness += weight * (ratio - h.slowness)
 	h.judged = now
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -225,3 +225,67 @@
 		t.Fatalf("claims after the transfer: got %v, want one above %d", claims, fence)
 	}
 }
+
+// TestRunsOfUnevenLength asserts what stops a run that takes longer than
+// estimated: other jobs that take long on its target too, or a run that hardly
+// moves. Tasks may be long by themselves, also when others of their job are not.
+func TestRunsOfUnevenLength(t *testing.T) {
+	tests := []struct {
+		name     string
+		jobs     [3]uint64 // Of the tasks a, b and c.
+		percents [3]int    // Of their progress after 250 ms; 100 has ended.
+		stops    int
+	}{
+		{"as estimated", [3]uint64{1, 2, 3}, [3]int{90, 90, 90}, 0},
+		{"a long one beside short ones of its job", [3]uint64{1, 1, 1}, [3]int{45, 100, 100}, 0},
+		{"a long one beside short ones of other jobs", [3]uint64{1, 2, 3}, [3]int{45, 100, 100}, 0},
+		{"long ones of one job", [3]uint64{1, 1, 1}, [3]int{45, 45, 45}, 0},
+		{"long ones of different jobs", [3]uint64{1, 2, 3}, [3]int{45, 45, 45}, 3},
+		{"one that hardly moves", [3]uint64{1, 2, 3}, [3]int{20, 100, 100}, 1},
+		{"one that does not move", [3]uint64{1, 1, 1}, [3]int{0, 100, 100}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newHeld(t)
+			o := medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}}
+			for i, job := range test.jobs {
+				o.Tasks = append(o.Tasks, medlargw.OfferedTask{
+					ID: medlargw.TaskID(i), Job: job, Run: medlargw.RunID{Task: string(rune('a' + i)), Attempt: 1}, Pool: "pool",
+					Room: medlargw.Room{Cores: 9000}, Estimate: 100 * time.Millisecond, Due: 220 * time.Millisecond, Deadline: 2 * time.Second,
+				})
+			}
+			x.h.Offer(x.now, 0, &o)
+			for _, cmd := range x.renewed().Starts {
+				x.h.StartAnswered(x.now, &cmd, medlargw.OrderReply{Clock: time.Second}, nil)
+			}
+			x.report(medlargw.RunReport{Clock: time.Second, Born: start, Active: active(&test.percents)})
+			x.now = x.now.Add(100 * time.Millisecond)
+			ended := medlargw.RunReport{Clock: 1100 * time.Millisecond, Born: start, Active: active(&test.percents)}
+			for i, percent := range test.percents {
+				if percent == 100 {
+					ended.Ended = append(ended.Ended, medlargw.RunEnd{Number: uint64(i + 1), Run: o.Tasks[i].Run, Kind: medlargw.RunDone})
+				}
+			}
+			stops := len(x.report(ended).Stops)
+			x.now = x.now.Add(150 * time.Millisecond)
+			for range 2 { // The first finds what the second stops.
+				stops += len(x.report(medlargw.RunReport{Clock: 1250 * time.Millisecond, Born: start, Active: active(&test.percents)}).Stops)
+			}
+			if stops != test.stops {
+				t.Errorf("stops: got %d, want %d", stops, test.stops)
+			}
+		})
+	}
+}
+
+// active returns the runs that have not ended, by the share that they have done
+// after 250 ms. Before, they show no more than that.
+func active(percents *[3]int) []medlargw.ActiveRun {
+	var all []medlargw.ActiveRun
+	for i, percent := range percents {
+		if percent < 100 {
+			all = append(all, medlargw.ActiveRun{Run: medlargw.RunID{Task: string(rune('a' + i)), Attempt: 1}, Percent: percent})
+		}
+	}
+	return all
+}
--- a/holder/progress.go
+++ b/holder/progress.go
@@ -17,7 +17,7 @@
 	// against its target.
 	stalledRatio = 6
 	// unevenRatio is how much longer than another task of its job a run must
-	// seem to take to speak against its target; tasks of a job are much alike.
+	// seem to take to speak against its target; tasks of a job are mostly alike.
 	unevenRatio = 2
 	// maxMoves is the number of attempts of a task that may be stopped so.
 	maxMoves = 3
@@ -36,7 +36,7 @@
 	if s.fastest == 0 || ratio < s.fastest {
 		s.fastest = ratio
 	}
-	r.target.ran(now, ratio/max(s.usual(r), 1))
+	r.target.ran(now, r, ratio/max(s.usual(r), 1))
 }
 
 // usual returns how much longer than estimated the other tasks of a job take,
@@ -74,9 +74,9 @@
 	}
 	if !r.judged {
 		r.judged = true
-		r.target.stalls(now, ratio)
+		r.target.stalls(now, r, ratio)
 	}
-	known := r.target.slowness >= slowTarget || usual > 0 || ratio >= stalledRatio
+	known := r.target.isSlow() || ratio >= stalledRatio
 	again := restartCost + time.Duration(float64(estimate)*max(usual, 1.25))
 	if !known || r.id.Attempt > maxMoves || !r.gains(now, total-elapsed, again) {
 		return
