--- a/conductor/fleet_test.go
+++ b/conductor/fleet_test.go
@@ -62,14 +62,19 @@
 	w       *world
 	entries []*entry
 	next    int
+	logs    logs           // Nil to log nothing.
 	ended   map[string]int // Outcomes by code; "" is complete.
 	open    int
 }
 
 // inFleet runs a test with entries in two zones and five targets for each.
 func inFleet(t *testing.T, seed uint64, hosts []string, test func(f *fleet)) {
+	inLoggedFleet(t, seed, hosts, nil, test)
+}
+
+func inLoggedFleet(t *testing.T, seed uint64, hosts []string, l logs, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{w: newWorld(t, seed), ended: map[string]int{}}
+		f := &fleet{w: newWorld(t, seed), logs: l, ended: map[string]int{}}
 		for i, host := range hosts {
 			for j := range 5 {
 				f.w.addTarget(fmt.Sprintf("%s-t%d", host, j), zoneOf(host), 32000+16000*int64((i+j)%3/2))
@@ -130,7 +135,7 @@
 	clock := &freezableClock{}
 	reg := registrar.New(zap.NewNop())
 	reg.Add(&fakeOfferer{w: f.w, host: host})
-	c := conductor.New(zap.NewNop(), reg, &settings, incarnation, clock, &fakeRunner{w: f.w, host: host}, metrics.NewRegistry())
+	c := conductor.New(f.logs.of(host), reg, &settings, incarnation, clock, &fakeRunner{w: f.w, host: host}, metrics.NewRegistry())
 	if err := c.Start(context.Background()); err != nil {
 		f.w.t.Fatal(err)
 	}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -137,6 +137,11 @@
 }
 
 func (c *Coordinator) take(now time.Time, t *task, e *medlargw.TaskReport) {
+	if e.Event.Ends() && e.Event != medlargw.TaskDone {
+		c.log.Info("attempt ended", zap.String("task", t.job.job.Tasks[t.index].ID), zap.Int("attempt", t.attempt),
+			zap.Stringer("event", e.Event), zap.String("target", string(e.Target)), zap.String("reason", e.Reason),
+			zap.Duration("elapsed", e.Elapsed))
+	}
 	switch e.Event {
 	case medlargw.TaskStarted:
 		t.resend = false
