--- a/conductor/explain_test.go
+++ b/conductor/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +31,24 @@
 	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(l[host])), zap.InfoLevel))
 }
 
+// write writes the logs into the directory that MEDLARGW_WALKS names, if any.
+// The walks of docs/OPERATIONS.md are made so.
+func (l logs) write(t *testing.T, walk string) {
+	root := os.Getenv("MEDLARGW_WALKS")
+	if root == "" {
+		return
+	}
+	dir := filepath.Join(root, strings.ReplaceAll(walk, " ", "-"))
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		t.Fatal(err)
+	}
+	for host, log := range l {
+		if err := os.WriteFile(filepath.Join(dir, host+".log"), log.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestExplain walks from the id of a failed request to its cause, in the logs of
 // all entries.
 func TestExplain(t *testing.T) {
@@ -66,6 +86,7 @@
 				test.event(f)
 				time.Sleep(10 * time.Second)
 			})
+			all.write(t, test.name)
 			e := explainer.New("walk")
 			for host, log := range all {
 				if err := e.Read(host, log); err != nil {
--- /dev/null
+++ b/logger/events_test.go
@@ -0,0 +1,45 @@
+package logger
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// logged finds the message of a line from level info on.
+var logged = regexp.MustCompile(`(?i)\blog\.(?:Info|Warn|Error)\(\s*"([^"]+)"`)
+
+// TestEveryEventStandsInThePage asserts that operators find each message that a
+// process writes in docs/OPERATIONS.md.
+func TestEveryEventStandsInThePage(t *testing.T) {
+	raw, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(raw)
+	found := 0
+	err = filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, match := range logged.FindAllStringSubmatch(string(source), -1) {
+			found++
+			if !strings.Contains(page, match[1]) {
+				t.Errorf("%s: event %q is not in docs/OPERATIONS.md", path, match[1])
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if least := 40; found < least {
+		t.Errorf("events found in the sources: got %d, want at least %d", found, least)
+	}
+}
