Metrics have help lines, and bytes and requests of peers are families of their own

Cause: the text at /metrics had no HELP lines, and one family held bytes and requests, so that its sum meant nothing. Change: a help line with the unit for each family; peer-bytes and peer-requests instead of peers.bytes and peers.requests. TestEveryFamilyHasHelp reads the names from the sources; it failed first with three families of the operators' listener. TestWriteText holds the format. Ruled out: a help text beside each counter; most names are made of codes.

--- a/builder/cost_test.go
+++ b/builder/cost_test.go
@@ -141,12 +141,12 @@
 		}
 		return sum
 	}
-	bytes := read("peers.bytes.in") + read("peers.bytes.out")
-	exchanges := read("peers.requests.in") + read("peers.requests.out")
+	bytes := read("peer-bytes.in") + read("peer-bytes.out")
+	exchanges := read("peer-requests.in") + read("peer-requests.out")
 	calls, used := store.Calls(), processorTime()
 	pass(costWindow)
-	bytes = read("peers.bytes.in") + read("peers.bytes.out") - bytes
-	exchanges = read("peers.requests.in") + read("peers.requests.out") - exchanges
+	bytes = read("peer-bytes.in") + read("peer-bytes.out") - bytes
+	exchanges = read("peer-requests.in") + read("peer-requests.out") - exchanges
 	used = processorTime() - used
 	seconds := costWindow.Seconds() * float64(len(counts))
 	b.ReportMetric(float64(bytes+exchanges*packetHeaders*packetsPerExchange)/seconds, "wireB/s/entry")
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if families[family] == nil {
-		families[family] = &dto.MetricFamily{Name: &family, Type: &kind}
+		families[family] = &dto.MetricFamily{Name: &family, Help: help(first), Type: &kind}
 	}
 	families[family].Metric = append(families[family].Metric, metric)
 }
--- /dev/null
+++ b/exporter/exporter_test.go
@@ -0,0 +1,67 @@
+package exporter
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+func TestWriteText(t *testing.T) {
+	r := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("jobs.complete", r).Inc(3)
+	metrics.GetOrRegisterCounter("jobs.overloaded", r).Inc(1)
+	metrics.GetOrRegisterGauge("entry.members", r).Update(6)
+	h := metrics.NewHistogram(metrics.NewUniformSample(8))
+	h.Update(20)
+	if err := r.Register("response-ms.urgent", h); err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := New(r).WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"# HELP medlargw_jobs_total Jobs that ended, by outcome",
+		"# TYPE medlargw_jobs_total counter\n",
+		"medlargw_jobs_total{name=\"complete\"} 3\n",
+		"medlargw_jobs_total{name=\"overloaded\"} 1\n",
+		"medlargw_entry{name=\"members\"} 6\n",
+		"# HELP medlargw_response_ms_summary Response time of complete jobs in milliseconds",
+		"medlargw_response_ms_summary{name=\"urgent\",quantile=\"0.5\"} 20\n",
+	} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("text: got %q, want it to contain %q", b.String(), want)
+		}
+	}
+}
+
+// registered finds the first word of a metric's name where one is counted.
+var registered = regexp.MustCompile(`(?:GetOrRegister\w*|\.count|\.gauge)\("([a-z-]+)[."]`)
+
+// TestEveryFamilyHasHelp reads the names of the metrics from the sources.
+func TestEveryFamilyHasHelp(t *testing.T) {
+	found := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range registered.FindAllStringSubmatch(string(source), -1) {
+			found[match[1]] = true
+			if help(match[1]) == nil {
+				t.Errorf("%s: family %q has no help line", path, match[1])
+			}
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if least := 12; len(found) < least {
+		t.Errorf("families found in the sources: got %d, want at least %d", len(found), least)
+	}
+}
--- /dev/null
+++ b/exporter/help.go
@@ -0,0 +1,32 @@
+package exporter
+
+// helps tell what each family counts, by the first word of the metric's name.
+var helps = map[string]string{
+	"admin":          "Requests of operators that were refused, by cause.",
+	"attempts":       "Attempts that ended, by kind and reason.",
+	"borrow":         "Calls for loans of slots, by outcome.",
+	"entry":          "State of this entry: tasks, slots, members and ages in seconds where the name says so.",
+	"jobs":           "Jobs that ended, by outcome: complete, or the code of the refusal or failure.",
+	"limit-changes":  "Teams that reached their limit or fell below it again.",
+	"loans":          "Slots that are lent and borrowed now.",
+	"log":            "Lines of the log that were left out.",
+	"member-changes": "Changes of the state of entries, by the new state.",
+	"orders":         "Orders to targets under lease, by kind.",
+	"peer-bytes":     "Bytes exchanged with other entries, headers of HTTP included, by direction.",
+	"peers":          "Messages to other entries on tasks, by kind.",
+	"peer-requests":  "Requests exchanged with other entries, by direction.",
+	"response-ms":    "Response time of complete jobs in milliseconds, by class; the sample favours the last minutes.",
+	"slots":          "Slots of targets that outlived their job.",
+	"target-changes": "Changes of the state of targets, by the new state.",
+	"targets":        "Targets by state.",
+	"tasks":          "Events of tasks on targets under lease, by kind.",
+	"waiting":        "Tasks that wait, by the rank of their class.",
+}
+
+// help returns the line of a family, or nil for one that is not known.
+func help(first string) *string {
+	if text, ok := helps[first]; ok {
+		return &text
+	}
+	return nil
+}
--- a/messenger/count.go
+++ b/messenger/count.go
@@ -18,10 +18,10 @@
 
 func newCounters(r metrics.Registry) counters {
 	return counters{
-		in:      metrics.GetOrRegisterCounter("peers.bytes.in", r),
-		out:     metrics.GetOrRegisterCounter("peers.bytes.out", r),
-		served:  metrics.GetOrRegisterCounter("peers.requests.in", r),
-		carried: metrics.GetOrRegisterCounter("peers.requests.out", r),
+		in:      metrics.GetOrRegisterCounter("peer-bytes.in", r),
+		out:     metrics.GetOrRegisterCounter("peer-bytes.out", r),
+		served:  metrics.GetOrRegisterCounter("peer-requests.in", r),
+		carried: metrics.GetOrRegisterCounter("peer-requests.out", r),
 	}
 }
 
