Callers get 404 and 405 in the form of all refusals

Cause: a request for a page that is not there, or with a method that a page does not take, was answered in plain text by the router, while every other refusal is problem+json with a code. Ruled out: the administrator's codes; unknown and bad-request say less. The receiver of the operators' platform is another one, which answers as its pages ask.

--- a/encoder/status.go
+++ b/encoder/status.go
@@ -18,8 +18,10 @@
 		return http.StatusUnauthorized
 	case medlargw.CodeForbidden:
 		return http.StatusForbidden
-	case medlargw.CodeUnknownService, medlargw.CodeUnknownJob:
+	case medlargw.CodeUnknownService, medlargw.CodeUnknownJob, medlargw.CodeUnknownPage:
 		return http.StatusNotFound
+	case medlargw.CodeWrongMethod:
+		return http.StatusMethodNotAllowed
 	case medlargw.CodeTooSlow:
 		return http.StatusRequestTimeout
 	case medlargw.CodeTicketUsed:
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,8 @@
 	CodeBadRequest     Code = "bad-request"
 	CodeUnauthorized   Code = "unauthorized"
 	CodeForbidden      Code = "forbidden"
+	CodeUnknownPage    Code = "unknown-page"
+	CodeWrongMethod    Code = "wrong-method"
 	CodeUnknownService Code = "unknown-service"
 	CodeUnknownJob     Code = "unknown-job"
 	CodeDuplicateTask  Code = "duplicate-task"
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -159,9 +159,18 @@
 	routes.DELETE("/v1/jobs/:ticket", rc.cancel)
 	routes.GET("/healthz", rc.healthy)
 	routes.GET("/readyz", rc.ready)
+	routes.NotFound = rc.astray(medlargw.CodeUnknownPage, "there is no such page")
+	routes.MethodNotAllowed = rc.astray(medlargw.CodeWrongMethod, "the page doesn't take this method")
 	return routes
 }
 
+// astray refuses what no page serves, in the form of all refusals.
+func (rc *Receiver) astray(code medlargw.Code, message string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		rc.refuse(w, &medlargw.Refused{Code: code, Message: message})
+	})
+}
+
 func (rc *Receiver) healthy(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -181,6 +181,7 @@
 			job(`,"ticket":"forged"`),
 			post("/v1/tickets", `{"count":1001}`),
 		}, 0},
+		{"astray", []string{bare("GET", "/v2/jobs"), bare("PUT", "/v1/jobs")}, 0},
 	}
 	for _, row := range table {
 		t.Run(row.name, func(t *testing.T) {
