--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -39,7 +39,7 @@
 // job counts the end of a job and its response time.
 func (c *counters) job(f *medlargw.Finish, response time.Duration) {
 	o := &f.Outcome
-	histogram := c.registry.GetOrRegister("response-ms."+string(f.Job.Class), func() metrics.Histogram {
+	histogram := c.registry.GetOrRegister("response_milliseconds."+string(f.Job.Class), func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(samples, decay))
 	})
 	if h, ok := histogram.(metrics.Histogram); ok {
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -9,40 +9,41 @@
 // statusClientClosed is the customary status for a caller that went away.
 const statusClientClosed = 499
 
-// statusOf maps a code to the HTTP status that callers expect.
+// statuses maps each code to the HTTP status that callers expect.
+var statuses = map[medlargw.Code]int{
+	medlargw.CodeBadRequest:     http.StatusBadRequest,
+	medlargw.CodeDuplicateTask:  http.StatusBadRequest,
+	medlargw.CodeTicketForged:   http.StatusBadRequest,
+	medlargw.CodeUnauthorized:   http.StatusUnauthorized,
+	medlargw.CodeForbidden:      http.StatusForbidden,
+	medlargw.CodeUnknownService: http.StatusNotFound,
+	medlargw.CodeUnknownJob:     http.StatusNotFound,
+	medlargw.CodeUnknownPage:    http.StatusNotFound,
+	medlargw.CodeWrongMethod:    http.StatusMethodNotAllowed,
+	medlargw.CodeTooSlow:        http.StatusRequestTimeout,
+	medlargw.CodeTicketUsed:     http.StatusConflict,
+	medlargw.CodeTicketExpired:  http.StatusGone,
+	medlargw.CodeHomeGone:       http.StatusGone,
+	medlargw.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	medlargw.CodeTooManyTasks:   http.StatusRequestEntityTooLarge,
+	medlargw.CodeAnswerTooLarge: http.StatusRequestEntityTooLarge,
+	medlargw.CodeNeverFits:      http.StatusUnprocessableEntity,
+	medlargw.CodeOverloaded:     http.StatusTooManyRequests,
+	medlargw.CodeServiceFailing: http.StatusServiceUnavailable,
+	medlargw.CodeNotReady:       http.StatusServiceUnavailable,
+	medlargw.CodeStopping:       http.StatusServiceUnavailable,
+	medlargw.CodeHomeCutOff:     http.StatusServiceUnavailable,
+	medlargw.CodeTooLate:        http.StatusServiceUnavailable,
+	medlargw.CodeDeadline:       http.StatusGatewayTimeout,
+	medlargw.CodeCancelled:      statusClientClosed,
+	medlargw.CodeTaskFailed:     http.StatusBadGateway,
+	medlargw.CodeAttemptLost:    http.StatusBadGateway,
+}
+
+// statusOf returns the status of a code.
 func statusOf(code medlargw.Code) int {
-	switch code {
-	case medlargw.CodeBadRequest, medlargw.CodeDuplicateTask, medlargw.CodeTicketForged:
-		return http.StatusBadRequest
-	case medlargw.CodeUnauthorized:
-		return http.StatusUnauthorized
-	case medlargw.CodeForbidden:
-		return http.StatusForbidden
-	case medlargw.CodeUnknownService, medlargw.CodeUnknownJob, medlargw.CodeUnknownPage:
-		return http.StatusNotFound
-	case medlargw.CodeWrongMethod:
-		return http.StatusMethodNotAllowed
-	case medlargw.CodeTooSlow:
-		return http.StatusRequestTimeout
-	case medlargw.CodeTicketUsed:
-		return http.StatusConflict
-	case medlargw.CodeTicketExpired, medlargw.CodeHomeGone:
-		return http.StatusGone
-	case medlargw.CodeTooLarge, medlargw.CodeTooManyTasks, medlargw.CodeAnswerTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case medlargw.CodeNeverFits:
-		return http.StatusUnprocessableEntity
-	case medlargw.CodeOverloaded:
-		return http.StatusTooManyRequests
-	case medlargw.CodeServiceFailing, medlargw.CodeNotReady, medlargw.CodeStopping,
-		medlargw.CodeHomeCutOff, medlargw.CodeTooLate:
-		return http.StatusServiceUnavailable
-	case medlargw.CodeDeadline:
-		return http.StatusGatewayTimeout
-	case medlargw.CodeCancelled:
-		return statusClientClosed
-	case medlargw.CodeTaskFailed, medlargw.CodeAttemptLost:
-		return http.StatusBadGateway
+	if status, ok := statuses[code]; ok {
+		return status
 	}
 	return http.StatusInternalServerError
 }
