The home's choice of a holder for waiting work is named for what it does

Cause: leastWork had come to add the end of the first run; a newcomer would read the name as the old rule. Ruled out: nothing; no behaviour changes. Conclusion: kept; tests of the package pass.

--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -28,7 +28,7 @@
 			return
 		}
 	}
-	if h := c.leastWork(now, m); h != nil {
+	if h := c.soonest(now, m); h != nil {
 		c.offerTo(t, h, true)
 	}
 }
@@ -81,8 +81,9 @@
 	return best
 }
 
-// leastWork returns the holder with the shortest wait.
-func (c *Coordinator) leastWork(now time.Time, m *medlargw.Job) *holder {
+// soonest returns the holder at which a waiting task is expected to start first:
+// a run has to end there, and the work before it has to be done.
+func (c *Coordinator) soonest(now time.Time, m *medlargw.Job) *holder {
 	var best *holder
 	var shortest time.Duration
 	for _, h := range c.order {
