The pace of a run is taken note of under one name for ends and progress

Cause: a done run called stalls, which reads as if it had stalled. Ruled out: nothing; no behaviour changes.

--- a/holder/health.go
+++ b/holder/health.go
@@ -47,12 +47,12 @@
 		h.slowJobs = 0
 		h.lastSlow = slowJob{}
 	}
-	h.stalls(now, r, ratio)
+	h.takes(now, r, ratio)
 }
 
-// stalls takes note of how much longer than estimated a run seems to take. The
-// tasks of one job may all be long, so that they count once.
-func (h *health) stalls(now time.Time, r *run, ratio float64) {
+// takes takes note of how much longer than estimated a run takes or seems to
+// take. The tasks of one job may all be long, so that they count once.
+func (h *health) takes(now time.Time, r *run, ratio float64) {
 	h.judge(now, slownessWeight, min(ratio, maxSlowness))
 	job := slowJob{home: r.task.home.peer.Incarnation, number: r.task.offered.Job}
 	if ratio >= slowRatio && job != h.lastSlow {
--- a/holder/progress.go
+++ b/holder/progress.go
@@ -74,7 +74,7 @@
 	}
 	if !r.judged {
 		r.judged = true
-		r.target.stalls(now, r, ratio)
+		r.target.takes(now, r, ratio)
 	}
 	known := r.target.isSlow() || ratio >= stalledRatio
 	again := restartCost + time.Duration(float64(estimate)*max(usual, 1.25))
