--- a/conductor/faults_test.go
+++ b/conductor/faults_test.go
@@ -83,6 +83,23 @@
 			time.Sleep(2 * time.Second)
 			f.w.targets.Set("a1-t0", medlargw.TargetFaults{Late: 0})
 		}, 0.8},
+		{"orders carried out 12 s late", func(f *fleet) {
+			f.w.targets.Set("b1-t0", medlargw.TargetFaults{Late: 12 * time.Second})
+			time.Sleep(2 * time.Second)
+			f.w.targets.Set("b1-t0", medlargw.TargetFaults{})
+		}, 0.8},
+		{"targets taken over while orders are on their way", func(f *fleet) {
+			for i := range 5 {
+				f.w.targets.Set(medlargw.TargetName(fmt.Sprintf("a1-t%d", i)), medlargw.TargetFaults{Late: 700 * time.Millisecond})
+			}
+			time.Sleep(100 * time.Millisecond)
+			f.stop(f.entries[0])
+			f.assign()
+			time.Sleep(100 * time.Millisecond)
+			for i := range 5 {
+				f.w.targets.Set(medlargw.TargetName(fmt.Sprintf("a1-t%d", i)), medlargw.TargetFaults{})
+			}
+		}, 0.6},
 		{"target cut off and back", func(f *fleet) {
 			for _, host := range []string{"a1", "a2", "b1"} {
 				f.cutHost(host, "a1-t1", true)
