Conductor: one sender for all calls, one way to ask the control goroutine

Cause: six senders repeated the same time-out, call and hand-back; HandleOffer stood beside await with the same select; Waiting returned a variable that the control goroutine might still write after the caller had gone. A report summed up the holder's room once for each home, with the same result. Change: send, ask and await in their place; the waiters are channels without a type around them; the room is summed up once for all reports of a turn. Ruled out: room before an empty report; nothing is summed up for none.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -48,7 +48,7 @@
 	// Of the control goroutine.
 	home    *coordinator.Coordinator
 	holder  *holder.Holder
-	waiters map[*medlargw.Job]*waiter
+	waiters map[*medlargw.Job]chan<- medlargw.Outcome
 	outbox  []medlargw.TaskReport // To be sent again.
 	group   medlargw.Group
 	last    time.Time
@@ -96,7 +96,7 @@
 		counters: newCounters(registry),
 		home:     coordinator.New(log, settings.Lease, self, estimator.New()),
 		holder:   holder.New(log, settings.Lease, self),
-		waiters:  map[*medlargw.Job]*waiter{},
+		waiters:  map[*medlargw.Job]chan<- medlargw.Outcome{},
 		events:   make(chan event, eventRoom),
 		sending:  pool.New(),
 		done:     make(chan struct{}),
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,44 +62,48 @@
 	}
 }
 
-func (c *Conductor) start(cmd *medlargw.StartCommand) {
-	c.counters.starts.Inc(1)
+// send makes a call on another goroutine, and hands what it returns to the
+// control goroutine; nil is nothing.
+func (c *Conductor) send(limit time.Duration, call func(ctx context.Context) event) {
 	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order)
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
+		if e := call(ctx); e != nil {
+			c.post(e)
+		}
+	})
+}
+
+func (c *Conductor) start(cmd *medlargw.StartCommand) {
+	c.counters.starts.Inc(1)
+	c.send(c.settings.Order, func(ctx context.Context) event {
 		reply, err := c.runner.StartRun(ctx, &cmd.Target, cmd.Order)
-		c.post(func(now time.Time) { c.holder.StartAnswered(now, cmd, reply, err) })
+		return func(now time.Time) { c.holder.StartAnswered(now, cmd, reply, err) }
 	})
 }
 
 func (c *Conductor) stop(cmd *medlargw.StopCommand) {
 	c.counters.stops.Inc(1)
-	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order)
-		defer cancel()
+	c.send(c.settings.Order, func(ctx context.Context) event {
 		reply, err := c.runner.StopRun(ctx, &cmd.Target, cmd.Order)
-		c.post(func(now time.Time) { c.holder.StopAnswered(now, cmd, reply, err) })
+		return func(now time.Time) { c.holder.StopAnswered(now, cmd, reply, err) }
 	})
 }
 
 func (c *Conductor) renew(cmd *medlargw.RenewCommand) {
 	c.counters.renewals.Inc(1)
-	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Order+cmd.Renewal.Wait)
-		defer cancel()
+	c.send(c.settings.Order+cmd.Renewal.Wait, func(ctx context.Context) event {
 		sent := c.clock.Now()
 		report, err := c.runner.Renew(ctx, &cmd.Target, cmd.Renewal)
-		c.post(func(now time.Time) { c.holder.Reported(now, sent, cmd, &report, err) })
+		return func(now time.Time) { c.holder.Reported(now, sent, cmd, &report, err) }
 	})
 }
 
 func (c *Conductor) transfer(t *medlargw.Transfer) {
 	c.log.Info("targets handed over", zap.String("to", string(t.To.Host)), zap.Int("targets", len(t.Targets)))
-	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
-		defer cancel()
+	c.send(c.settings.Call, func(ctx context.Context) event {
 		err := c.offerer.Transfer(ctx, t.To.Addr, *t)
-		c.post(func(now time.Time) { c.holder.TransferAnswered(now, t, err) })
+		return func(now time.Time) { c.holder.TransferAnswered(now, t, err) }
 	})
 }
 
@@ -111,16 +116,18 @@
 		return
 	}
 	c.counters.offers.Inc(1)
-	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
-		defer cancel()
+	c.send(c.settings.Call, func(ctx context.Context) event {
 		reply, err := c.offerer.Offer(ctx, o.To.Addr, o.Offer)
-		c.post(func(at time.Time) { c.home.OfferAnswered(at, now, o, &reply, err) })
+		return func(at time.Time) { c.home.OfferAnswered(at, now, o, &reply, err) }
 	})
 }
 
 // report sends events to their homes, one message each.
 func (c *Conductor) report(now time.Time, all []medlargw.TaskReport) {
+	if len(all) == 0 {
+		return
+	}
+	room := c.holder.Room(now)
 	byHome := map[medlargw.Incarnation]*medlargw.Report{}
 	var order []medlargw.Peer
 	for i := range all {
@@ -128,7 +135,7 @@
 		c.counters.event(e)
 		r := byHome[e.Home.Incarnation]
 		if r == nil {
-			r = &medlargw.Report{From: c.self}
+			r = &medlargw.Report{From: c.self, Room: room}
 			byHome[e.Home.Incarnation] = r
 			order = append(order, e.Home)
 		}
@@ -136,7 +143,6 @@
 	}
 	for _, to := range order {
 		r := byHome[to.Incarnation]
-		r.Room = c.holder.Room(now)
 		if to.Incarnation == c.self.Incarnation {
 			c.home.Report(now, r)
 			continue
@@ -147,14 +153,12 @@
 
 func (c *Conductor) sendReport(to medlargw.Peer, r *medlargw.Report) {
 	c.counters.reports.Inc(1)
-	c.sending.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, c.settings.Call)
-		defer cancel()
+	c.send(c.settings.Call, func(ctx context.Context) event {
 		err := c.offerer.Report(ctx, to.Addr, *r)
 		if err == nil {
-			return
+			return nil
 		}
-		c.post(func(time.Time) { c.keepReport(r, err) })
+		return func(time.Time) { c.keepReport(r, err) }
 	})
 }
 
@@ -174,12 +178,7 @@
 }
 
 func (c *Conductor) present(incarnation medlargw.Incarnation) bool {
-	for _, p := range c.group.Entries {
-		if p.Incarnation == incarnation {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.group.Entries, func(p medlargw.Peer) bool { return p.Incarnation == incarnation })
 }
 
 // resend sends the reports again that were not answered.
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -13,16 +13,7 @@
 
 // HandleOffer answers a home.
 func (c *Conductor) HandleOffer(ctx context.Context, o medlargw.Offer) (medlargw.OfferReply, error) {
-	answer := make(chan medlargw.OfferReply, 1)
-	c.post(func(now time.Time) { answer <- c.holder.Offer(now, c.elapsed(now), &o) })
-	select {
-	case reply := <-answer:
-		return reply, nil
-	case <-ctx.Done():
-		return medlargw.OfferReply{}, ctx.Err()
-	case <-c.ctx.Done():
-		return medlargw.OfferReply{}, errStopped
-	}
+	return ask(ctx, c, func(now time.Time) medlargw.OfferReply { return c.holder.Offer(now, c.elapsed(now), &o) })
 }
 
 // HandleReport takes a holder's events.
@@ -60,14 +51,25 @@
 
 // await lets the control goroutine carry out an event and returns its error.
 func (c *Conductor) await(ctx context.Context, e func(now time.Time) error) error {
-	answer := make(chan error, 1)
-	c.post(func(now time.Time) { answer <- e(now) })
-	select {
-	case err := <-answer:
+	result, err := ask(ctx, c, e)
+	if err != nil {
 		return err
+	}
+	return result
+}
+
+// ask lets the control goroutine answer a question. The error says that nobody
+// waits for the answer any more, or that the control goroutine has ended.
+func ask[T any](ctx context.Context, c *Conductor, question func(now time.Time) T) (T, error) {
+	answer := make(chan T, 1)
+	c.post(func(now time.Time) { answer <- question(now) })
+	var none T
+	select {
+	case a := <-answer:
+		return a, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return none, ctx.Err()
 	case <-c.ctx.Done():
-		return errStopped
+		return none, errStopped
 	}
 }
--- a/conductor/submit.go
+++ b/conductor/submit.go
@@ -7,24 +7,19 @@
 	"medlargw.example/medlargw"
 )
 
-// waiter waits for the outcome of a job.
-type waiter struct {
-	outcome chan medlargw.Outcome
-}
-
 // Submit runs one job and returns its outcome. Job.Arrived, Due and Deadline
 // are times of the clock that the conductor was given.
 func (c *Conductor) Submit(ctx context.Context, job *medlargw.Job) medlargw.Outcome {
-	w := &waiter{outcome: make(chan medlargw.Outcome, 1)}
+	outcome := make(chan medlargw.Outcome, 1)
 	stopping := medlargw.Refusal(job, medlargw.CodeStopping, "the entry is stopping", 0)
 	if !c.post(func(now time.Time) {
-		c.waiters[job] = w
+		c.waiters[job] = outcome
 		c.home.Submit(now, job)
 	}) {
 		return stopping
 	}
 	select {
-	case o := <-w.outcome:
+	case o := <-outcome:
 		return o
 	case <-ctx.Done():
 		c.post(func(now time.Time) { c.home.Cancel(now, job) })
@@ -40,7 +35,7 @@
 		f := &finishes[i]
 		if w := c.waiters[f.Job]; w != nil {
 			delete(c.waiters, f.Job)
-			w.outcome <- f.Outcome
+			w <- f.Outcome
 		}
 		c.counters.job(f, now.Sub(f.Job.Arrived))
 	}
@@ -50,17 +45,12 @@
 func (c *Conductor) endWaiters() {
 	for job, w := range c.waiters {
 		delete(c.waiters, job)
-		w.outcome <- medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}
+		w <- medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}
 	}
 }
 
 // Waiting returns the number of this entry's jobs of a service of which no
 // task was started.
 func (c *Conductor) Waiting(ctx context.Context, service medlargw.ServiceName) (int, error) {
-	n := 0
-	err := c.await(ctx, func(time.Time) error {
-		n = c.home.Waiting(service)
-		return nil
-	})
-	return n, err
+	return ask(ctx, c, func(time.Time) int { return c.home.Waiting(service) })
 }
