Coordinator: a holder's tasks are looked up at the holder

Change: look-ups in the holder's own map; no parameter. Ruled out: giving up the map of all tasks; a report may come from another holder after a hand-over.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -142,7 +142,7 @@
 	for _, j := range slices.Clone(c.jobs) {
 		c.tickJob(now, j)
 	}
-	c.rebalance(now)
+	c.rebalance()
 }
 
 func (c *Coordinator) tickJob(now time.Time, j *job) {
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -80,7 +80,7 @@
 	}
 	h.room = room.Clone() // What is offered is taken from it.
 	h.seen = now
-	c.rebalance(now)
+	c.rebalance()
 }
 
 // tickHolder notices a holder that has fallen silent, and the time at which
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -148,7 +148,7 @@
 }
 
 // rebalance recalls waiting tasks for which another holder has room.
-func (c *Coordinator) rebalance(time.Time) {
+func (c *Coordinator) rebalance() {
 	if c.in[taskQueued] == 0 {
 		return
 	}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -29,7 +29,7 @@
 	}
 	c.See(now, o.To.Incarnation, reply.Room)
 	for _, s := range reply.States {
-		if t := c.tasks[s.ID]; t != nil && t.holder == h {
+		if t := h.tasks[s.ID]; t != nil {
 			c.offered(now, t, s.State)
 		}
 	}
@@ -52,12 +52,12 @@
 func (c *Coordinator) unanswered(now time.Time, h *holder, o *medlargw.Offer, err error) {
 	c.log.Debug("offer not answered", zap.String("holder", string(h.peer.Host)), zap.Int("tasks", len(o.Tasks)), zap.Error(err))
 	for i := range o.Tasks {
-		if t := c.tasks[o.Tasks[i].ID]; t != nil && t.holder == h && t.state == taskOffered {
+		if t := h.tasks[o.Tasks[i].ID]; t != nil && t.state == taskOffered {
 			t.offerAgain()
 		}
 	}
 	for _, id := range o.Recalls {
-		if t := c.tasks[id]; t != nil && t.holder == h && t.state == taskOffered {
+		if t := h.tasks[id]; t != nil && t.state == taskOffered {
 			c.move(t, taskQueued)
 		}
 	}
