Logs: rare events of runs, transfers and reports that tell why a task ran twice

Cause: the logs at level info could not tell apart the ways in which a task comes to run twice: a holder that refuses a task which it started or handed over, an end that is acknowledged before its home knows it, a lease that counts as ended while it is renewed, a lost holder that goes on, a report that is lost or late. Ruled out: lines on normal starts, ends, offers and refusals; they are too many. A name of the task in reports between entries; the home keeps the IDs of former offers instead. The transfer of a target without runs stays at debug. Two counters of unanswered messages. explain lists the runs in doubt with both holders. No decision differs: holder keeps the run and the new holder of ended tasks, and coordinator the IDs of former offers, for the log only.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -23,6 +23,9 @@
 	renewals metrics.Counter
 	offers   metrics.Counter
 	reports  metrics.Counter
+
+	unansweredOffers metrics.Counter
+	unackedReports   metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -33,6 +36,9 @@
 		renewals: metrics.GetOrRegisterCounter("orders.renew", r),
 		offers:   metrics.GetOrRegisterCounter("peers.offers", r),
 		reports:  metrics.GetOrRegisterCounter("peers.reports", r),
+
+		unansweredOffers: metrics.GetOrRegisterCounter("peers.unanswered-offers", r),
+		unackedReports:   metrics.GetOrRegisterCounter("peers.unacknowledged-reports", r),
 	}
 }
 
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -136,6 +136,9 @@
 	c.counters.offers.Inc(1)
 	c.send(c.settings.Call, func(ctx context.Context) event {
 		reply, err := c.messenger.Offer(ctx, o.To.Addr, o.Offer)
+		if err != nil {
+			c.counters.unansweredOffers.Inc(1)
+		}
 		return func(at time.Time) { c.coord.HandleOfferReply(at, now, o, &reply, err) }
 	})
 }
@@ -183,20 +186,28 @@
 	})
 }
 
-// keepUnacked keeps the ends of tasks in a report that was not acknowledged.
+// keepUnacked keeps the ends of tasks in a report that was not acknowledged,
+// unless its coordinator has left the group.
 // The coordinator processes an event only once, so that it can safely be sent
 // again.
 func (c *Conductor) keepUnacked(r *medlargw.Report, err error) {
 	to := r.Tasks[0].Home
-	if !c.inGroup(to.Incarnation) {
-		c.log.Debug("dropped report to a coordinator that left the group", zap.String("home", string(to.Host)), zap.Error(err))
-		return
-	}
+	c.counters.unackedReports.Inc(1)
+	inGroup := c.inGroup(to.Incarnation)
+	ends, kept := 0, 0
 	for _, e := range r.Tasks {
-		if e.Event.Terminal() && len(c.unacked) < eventQueueSize {
+		if !e.Event.Terminal() {
+			continue
+		}
+		ends++
+		if inGroup && len(c.unacked) < eventQueueSize {
 			c.unacked = append(c.unacked, e)
+			kept++
 		}
 	}
+	if ends > 0 {
+		c.log.Info("report not acknowledged", zap.String("home", string(to.Host)), zap.Int("ends", ends), zap.Int("kept", kept), zap.Error(err))
+	}
 }
 
 // inGroup reports whether the incarnation is in the current group of entries.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -36,15 +36,17 @@
 	jobs       []*job // In order of arrival.
 	tasks      map[medlargw.TaskID]*task
 	taskCounts [taskDone + 1]int // Number of tasks in each state.
-	holders    map[medlargw.Incarnation]*holder
-	byDistance []*holder // This entry first, then its zone, then the other zones.
-	estimator  medlargw.Estimator
-	nextJob    uint64
-	nextID     medlargw.TaskID
-	finished   []medlargw.FinishedJob
-	pacer      *pacer.Pacer // Of this entry's network link.
-	lastProbe  time.Time    // When holders were last asked for their free resources.
-	nextProbe  int          // Round-robin index of the next holder to ask.
+	// Tasks of jobs that have not ended, by the IDs of their former offers.
+	formerTasks map[medlargw.TaskID]*task
+	holders     map[medlargw.Incarnation]*holder
+	byDistance  []*holder // This entry first, then its zone, then the other zones.
+	estimator   medlargw.Estimator
+	nextJob     uint64
+	nextID      medlargw.TaskID
+	finished    []medlargw.FinishedJob
+	pacer       *pacer.Pacer // Of this entry's network link.
+	lastProbe   time.Time    // When holders were last asked for their free resources.
+	nextProbe   int          // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
@@ -57,13 +59,14 @@
 	link *pacer.Pacer,
 ) *Coordinator {
 	return &Coordinator{
-		pacer:     link,
-		log:       log.Named("coordinator"),
-		settings:  settings,
-		self:      self,
-		estimator: est,
-		tasks:     map[medlargw.TaskID]*task{},
-		holders:   map[medlargw.Incarnation]*holder{},
+		pacer:       link,
+		log:         log.Named("coordinator"),
+		settings:    settings,
+		self:        self,
+		estimator:   est,
+		tasks:       map[medlargw.TaskID]*task{},
+		formerTasks: map[medlargw.TaskID]*task{},
+		holders:     map[medlargw.Incarnation]*holder{},
 	}
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -24,12 +24,14 @@
 
 var holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newLoggedFixture(t, zap.NewNop()) }
+
+func newLoggedFixture(t *testing.T, log *zap.Logger) *fixture {
 	settings := medlargw.LeaseSettings{
 		Lease: 800 * time.Millisecond, Stop: 50 * time.Millisecond, Keep: 120 * time.Millisecond, Silence: 500 * time.Millisecond,
 	}
 	self := medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}
-	h := &fixture{t: t, now: start, c: coordinator.New(zap.NewNop(), settings, self, estimator.New(), pacer.New(0))}
+	h := &fixture{t: t, now: start, c: coordinator.New(log, settings, self, estimator.New(), pacer.New(0))}
 	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}})
 	h.c.SetFreeResources(h.now, holder.Incarnation, freeResources(1, 2))
 	return h
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -163,7 +163,9 @@
 	}
 	for _, t := range h.sortedTasks() {
 		if !t.endedBy.IsZero() && !now.Before(t.endedBy) {
+			attempt := t.attempt
 			c.retry(now, t, "")
+			c.logEndedByTime(now, t, attempt, h)
 		}
 	}
 }
@@ -180,7 +182,8 @@
 func (c *Coordinator) markLost(now time.Time, h *holder) {
 	h.lost = true
 	all := h.sortedTasks()
-	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.lastAnswered)), zap.Int("tasks", len(all)))
+	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.lastAnswered)),
+		zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))
 	for _, t := range all {
 		t.endedBy = h.lastSent.Add(c.selfStopDelay())
 		t.job.started = true // The holder may have received the offer.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -79,6 +79,8 @@
 	queue        bool                  // The offer allows the holder to queue the task.
 	endedBy      time.Time             // When its run must have ended; zero unless its holder is lost.
 	avoid        []medlargw.TargetName // Targets on which it failed recently.
+	unanswered   bool                  // The current offer, or a recall of it, was not answered.
+	formerIDs    []medlargw.TaskID     // Of its former offers.
 }
 
 // Submit accepts a job, or refuses it at once if it could not start in time or
@@ -222,6 +224,9 @@
 	j.ended = true
 	c.jobs = slices.DeleteFunc(c.jobs, func(other *job) bool { return other == j })
 	for _, t := range j.tasks {
+		for _, id := range t.formerIDs {
+			delete(c.formerTasks, id)
+		}
 		if t.state != taskIdle && t.state != taskDone {
 			t.holder.cancels = append(t.holder.cancels, t.id)
 		}
@@ -275,11 +280,16 @@
 	if t.holder != nil {
 		delete(c.tasks, t.id)
 		delete(t.holder.tasks, t.id)
+		if !t.job.ended && t.state != taskDone {
+			t.formerIDs = append(t.formerIDs, t.id)
+			c.formerTasks[t.id] = t
+		}
 	}
 	t.id = 0
 	t.holder = nil
 	t.recalled = false
 	t.offerPending = false
+	t.unanswered = false
 	t.endedBy = time.Time{}
 	if t.state != taskDone {
 		c.setState(t, taskIdle)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -37,7 +37,7 @@
 // Recalls tell their states: those that have started go on.
 func (c *Coordinator) markReachable(h *holder) {
 	h.lost = false
-	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)))
+	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)), zap.Int("tasks", len(h.tasks)))
 	for _, t := range h.sortedTasks() {
 		t.endedBy = time.Time{}
 		c.queryState(t)
@@ -52,6 +52,7 @@
 		c.setState(t, taskQueued)
 	}
 	t.offerPending = false
+	t.unanswered = true
 	t.recall()
 }
 
@@ -92,17 +93,22 @@
 		}
 	case medlargw.OfferRefused, medlargw.OfferExpired:
 		if t.state == taskStarted {
+			c.logRefusedAfterStart(t, state)
 			return
 		}
 		if state == medlargw.OfferRefused && !t.recalled {
 			t.refusals++
 		}
+		from, doubtful := t.holder, t.unanswered || state == medlargw.OfferExpired
 		c.detach(t)
 		if t.job.refusing {
 			c.refuseIfWithdrawn(now, t.job)
-			return
+		} else {
+			c.place(now, t)
+		}
+		if doubtful {
+			c.logReturned(t, from, state)
 		}
-		c.place(now, t)
 	}
 }
 
@@ -113,6 +119,7 @@
 	}
 	c.setState(t, taskStarted)
 	t.recalled = false
+	t.unanswered = false
 	t.job.started = true
 	if t.job.refusing {
 		t.job.refusing = false
@@ -124,13 +131,15 @@
 func (c *Coordinator) HandleReport(now time.Time, r *medlargw.Report) {
 	c.SetFreeResources(now, r.From.Incarnation, r.FreeResources)
 	from := c.holders[r.From.Incarnation]
+	if from == nil {
+		c.log.Info("report from an unknown holder ignored", zap.String("holder", string(r.From.Host)), zap.Int("tasks", len(r.Tasks)))
+		return
+	}
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
-		if from == nil {
-			continue
-		}
 		if t == nil {
+			c.logFormerOffer(from, e)
 			if e.Event == medlargw.TaskStarted { // The job has ended in the meantime.
 				from.cancels = append(from.cancels, e.ID)
 			}
@@ -139,6 +148,9 @@
 		if t.holder != from && e.Event == medlargw.TaskUnknown {
 			continue // The task has moved to another holder since.
 		}
+		if t.holder != from {
+			c.logMoved(t, from, e)
+		}
 		from.attach(t)
 		t.endedBy = time.Time{}
 		c.applyEvent(now, t, e)
@@ -149,7 +161,7 @@
 	if e.Event.Terminal() && e.Event != medlargw.TaskSucceeded {
 		c.log.Info("attempt ended", zap.String("task", t.job.job.Tasks[t.index].ID), zap.Int("attempt", t.attempt),
 			zap.Stringer("event", e.Event), zap.String("target", string(e.Target)), zap.String("reason", e.Reason),
-			zap.Duration("elapsed", e.Elapsed))
+			zap.Duration("elapsed", e.Elapsed), zap.String("holder", string(t.holder.peer.Host)))
 	}
 	switch e.Event {
 	case medlargw.TaskStarted:
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,9 +19,9 @@
 		}
 	}
 	if len(outcomes) == 0 {
-		return "no log line states the outcome of the request: its entry was lost, or the line was dropped under load" + describeFaults(x)
+		return "no log line states the outcome of the request: its entry was lost, or the line was dropped under load" + describeFaults(x) + describeDoubts(x)
 	}
-	return strings.Join(outcomes, "; submitted again: ")
+	return strings.Join(outcomes, "; submitted again: ") + describeDoubts(x)
 }
 
 // describeOutcome describes the outcome stated by a record of the job's end.
@@ -79,6 +80,40 @@
 var faultMessages = []string{
 	"holder lost", "target does not answer", "target lost to a higher fencing token", "new incarnation of a target",
 	"the process stood still", "tasks of a home stopped", "target dropped", "not enrolled at the platform", "enrolment had ended", "leaving",
+	"runs of a target counted as ended", "target transfer failed", "target transfer ignored", "report not acknowledged",
+}
+
+// doubtMessages are the log messages on single tasks whose run may have gone on
+// or ended otherwise than a holder or home believed, so that the task may have
+// run twice.
+var doubtMessages = []string{
+	"task returned after an unanswered offer", "task refused after its start", "report on a former offer",
+	"attempt counted as ended", "stale offer of a known task", "ended task offered or recalled",
+	"absent run counted as ended", "transferred run is gone", "run ended during the transfer of its target",
+	"end of an unknown run",
+}
+
+// describeDoubts lists the records that show a doubt about a run, with their
+// fields, or returns "".
+func describeDoubts(x *medlargw.Explanation) string {
+	var all []string
+	for i := range x.Records {
+		rec := &x.Records[i]
+		if !slices.Contains(doubtMessages, rec.Message) {
+			continue
+		}
+		var fields []string
+		for _, name := range []string{"task", "attempt", "holder", "to", "home", "target", "answer", "event", "kind", "reason"} {
+			if value := rec.Field(name); value != "" {
+				fields = append(fields, name+" "+value)
+			}
+		}
+		all = append(all, fmt.Sprintf("%s: %s (%s)", rec.Process, rec.Message, strings.Join(fields, ", ")))
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	return "; runs in doubt: " + strings.Join(all, ", ")
 }
 
 // describeFaults lists the faults that the context records report, each once, or
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -53,6 +53,67 @@
 	}
 }
 
+// TestTaskThatRanTwice guards against an explanation that does not name both
+// holders of a task that ran twice, and the reason.
+func TestTaskThatRanTwice(t *testing.T) {
+	const complete = `{"ts":100.9,"logger":"coordinator","msg":"job complete","job":"b5","age":0.8,"left":0.2}`
+	type log struct{ process, lines string }
+	tests := []struct {
+		name   string
+		logs   []log
+		cause  string
+		around int
+	}{
+		{"recalled from a former holder", []log{
+			{"h1", `{"ts":100.4,"logger":"coordinator","msg":"task returned after an unanswered offer","task":"b5.0","attempt":1,"holder":"h2","answer":"refused","to":"h4"}
+				{"ts":100.5,"logger":"coordinator","msg":"report on a former offer","task":"b5.0","attempt":1,"holder":"h3","event":"started","target":"t1","reason":"handed over","to":"h4"}
+				` + complete},
+			{"h2", `{"ts":100.35,"logger":"holder","msg":"target transfer sent","target":"t1","fence":3,"seen":8,"runs":1,"to":"h3","kept":0}
+				{"ts":100.38,"logger":"holder","msg":"ended task offered or recalled","task":"b5.0","attempt":1,"home":"h1","answer":"refused","event":"transferred","target":"","to":"h3","age":0.01}`},
+		}, "complete after 800ms, in time; runs in doubt: " +
+			"h2: ended task offered or recalled (task b5.0, attempt 1, to h3, home h1, answer refused, event transferred), " +
+			"h1: task returned after an unanswered offer (task b5.0, attempt 1, holder h2, to h4, answer refused), " +
+			"h1: report on a former offer (task b5.0, attempt 1, holder h3, to h4, target t1, event started, reason handed over)", 1},
+		{"end acknowledged during a transfer", []log{
+			{"h1", `{"ts":100.5,"logger":"coordinator","msg":"attempt ended","task":"b5.0","attempt":1,"event":"stopped","target":"t1","reason":"no longer listed as running","holder":"h3"}
+				{"ts":100.6,"logger":"coordinator","msg":"report on a former offer","task":"b5.0","attempt":2,"holder":"h2","event":"done","target":"t1","reason":"","to":"h4"}
+				` + complete},
+			{"h2", `{"ts":100.4,"logger":"holder","msg":"run ended during the transfer of its target","task":"b5.0","attempt":1,"target":"t1","fence":3,"seen":8,"kind":"done","sequence":9,"to":"h3"}
+				{"ts":100.41,"logger":"conductor","msg":"report not acknowledged","home":"h1","ends":1,"kept":1}`},
+			{"h3", `{"ts":100.45,"logger":"holder","msg":"absent run counted as ended","task":"b5.0","attempt":1,"target":"t1","fence":4,"seen":9,"reason":"not listed"}
+				{"ts":100.42,"logger":"holder","msg":"target transfer received","target":"t1","fence":3,"seen":8,"runs":1,"from":"h2"}`},
+		}, "complete after 800ms, in time; 1 attempts did not succeed: stopped on t1 (no longer listed as running); runs in doubt: " +
+			"h2: run ended during the transfer of its target (task b5.0, attempt 1, to h3, target t1, kind done), " +
+			"h3: absent run counted as ended (task b5.0, attempt 1, target t1, reason not listed), " +
+			"h1: report on a former offer (task b5.0, attempt 2, holder h2, to h4, target t1, event done)", 2},
+		{"lost holder goes on", []log{
+			{"h1", `{"ts":100.1,"logger":"coordinator","msg":"holder lost","holder":"h2","silent":0.6,"sent":0.12,"tasks":1}
+				{"ts":100.5,"logger":"coordinator","msg":"attempt counted as ended","task":"b5.0","attempt":1,"holder":"h2","reason":"holder lost","silent":2,"sent":1.5,"to":"h3"}
+				{"ts":100.6,"logger":"coordinator","msg":"report on a former offer","task":"b5.0","attempt":2,"holder":"h2","event":"done","target":"t1","reason":"","to":"h3"}
+				{"ts":100.9,"logger":"coordinator","msg":"job complete","job":"b5","age":0.8,"left":-0.2}`},
+		}, "complete after 800ms, 200ms later than its objective; meanwhile h1: holder lost (h2); runs in doubt: " +
+			"h1: attempt counted as ended (task b5.0, attempt 1, holder h2, to h3, reason holder lost), " +
+			"h1: report on a former offer (task b5.0, attempt 2, holder h2, to h3, target t1, event done)", 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := explainer.New("b5")
+			for _, l := range test.logs {
+				if err := e.Read(l.process, strings.NewReader(l.lines)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			x := e.Explain()
+			if x.Cause != test.cause {
+				t.Errorf("cause:\n got %s\nwant %s", x.Cause, test.cause)
+			}
+			if got := len(x.Context); got != test.around {
+				t.Errorf("lines around: got %d, want %d", got, test.around)
+			}
+		})
+	}
+}
+
 // TestProcessNameBeforeJSON asserts that a process name before the JSON of a line
 // takes precedence over the name of the log.
 func TestProcessNameBeforeJSON(t *testing.T) {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -26,13 +26,15 @@
 	renewal medlargw.RenewCommand // The renewal in flight.
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newLoggedFixture(t, zap.NewNop()) }
+
+func newLoggedFixture(t *testing.T, log *zap.Logger) *fixture {
 	settings := medlargw.LeaseSettings{
 		Lease: 800 * time.Millisecond, Longest: time.Second, Drift: 0.025, Stop: 50 * time.Millisecond,
 		Poll: 100 * time.Millisecond, Order: 200 * time.Millisecond, Silence: 500 * time.Millisecond,
 		Unlisted: 2500 * time.Millisecond, Refused: 2 * time.Second,
 	}
-	x := &fixture{t: t, now: start, h: holder.New(zap.NewNop(), settings, self, pacer.New(0))}
+	x := &fixture{t: t, now: start, h: holder.New(log, settings, self, pacer.New(0))}
 	x.h.SetGroup(x.now, medlargw.Group{
 		Entries: []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}},
 		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
--- a/holder/home.go
+++ b/holder/home.go
@@ -29,6 +29,8 @@
 type endedTask struct {
 	at     time.Time
 	report medlargw.TaskReport // Zero if the task was returned without a report.
+	run    medlargw.RunID
+	to     medlargw.HostName // The new holder; empty unless the run was transferred.
 }
 
 // jobTasks are the tasks of one job at this holder.
@@ -129,15 +131,16 @@
 			report.Elapsed = now.Sub(r.acked)
 		}
 	}
-	h.forget(now, w)
-	w.home.ended[w.offered.ID] = endedTask{at: now, report: report}
+	h.forget(now, w, "")
+	w.home.ended[w.offered.ID] = endedTask{at: now, report: report, run: w.offered.Run}
 	h.actions.Reports = append(h.actions.Reports, report)
 }
 
-// forget deletes a task and records it as returned without a report.
-func (h *Holder) forget(now time.Time, w *task) {
+// forget deletes a task and records it as returned without a report, or as
+// transferred to another holder.
+func (h *Holder) forget(now time.Time, w *task, to medlargw.HostName) {
 	w.home.remove(w)
-	w.home.ended[w.offered.ID] = endedTask{at: now}
+	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run, to: to}
 }
 
 // expireHomes stops the tasks of homes that were not heard from for
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -22,7 +22,9 @@
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
 	}
 	for _, id := range o.Recalls {
-		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.recall(now, m, id)})
+		state := h.recall(now, m, id)
+		h.logEnded(now, m, id, state)
+		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: state})
 	}
 	if stale {
 		reply.States = append(reply.States, h.expire(now, m, o.Tasks)...)
@@ -43,6 +45,9 @@
 	h.dropDuplicateReports(m, firstNew, added)
 	for i := range tasks {
 		states[i] = medlargw.OfferedState{ID: tasks[i].ID, State: h.offeredState(now, m, &tasks[i], added[i])}
+		if added[i] == nil {
+			h.logEnded(now, m, states[i].ID, states[i].State)
+		}
 	}
 	return states
 }
@@ -70,6 +75,7 @@
 			m.ended[id] = endedTask{at: now}
 			states[i].State = medlargw.OfferExpired
 		}
+		h.logStale(now, m, &tasks[i], states[i].State)
 	}
 	return states
 }
@@ -131,7 +137,7 @@
 		return medlargw.OfferQueued
 	}
 	h.dequeue(w)
-	h.forget(now, w)
+	h.forget(now, w, "")
 	return medlargw.OfferRefused
 }
 
@@ -148,7 +154,7 @@
 		return medlargw.OfferStarted
 	}
 	h.dequeue(w)
-	h.forget(now, w)
+	h.forget(now, w, "")
 	return medlargw.OfferRefused
 }
 
--- a/holder/order.go
+++ b/holder/order.go
@@ -132,6 +132,7 @@
 		return
 	}
 	if t.transferring { // The new holder has claimed it.
+		h.logTransferFinished(t, &t.transferred, "fenced")
 		h.finishTransfer(now, t, &t.transferred)
 		return
 	}
@@ -142,7 +143,8 @@
 // stepDown gives up the claim to a target that another entry has claimed with a
 // higher token.
 func (h *Holder) stepDown(now time.Time, t *target) {
-	h.log.Warn("target lost to a higher fencing token", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
+	h.log.Warn("target lost to a higher fencing token", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)),
+		zap.Uint64("fence", t.token), zap.Uint64("seen", t.lastEnd))
 	for _, r := range t.sortedRuns() {
 		t.removeRun(r)
 		if r.task != nil {
@@ -156,6 +158,7 @@
 
 // endAllRuns ends all runs of a target after proof that none of them goes on.
 func (h *Holder) endAllRuns(now time.Time, t *target, reason string) {
+	h.logRunsEnded(now, t, reason)
 	for _, r := range t.sortedRuns() {
 		h.endRun(now, r, medlargw.TaskStopped, reason)
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -86,6 +86,9 @@
 		h.renewalFailed(now, t, nil)
 		return
 	}
+	if !t.claimed {
+		h.logClaim(t, c, report)
+	}
 	h.renewalAnswered(now, t)
 	h.checkIncarnation(t, report)
 	t.updateClock(now, report.Clock)
@@ -118,7 +121,6 @@
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
-		h.log.Debug("target claimed", zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token))
 	}
 }
 
@@ -146,6 +148,7 @@
 		if e.Sequence <= t.lastEnd {
 			continue
 		}
+		h.logEnd(t, e)
 		t.lastEnd = e.Sequence
 		if r := t.runs[e.Run]; r != nil {
 			h.handleEnd(now, t, r, e.Kind)
@@ -205,7 +208,7 @@
 // stopUnknown stops a run that another holder started. Its size is unknown, so
 // no run is started on the target until it has ended.
 func (h *Holder) stopUnknown(now time.Time, t *target, id medlargw.RunID) {
-	h.log.Info("unknown run stopped", zap.String("task", id.Task), zap.Int("attempt", id.Attempt), zap.String("target", string(t.info.Name)))
+	h.log.Info("unknown run stopped", t.runFields(id)...)
 	r := &run{id: id, target: t, state: runRunning, sent: now, acked: now}
 	t.addRun(r)
 	h.stopRun(now, r, "unknown")
@@ -218,10 +221,13 @@
 func (h *Holder) handleAbsent(now, sent time.Time, r *run, clock time.Duration) {
 	switch {
 	case r.state == runRunning && !r.acked.After(sent):
+		h.logAbsent(r, "not listed", clock)
 		h.endRun(now, r, medlargw.TaskStopped, "no longer listed as running")
-	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent),
-		r.state == runUnconfirmed && clock > r.leaseEnd+leaseEndMargin:
-		r.stopping = false // The run was never started, so its task may be started again.
+	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent):
+		h.logAbsent(r, "stop answered", clock)
+		h.returnTask(now, r)
+	case r.state == runUnconfirmed && clock > r.leaseEnd+leaseEndMargin:
+		h.logAbsent(r, "lease ended", clock)
 		h.returnTask(now, r)
 	}
 }
@@ -229,6 +235,7 @@
 // returnTask returns a task whose start order is proven not to have been
 // carried out. The attempt number of the run can't be used again.
 func (h *Holder) returnTask(now time.Time, r *run) {
+	r.stopping = false // The run was never started, so its task may be started again.
 	r.target.removeRun(r)
 	if r.task != nil {
 		h.endTask(now, r.task, medlargw.TaskReturned, r, "start not answered")
--- a/holder/target.go
+++ b/holder/target.go
@@ -63,6 +63,7 @@
 	transferring  bool      // The transfer is in flight.
 	releaseTo     medlargw.Peer
 	transferred   medlargw.TransferredTarget // Content of that transfer.
+	transferredTo medlargw.HostName          // Receiver of that transfer.
 
 	health
 }
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -38,6 +38,8 @@
 		transferred.Runs = append(transferred.Runs, medlargw.TransferredRun{Home: r.task.home.peer, Task: o, Elapsed: now.Sub(r.acked)})
 	}
 	t.transferred = transferred
+	t.transferredTo = t.releaseTo.Host
+	h.logTransferSent(t)
 	h.addTransfer(t.releaseTo, transferred)
 	return false
 }
@@ -66,9 +68,10 @@
 		}
 		t.transferring = false
 		if err != nil {
-			h.log.Warn("target transfer failed", zap.String("target", string(t.info.Name)), zap.String("to", string(tr.To.Host)), zap.Error(err))
+			h.log.Warn("target transfer failed", append(transferFields(transferred), zap.String("to", string(tr.To.Host)), zap.Error(err))...)
 			continue
 		}
+		h.logTransferFinished(t, transferred, "answered")
 		h.finishTransfer(now, t, transferred)
 	}
 }
@@ -85,7 +88,7 @@
 		switch {
 		case r.task == nil:
 		case transferredRuns[r.id]:
-			h.forget(now, r.task)
+			h.forget(now, r.task, t.transferredTo)
 		default:
 			h.endTask(now, r.task, medlargw.TaskUnknown, r, "handed over while it was stopped")
 		}
@@ -102,11 +105,13 @@
 		if t == nil {
 			info, ok := h.listedTarget(transferred.Name)
 			if !ok {
+				h.log.Info("target transfer ignored", append(transferFields(transferred), zap.String("from", string(tr.From.Host)))...)
 				continue
 			}
 			t = newTarget(info)
 			h.addTarget(t)
 		}
+		h.logTransferReceived(t, transferred, tr.From.Host)
 		if t.claimed && t.token < transferred.FenceToken {
 			h.stepDown(now, t) // Another entry claimed the target without this one's knowledge.
 		}
@@ -128,6 +133,7 @@
 		w := h.addTransferredTask(now, m)
 		r := t.runs[m.Task.Run]
 		if r == nil {
+			h.log.Info("transferred run is gone", append(t.runFields(m.Task.Run), zap.String("home", string(m.Home.Host)))...)
 			h.endTask(now, w, medlargw.TaskStopped, nil, "ended before it was handed over")
 			continue
 		}
--- a/offer.go
+++ b/offer.go
@@ -60,6 +60,11 @@
 	OfferExpired
 )
 
+// String returns the name used in logs.
+func (s OfferState) String() string {
+	return [...]string{"started", "queued", "refused", "expired"}[s]
+}
+
 // OfferedState is the state of one task of an offer.
 type OfferedState struct {
 	ID    TaskID
--- a/run.go
+++ b/run.go
@@ -91,6 +91,9 @@
 	RunStopped
 )
 
+// String returns the name used in logs.
+func (k RunEndKind) String() string { return [...]string{"done", "failed", "stopped"}[k] }
+
 // RunEnd is the end of one run.
 type RunEnd struct {
 	Sequence uint64 // Counts the ends of runs in one incarnation of the target, from 1.
