Holder: a task that was handed over counts as started, not as returned

Cause: finishTransfer recorded the tasks of a transfer as returned. If the reply to their offer was lost, the home recalled them, and the former holder answered that they had not started and would not, though the new holder goes on with their runs. The home then offered them elsewhere under the same attempt number. The new holder's report that it has taken over comes too late if it is lost or slow. It is the class of the stale copy of an offer: a refusal that does not look at what it refuses. Ruled out: the attempt number, which rises after every proven end; a copy of the offer, since unanswered offers are recalled and not sent again. Change: the record of a task tells whether it was handed over, and recalls, cancels and late copies of its offer are answered "started".

--- /dev/null
+++ b/conductor/handover_test.go
@@ -0,0 +1,38 @@
+package conductor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestUnansweredOfferIsHandedOver guards against two runs of a task with the
+// same attempt number: the reply to an offer is lost, the holder hands the
+// started tasks over to its successor, whose report is lost too, and the home
+// asks the former holder whether the tasks have started.
+func TestUnansweredOfferIsHandedOver(t *testing.T) {
+	for _, leaving := range []int{0, 1} {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("entry %d leaves, seed %d", leaving, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "b1"}, func(cl *cluster) {
+					home, former, successor := cl.entries[2], cl.entries[leaving], cl.entries[1-leaving]
+					cl.submit(home, "fill", 12, 250*time.Millisecond, 14000)
+					time.Sleep(10 * time.Millisecond)
+					cl.sim.setLinkDown(former.host, home.host, true)
+					cl.sim.setLinkDown(successor.host, home.host, true)
+					cl.submit(home, "job", 8, 900*time.Millisecond, 14000)
+					time.Sleep(20 * time.Millisecond)
+					cl.setGroups(former)
+					time.Sleep(100 * time.Millisecond)
+					cl.sim.setLinkDown(former.host, home.host, false)
+					time.Sleep(300 * time.Millisecond)
+					cl.sim.setLinkDown(successor.host, home.host, false)
+					time.Sleep(5 * time.Second)
+					for _, violation := range cl.sim.targets.Violations() {
+						t.Error(violation)
+					}
+				})
+			})
+		}
+	}
+}
--- a/holder/home.go
+++ b/holder/home.go
@@ -25,10 +25,12 @@
 	prunedAt  time.Time // Last removal of old elements of ended.
 }
 
-// endedTask is the record of a task that has ended here or was returned.
+// endedTask is the record of a task that has ended here, was returned or was
+// handed over.
 type endedTask struct {
-	at     time.Time
-	report medlargw.TaskReport // Zero if the task was returned without a report.
+	at         time.Time
+	handedOver bool                // The task runs on a target that has a new holder.
+	report     medlargw.TaskReport // Zero if there was none.
 }
 
 // jobTasks are the tasks of one job at this holder.
@@ -140,6 +142,12 @@
 	w.home.ended[w.offered.ID] = endedTask{at: now}
 }
 
+// handOver deletes a task whose run the new holder of its target goes on with.
+func (h *Holder) handOver(now time.Time, w *task) {
+	w.home.remove(w)
+	w.home.ended[w.offered.ID] = endedTask{at: now, handedOver: true}
+}
+
 // expireHomes stops the tasks of homes that were not heard from for
 // LeaseSettings.Silence, because their callers may submit the jobs again at
 // another entry.
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -101,18 +101,23 @@
 	return added
 }
 
-// endedState returns the state of a task that has ended or was returned. It
-// repeats the report of an end, because the first one may have been lost.
+// endedState returns the state of a task that has ended, was returned or was
+// handed over. It repeats the report of an end, because the first one may have
+// been lost.
 func (h *Holder) endedState(m *home, id medlargw.TaskID) medlargw.OfferState {
 	e := m.ended[id]
-	if e.report.Home.Incarnation == 0 {
+	switch {
+	case e.handedOver:
+		return medlargw.OfferStarted
+	case e.report.Home.Incarnation == 0:
 		return medlargw.OfferRefused
 	}
 	h.actions.Reports = append(h.actions.Reports, e.report)
 	return medlargw.OfferStarted
 }
 
-// hasEnded reports whether a task has ended here or was returned.
+// hasEnded reports whether a task has ended here, was returned or was handed
+// over.
 func (m *home) hasEnded(id medlargw.TaskID) bool {
 	_, ok := m.ended[id]
 	return ok
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -85,7 +85,7 @@
 		switch {
 		case r.task == nil:
 		case transferredRuns[r.id]:
-			h.forget(now, r.task)
+			h.handOver(now, r.task)
 		default:
 			h.endTask(now, r.task, medlargw.TaskUnknown, r, "handed over while it was stopped")
 		}
--- /dev/null
+++ b/holder/transfer_test.go
@@ -0,0 +1,72 @@
+package holder_test
+
+import (
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// startRun offers a task, confirms its start and returns its run.
+func (x *fixture) startRun(id medlargw.TaskID) medlargw.RunID {
+	x.t.Helper()
+	_, a := x.offer(id, 14000)
+	if len(a.Starts) != 1 {
+		x.t.Fatalf("starts of task %d: got %d, want 1", id, len(a.Starts))
+	}
+	x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{Clock: time.Second}, nil)
+	return a.Starts[0].Order.Run
+}
+
+// release makes another entry the owner of the target, and returns the transfer
+// to it.
+func (x *fixture) release() medlargw.Transfer {
+	x.t.Helper()
+	x.h.SetGroup(x.now, medlargw.Group{
+		Entries: []medlargw.Peer{
+			{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation, Leaving: true},
+			{Host: "successor", Zone: self.Zone, Incarnation: 2},
+		},
+		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
+	})
+	x.h.Tick(x.now)
+	all := x.takeActions().Transfers
+	if len(all) != 1 {
+		x.t.Fatalf("transfers: got %d, want 1", len(all))
+	}
+	return all[0]
+}
+
+// TestHandedOverTaskIsNotRefused guards against a second run with the same
+// attempt number: a home whose offer was not answered asks the former holder
+// for the task, and offers it elsewhere if the reply is that it did not start.
+func TestHandedOverTaskIsNotRefused(t *testing.T) {
+	offer := func(id medlargw.TaskID) medlargw.Offer {
+		return medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Tasks: []medlargw.OfferedTask{{ID: id}}}
+	}
+	tests := []struct {
+		name  string
+		offer medlargw.Offer
+		clock time.Duration
+	}{
+		{"recalled", medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Recalls: []medlargw.TaskID{1}}, 0},
+		{"cancelled", medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Cancels: []medlargw.TaskID{1}}, 0},
+		{"offered again", offer(1), 0},
+		{"offered again past the validity", offer(1), time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			x.startRun(1)
+			transfer := x.release()
+			x.h.TransferAnswered(x.now, &transfer, nil)
+			reply := x.h.HandleOffer(x.now, test.clock, &test.offer)
+			if got := reply.States[0].State; got != medlargw.OfferStarted {
+				t.Errorf("state of a task that was handed over: got %d, want %d", got, medlargw.OfferStarted)
+			}
+			if a := x.takeActions(); len(a.Starts) != 0 {
+				t.Errorf("starts: got %d, want 0", len(a.Starts))
+			}
+		})
+	}
+}
