Holder: leases of a former holder end only after the claim was answered

Callers would see: a task that runs at two targets at the same time (rule TWICE). Cause: a holder that got a target handed over counted the leases there as ended 0.84 s after the transfer. The former holder renews them until it has the answer to the transfer, or until the target has seen the new holder's claim. If neither arrives, it goes on; the new holder reported the runs as stopped, and their home started the tasks again. Ruled out: a repeated transfer, which starts the 0.84 s anew; the end of the runs by a silent home after 0.5 s, which only comes first if the home has no other tasks there. Change: leases end by time only on a claimed target, counted from its answer to the claim, with the longest lease that it grants. Runs of a target that does not answer the claim for a lease end as unknown, and the job is answered at once.

--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -36,3 +36,32 @@
 		}
 	}
 }
+
+// TestRunsOfUnansweredTransferGoOn guards against a second run of a task: a new
+// entry gets the transfer of targets but does not reach them, and the former
+// holder has no answer to the transfer and goes on renewing the lease.
+func TestRunsOfUnansweredTransferGoOn(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, []string{"a1", "b1"}, func(cl *cluster) {
+				former, home := cl.entries[0], cl.entries[1]
+				cl.submit(home, "fill", 12, 250*time.Millisecond, 14000)
+				time.Sleep(10 * time.Millisecond)
+				cl.submit(home, "job", 10, 1200*time.Millisecond, 14000)
+				time.Sleep(20 * time.Millisecond)
+				successor := cl.add("a2")
+				for _, target := range cl.sim.targets.Targets() {
+					cl.setHostDown(successor.host, string(target.Name), true)
+				}
+				cl.sim.setLinkDown(successor.host, former.host, true)
+				cl.setGroups()
+				time.Sleep(300 * time.Millisecond)
+				cl.sim.setLinkDown(former.host, successor.host, true)
+				time.Sleep(3 * time.Second)
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -14,7 +14,7 @@
 // The holder's account of the resources is exact: a run takes its resources
 // from the creation of its start order until its end is proven. An end is
 // proven by the target's report, by a new incarnation of the target, or by the
-// expiry of the lease on the target's own clock.
+// expiry of the lease on the target's own clock after the claim was answered.
 //
 // The holder is a state machine without I/O. The time is an argument of each
 // event, and the messages to send are collected until TakeActions is called.
@@ -110,6 +110,8 @@
 		return
 	case t.leasesEnded(now, &h.settings):
 		h.endAllRuns(now, t, "lease ended")
+	case t.unreachable(now, &h.settings):
+		h.abandonRuns(now, t, "the claim is not answered")
 	}
 	if t.releasing && h.release(now, t) {
 		return
--- a/holder/order.go
+++ b/holder/order.go
@@ -143,15 +143,21 @@
 // higher token.
 func (h *Holder) stepDown(now time.Time, t *target) {
 	h.log.Warn("target lost to a higher fencing token", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
+	h.abandonRuns(now, t, "fenced")
+	t.claimed = false
+	t.renewing = false
+	t.token = 0
+}
+
+// abandonRuns removes the runs of a target, which may go on under another
+// holder.
+func (h *Holder) abandonRuns(now time.Time, t *target, reason string) {
 	for _, r := range t.sortedRuns() {
 		t.removeRun(r)
 		if r.task != nil {
-			h.endTask(now, r.task, medlargw.TaskUnknown, r, "fenced")
+			h.endTask(now, r.task, medlargw.TaskUnknown, r, reason)
 		}
 	}
-	t.claimed = false
-	t.renewing = false
-	t.token = 0
 }
 
 // endAllRuns ends all runs of a target after proof that none of them goes on.
--- a/holder/report.go
+++ b/holder/report.go
@@ -86,7 +86,7 @@
 		h.renewalFailed(now, t, nil)
 		return
 	}
-	h.renewalAnswered(now, t)
+	h.renewalAnswered(now, t, report)
 	h.checkIncarnation(t, report)
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
@@ -110,7 +110,7 @@
 	t.nextRenew = now.Add(retry)
 }
 
-func (h *Holder) renewalAnswered(now time.Time, t *target) {
+func (h *Holder) renewalAnswered(now time.Time, t *target, report *medlargw.RunReport) {
 	if t.failedRenewals > 0 && t.claimed {
 		h.log.Info("target answers again", zap.String("target", string(t.info.Name)), zap.Duration("silent", now.Sub(t.lastAnswer)))
 	}
@@ -118,6 +118,7 @@
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
+		t.leaseEnd = max(t.leaseEnd, report.Clock+h.settings.Longest) // A former holder may have renewed the lease until now.
 		h.log.Debug("target claimed", zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token))
 	}
 }
--- a/holder/target.go
+++ b/holder/target.go
@@ -50,12 +50,12 @@
 
 	clock    time.Duration // The target's clock in its last answer.
 	clockAt  time.Time     // Arrival of that answer; zero is never.
-	leaseEnd time.Duration // The latest end of a lease in any order sent.
+	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
 
 	renewing       bool
 	nextRenew      time.Time
 	lastAnswer     time.Time // Arrival of the last answer.
-	transferredAt  time.Time // When it was transferred to this entry; zero is never.
+	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
 
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
@@ -139,16 +139,16 @@
 }
 
 // leasesEnded reports whether all leases of runs on the target have certainly
-// ended. The leases from a former holder began before the transfer.
+// ended. Until the target has answered the claim, a former holder may renew them.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	if len(t.runs) == 0 {
-		return false
-	}
-	formerEnded := now.Sub(t.transferredAt) > time.Duration(float64(s.Lease)*(1+s.Drift))+leaseEndMargin
-	if t.clockAt.IsZero() {
-		return !t.transferredAt.IsZero() && formerEnded
-	}
-	return formerEnded && t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin
+	return len(t.runs) > 0 && t.claimed && !t.clockAt.IsZero() &&
+		t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin
+}
+
+// unreachable reports whether the target has runs that a former holder
+// transferred, and has not answered the claim for the length of a lease.
+func (t *target) unreachable(now time.Time, s *medlargw.LeaseSettings) bool {
+	return len(t.runs) > 0 && !t.claimed && now.Sub(t.transferredAt) > s.Lease
 }
 
 // delisted reports whether the target has left the host list and is no longer
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -70,3 +70,38 @@
 		})
 	}
 }
+
+// transferred returns the transfer of the target from another entry, with the
+// given fencing token and runs of task IDs from 1.
+func transferred(token uint64, runs ...medlargw.RunID) *medlargw.Transfer {
+	target := medlargw.TransferredTarget{Name: "t", IncarnationStart: start, FenceToken: token}
+	for i, run := range runs {
+		target.Runs = append(target.Runs, medlargw.TransferredRun{
+			Home: medlargw.Peer{Host: "home", Incarnation: 7},
+			Task: medlargw.OfferedTask{ID: medlargw.TaskID(i + 1), Run: run, Pool: "pool", Resources: medlargw.Resources{Cores: 14000}},
+		})
+	}
+	return &medlargw.Transfer{From: medlargw.Member{Host: "former", Incarnation: 9}, Targets: []medlargw.TransferredTarget{target}}
+}
+
+// TestUnclaimedRunsAreNotStopped guards against a second run of a task: a holder
+// that gets a target handed over and does not reach it counts the leases there
+// as ended, while the former holder renews them.
+func TestUnclaimedRunsAreNotStopped(t *testing.T) {
+	x := newFixture(t)
+	token := x.renewal.Renewal.FenceToken + 1<<24
+	x.h.HandleTransfer(x.now, transferred(token, medlargw.RunID{Task: "a", Attempt: 1}))
+	var ends []medlargw.TaskEvent
+	for range 200 {
+		x.now = x.now.Add(20 * time.Millisecond)
+		x.h.Tick(x.now)
+		for _, e := range x.takeActions().Reports {
+			if e.Event.Terminal() {
+				ends = append(ends, e.Event)
+			}
+		}
+	}
+	if len(ends) != 1 || ends[0] != medlargw.TaskUnknown {
+		t.Errorf("ends reported within 4 s without an answer to the claim: got %v, want one unknown", ends)
+	}
+}
