Coordinator: cancels reach the former holders of a run too

Callers would see: a run that goes on after its job was answered as given up, and a second one when they submit the job again. Cause: a holder that reports to have taken over a run becomes its only holder for the home. Until its claim is answered, the former holder still starts and renews; a cancel did not reach it. Ruled out: a former holder that has handed over, which ignores the cancel. Change: the home keeps the former holders of a run, and cancels it at all of them. Before: TestCancelReachesFormerHolder got no cancel to the former holder. After: one to each.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,6 +139,31 @@
 	}
 }
 
+// TestCancelReachesFormerHolder guards against a run that goes on after its job
+// was given up: a holder whose transfer was not answered still holds the target
+// when the new holder reports that it has taken over.
+func TestCancelReachesFormerHolder(t *testing.T) {
+	h := newFixture(t)
+	successor := medlargw.Peer{Host: "successor", Zone: "z", Incarnation: 3}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, successor}})
+	first := h.submitStarted(1)
+	id := first.Offer.Tasks[0].ID
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: successor.Host, Incarnation: successor.Incarnation},
+		Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskStarted}},
+	})
+	h.c.AbortAll(h.now, "the entry stood still")
+	cancelled := map[medlargw.HostName]bool{}
+	for _, o := range h.offers() {
+		cancelled[o.To.Host] = slices.Contains(o.Offer.Cancels, id)
+	}
+	for _, p := range []medlargw.Peer{holder, successor} {
+		if !cancelled[p.Host] {
+			t.Errorf("cancel sent to %s: got none, want one", p.Host)
+		}
+	}
+}
+
 // TestRefusalOnlyWhileNothingStarted checks that a job without capacity is
 // reported as not run only if none of its tasks was started.
 func TestRefusalOnlyWhileNothingStarted(t *testing.T) {
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -118,8 +118,9 @@
 
 // attach assigns a task to the holder, and removes it from its former holder.
 func (h *holder) attach(t *task) {
-	if t.holder != nil {
+	if t.holder != nil && t.holder != h {
 		delete(t.holder.tasks, t.id)
+		t.formers = append(slices.DeleteFunc(t.formers, func(f *holder) bool { return f == h }), t.holder)
 	}
 	t.holder = h
 	h.tasks[t.id] = t
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -74,6 +74,7 @@
 	refusals     int // Consecutive offers refused for lack of capacity.
 	state        taskState
 	holder       *holder
+	formers      []*holder             // Former holders of its run, which may not have given it up.
 	recalled     bool                  // The task must be recalled once it is queued.
 	offerPending bool                  // The offer must be sent or resent.
 	queue        bool                  // The offer allows the holder to queue the task.
@@ -223,7 +224,9 @@
 	c.jobs = slices.DeleteFunc(c.jobs, func(other *job) bool { return other == j })
 	for _, t := range j.tasks {
 		if t.state != taskIdle && t.state != taskDone {
-			t.holder.cancels = append(t.holder.cancels, t.id)
+			for _, h := range append(t.formers, t.holder) {
+				h.cancels = append(h.cancels, t.id)
+			}
 		}
 		c.detach(t)
 		c.taskCounts[t.state]--
@@ -278,6 +281,7 @@
 	}
 	t.id = 0
 	t.holder = nil
+	t.formers = nil
 	t.recalled = false
 	t.offerPending = false
 	t.endedBy = time.Time{}
