Conductor: the report that a run was taken over is repeated until it arrives

Callers would see: a task that runs at two targets at the same time (rule TWICE), after their job was given up and submitted again. Cause: only the ends of tasks were reported again when a report was not acknowledged. If the report that a new holder has taken over a run was lost, the home went on to take the former holder for the holder of the run. When that ended after its planned stop, the home gave up the job and sent the cancel to it. The run went on as long as the new holder heard from the home because of other tasks. Ruled out: the silence of the home, which ends the run after 0.5 s only where the home has no other tasks at the new holder. Change: such a report must arrive, like an end.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,7 +30,7 @@
 	// have resubmitted their jobs to another entry.
 	stallThreshold = time.Second
 	// eventQueueSize is the capacity of the queue of the control goroutine, and
-	// the number of task ends that are kept to be reported again; more are
+	// the number of task events that are kept to be reported again; more are
 	// dropped.
 	eventQueueSize = 1024
 )
@@ -54,7 +54,7 @@
 	coord    *coordinator.Coordinator
 	holder   *holder.Holder
 	waiters  map[*medlargw.Job]chan<- medlargw.Outcome
-	unacked  []medlargw.TaskReport // Ends of tasks whose reports failed; they are sent again.
+	unacked  []medlargw.TaskReport // Events whose reports failed and that must arrive; they are sent again.
 	group    medlargw.Group
 	lastWake time.Time
 	pacer    *pacer.Pacer // Of this entry's network link.
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -183,18 +183,18 @@
 	})
 }
 
-// keepUnacked keeps the ends of tasks in a report that was not acknowledged.
-// The coordinator processes an event only once, so that it can safely be sent
-// again.
+// keepUnacked keeps the events of a report that was not acknowledged, if they
+// must arrive. The coordinator processes an event only once, so that it can safely
+// be sent again.
 func (c *Conductor) keepUnacked(r *medlargw.Report, err error) {
 	to := r.Tasks[0].Home
 	if !c.inGroup(to.Incarnation) {
 		c.log.Debug("dropped report to a coordinator that left the group", zap.String("home", string(to.Host)), zap.Error(err))
 		return
 	}
-	for _, e := range r.Tasks {
-		if e.Event.Terminal() && len(c.unacked) < eventQueueSize {
-			c.unacked = append(c.unacked, e)
+	for i := range r.Tasks {
+		if r.Tasks[i].MustArrive() && len(c.unacked) < eventQueueSize {
+			c.unacked = append(c.unacked, r.Tasks[i])
 		}
 	}
 }
--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -65,3 +65,33 @@
 		})
 	}
 }
+
+// TestLostReportOfHandover guards against a run that goes on unknown to its
+// home, and a second one when the caller submits the job again: the report that
+// the new holder has taken over is lost, and the former holder ends.
+func TestLostReportOfHandover(t *testing.T) {
+	for _, leaving := range []int{0, 1} {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("entry %d leaves, seed %d", leaving, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "b1"}, func(cl *cluster) {
+					home, former, successor := cl.entries[2], cl.entries[leaving], cl.entries[1-leaving]
+					cl.submit(home, "other", 18, 2400*time.Millisecond, 14000)
+					time.Sleep(10 * time.Millisecond)
+					cl.submit(home, "job", 14, 2400*time.Millisecond, 14000)
+					time.Sleep(20 * time.Millisecond)
+					cl.setGroups(former)
+					cl.sim.setLinkDown(successor.host, home.host, true)
+					time.Sleep(60 * time.Millisecond)
+					cl.sim.setLinkDown(successor.host, home.host, false)
+					time.Sleep(100 * time.Millisecond)
+					cl.stop(former)
+					cl.setGroups()
+					time.Sleep(6 * time.Second)
+					for _, violation := range cl.sim.targets.Violations() {
+						t.Error(violation)
+					}
+				})
+			})
+		}
+	}
+}
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -172,6 +172,7 @@
 		t.addRun(r)
 		h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
 			Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
+			TakenOver: true,
 		})
 	}
 }
--- a/offer.go
+++ b/offer.go
@@ -111,8 +111,15 @@
 	Target  TargetName    // Where the task ran; empty if it was not started.
 	Elapsed time.Duration // Run time, if the run has ended.
 	Reason  string        // Cause of the event, for logs.
+	// TakenOver means that the run was started by another holder, which its home
+	// believes to hold it. It is not sent to the home.
+	TakenOver bool
 }
 
+// MustArrive reports whether the home has to learn of the event in any case: no
+// later message would tell it.
+func (r *TaskReport) MustArrive() bool { return r.Event.Terminal() || r.TakenOver }
+
 // Report carries events of tasks from a holder to the home of the tasks.
 type Report struct {
 	From          Member // The holder.
