Holder: an end is acknowledged once its home has it

Callers would see: a task that has succeeded runs again. Three ways led to a new run: a transfer that arrives after the new holder's claim, an end that is read while a transfer is in flight, and a report that is lost with its holder. Ruled out: two live runs, since the former run has ended in all of them. Change: an end stays unacknowledged until its home has confirmed the report, or has been silent for so long that it gives up its tasks at this holder. Nothing above the number in a transfer is acknowledged while the transfer is in flight, and the transfer names the runs whose ends wait. A run that is neither active nor ended when its transfer arrives late is reported as unknown instead of stopped.

--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -165,6 +165,7 @@
 		r := byHome[to.Incarnation]
 		if to.Incarnation == c.self.Incarnation {
 			c.coord.HandleReport(now, r)
+			c.holder.ConfirmReports(now, r.Tasks)
 			continue
 		}
 		c.sendReport(to, r)
@@ -177,7 +178,7 @@
 	c.send(c.settings.Call, func(ctx context.Context) event {
 		err := c.messenger.Report(ctx, to.Addr, *r)
 		if err == nil {
-			return nil
+			return func(now time.Time) { c.holder.ConfirmReports(now, r.Tasks) }
 		}
 		return func(time.Time) { c.keepUnacked(r, err) }
 	})
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -117,6 +117,7 @@
 		return
 	}
 	h.resendStops(now, t)
+	t.dropPendingEnds(now, h.settings.Silence)
 	if !t.renewing && !now.Before(t.nextRenew) {
 		h.renew(now, t)
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -18,15 +18,16 @@
 // renew sends the next renewal, or the claim of a target that is not claimed.
 func (h *Holder) renew(now time.Time, t *target) {
 	t.renewing = true
+	t.awaitsConfirm = false
 	if !t.claimed {
 		t.token = h.tokens.next()
 		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{
 			Target:  t.info,
-			Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.lastEnd},
+			Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()},
 		})
 		return
 	}
-	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.lastEnd, MaxWait: h.pollWait(now, t)}
+	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable(), MaxWait: h.pollWait(now, t)}
 	if t.failedRenewals > 0 {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
@@ -91,8 +92,7 @@
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
 	h.handleActive(now, sent, t, report)
-	t.nextRenew = now
-	h.renew(now, t)
+	h.scheduleRenewal(now, t)
 	h.place(now)
 }
 
@@ -118,6 +118,7 @@
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
+		t.claimedAt = now
 		t.leaseEnd = max(t.leaseEnd, report.Clock+h.settings.Longest) // A former holder may have renewed the lease until now.
 		h.log.Debug("target claimed", zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token))
 	}
@@ -136,6 +137,7 @@
 	}
 	t.incarnationStart = report.IncarnationStart
 	t.lastEnd = 0
+	t.pendingEnds = nil
 	t.leaseEnd = report.Clock + h.settings.Longest
 	t.health = newHealth()
 }
@@ -148,9 +150,13 @@
 			continue
 		}
 		t.lastEnd = e.Sequence
-		if r := t.runs[e.Run]; r != nil {
-			h.handleEnd(now, t, r, e.Kind)
+		r := t.runs[e.Run]
+		if r == nil {
+			t.addPendingEnd(now, *e, nil)
+			continue
 		}
+		t.addPendingEnd(now, *e, r.task)
+		h.handleEnd(now, t, r, e.Kind)
 	}
 }
 
--- a/holder/target.go
+++ b/holder/target.go
@@ -45,6 +45,7 @@
 	token            uint64
 	incarnationStart time.Time
 	lastEnd          uint64             // Sequence number of the last end that was processed.
+	pendingEnds      []pendingEnd       // Ends that must not be acknowledged yet, in the order of their numbers.
 	free             medlargw.Resources // Resources that no run takes; may be negative.
 	runs             map[medlargw.RunID]*run
 
@@ -53,7 +54,9 @@
 	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
 
 	renewing       bool
+	awaitsConfirm  bool // The next renewal waits until homes have confirmed ends.
 	nextRenew      time.Time
+	claimedAt      time.Time // When the claim was answered.
 	lastAnswer     time.Time // Arrival of the last answer.
 	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -26,22 +26,33 @@
 			return false
 		}
 	}
-	t.transferring = true
-	transferred := medlargw.TransferredTarget{Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.lastEnd}
+	transferred := medlargw.TransferredTarget{Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.ackable()}
 	for _, r := range t.sortedRuns() {
 		if r.task == nil || r.stopping {
 			continue // The new holder stops the runs that it does not know.
 		}
-		o := r.task.offered
-		o.TimeToObjective = r.task.due.Sub(now)
-		o.TimeToDeadline = r.task.deadline.Sub(now)
-		transferred.Runs = append(transferred.Runs, medlargw.TransferredRun{Home: r.task.home.peer, Task: o, Elapsed: now.Sub(r.acked)})
+		transferred.Runs = append(transferred.Runs, r.task.transferred(now))
+	}
+	for i := range t.pendingEnds {
+		if w := t.pendingEnds[i].task; w != nil {
+			transferred.Runs = append(transferred.Runs, w.transferred(now)) // The new holder reads its end again.
+		}
 	}
+	t.transferring = true
 	t.transferred = transferred
 	h.addTransfer(t.releaseTo, transferred)
 	return false
 }
 
+// transferred returns the run of a task in the form in which it is handed over.
+func (w *task) transferred(now time.Time) medlargw.TransferredRun {
+	o := w.offered
+	o.Payload = nil
+	o.TimeToObjective = w.due.Sub(now)
+	o.TimeToDeadline = w.deadline.Sub(now)
+	return medlargw.TransferredRun{Home: w.home.peer, Task: o, Elapsed: now.Sub(w.run.acked)}
+}
+
 func (h *Holder) addTransfer(to medlargw.Peer, transferred medlargw.TransferredTarget) {
 	for i := range h.actions.Transfers {
 		if h.actions.Transfers[i].To.Incarnation == to.Incarnation {
@@ -120,28 +131,42 @@
 
 // mergeTransfer handles the transfer of a target that this entry claimed before
 // the transfer arrived. The transferred runs are already being stopped as
-// unknown ones; the transfer names the homes to which their ends must be
-// reported.
+// unknown ones, or their ends are not acknowledged yet; the transfer names the
+// homes to which the ends must be reported.
 func (h *Holder) mergeTransfer(now time.Time, t *target, transferred *medlargw.TransferredTarget) {
 	for i := range transferred.Runs {
 		m := &transferred.Runs[i]
 		w := h.addTransferredTask(now, m)
-		r := t.runs[m.Task.Run]
-		if r == nil {
-			h.endTask(now, w, medlargw.TaskStopped, nil, "ended before it was handed over")
+		if w == nil {
 			continue
 		}
-		t.removeRun(r)
-		r.resources = m.Task.Resources
-		t.addRun(r)
-		r.task = w
+		h.reportTakeover(t, w)
+		if r := t.runs[m.Task.Run]; r != nil {
+			t.removeRun(r)
+			r.resources = m.Task.Resources
+			t.addRun(r)
+			r.task = w
+			w.run = r
+			continue
+		}
+		r := &run{id: m.Task.Run, task: w, target: t, state: runRunning, sent: now, acked: now.Add(-m.Elapsed)}
 		w.run = r
+		if p := t.pendingEnd(r.id); p != nil {
+			p.task = w
+			h.handleEnd(now, t, r, p.end.Kind)
+			continue
+		}
+		h.endTask(now, w, medlargw.TaskUnknown, r, "ended before it was handed over")
 	}
 }
 
-// addTransferredTask adds a task that its former holder has transferred.
+// addTransferredTask adds a task that its former holder has transferred. It
+// returns nil for a task that is already known from an earlier transfer.
 func (h *Holder) addTransferredTask(now time.Time, m *medlargw.TransferredRun) *task {
 	home := h.ensureHome(now, m.Home)
+	if home.tasks[m.Task.ID] != nil {
+		return nil
+	}
 	w := &task{home: home, offered: m.Task, due: now.Add(m.Task.TimeToObjective), deadline: now.Add(m.Task.TimeToDeadline)}
 	home.add(w)
 	return w
@@ -160,6 +185,7 @@
 func (h *Holder) takeOver(now time.Time, t *target, transferred *medlargw.TransferredTarget) {
 	t.incarnationStart = transferred.IncarnationStart
 	t.lastEnd = transferred.AckedSequence
+	t.pendingEnds = nil
 	t.token = 0 // Invalidates a claim in flight, sent before the runs were known.
 	t.renewing = false
 	t.nextRenew = now
@@ -167,12 +193,20 @@
 	for i := range transferred.Runs {
 		m := &transferred.Runs[i]
 		w := h.addTransferredTask(now, m)
+		if w == nil {
+			continue
+		}
 		r := &run{id: m.Task.Run, resources: m.Task.Resources, task: w, target: t, state: runRunning, sent: now, acked: now.Add(-m.Elapsed)}
 		w.run = r
 		t.addRun(r)
-		h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
-			Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
-			TakenOver: true,
-		})
+		h.reportTakeover(t, w)
 	}
 }
+
+// reportTakeover reports to the home of a task that this entry has its run now.
+func (h *Holder) reportTakeover(t *target, w *task) {
+	h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
+		Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
+		TakenOver: true,
+	})
+}
