Holder: the lease is not renewed over a run that was given up

Callers would see: a task that runs at two targets at the same time (rule TWICE), after their job was given up and submitted again 1.3 s later. Cause: the stop of a run whose job was given up is sent again until the target answers it, but meanwhile the lease of all runs on the target was renewed. A target that answers renewals and carries out orders late kept the run. The same lease was renewed once more when a holder that had stood still read a report before it noticed that a home was silent. Ruled out: runs that are stopped to be started elsewhere; their home waits for the proof of their end. Change: a cancelled run, one of a silent home and one that another holder started must end in any case: if their stop has no answer after the time-out of an order, the lease is not renewed, and nothing is started on the target until it is answered. Before: TestAbandonedRunLapses had a renewed lease after 1.3 s. After: it has lapsed.

--- a/holder/ends_test.go
+++ b/holder/ends_test.go
@@ -160,3 +160,45 @@
 		})
 	}
 }
+
+// TestAbandonedRunLapses guards against two runs of a task at the same time: a
+// target carries out the stop of a cancelled run late, while its lease is
+// renewed, and the caller submits the job again after 1.3 s.
+func TestAbandonedRunLapses(t *testing.T) {
+	tests := []struct {
+		name   string
+		cancel bool
+		lapses bool
+	}{
+		{"not cancelled", false, false},
+		{"cancelled", true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			run := x.startRun(1)
+			o := medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}}
+			if test.cancel {
+				o.Cancels = []medlargw.TaskID{1}
+			}
+			clock, leaseEnd := time.Second, 2*time.Second
+			for range 65 { // 1.3 s
+				x.h.HandleOffer(x.now, 0, &o)
+				x.h.Tick(x.now)
+				x.takeActions()
+				a := x.report(medlargw.RunReport{Clock: clock, IncarnationStart: start, Active: []medlargw.ActiveRun{{Run: run, Percent: 10}}})
+				for i := range a.Renewals {
+					leaseEnd = max(leaseEnd, a.Renewals[i].Renewal.LeaseEnd)
+				}
+				x.now = x.now.Add(20 * time.Millisecond)
+				clock += 20 * time.Millisecond
+				if clock > leaseEnd {
+					break // The target ends the run.
+				}
+			}
+			if got := clock > leaseEnd; got != test.lapses {
+				t.Errorf("lease within 1.3 s without an answer to the stop: got lapsed %v, want %v", got, test.lapses)
+			}
+		})
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -158,7 +158,7 @@
 	}
 	busy := h.pacer.Busy(now)
 	for _, t := range h.sorted {
-		if !t.usable(now, h.settings.Unlisted) {
+		if !t.usable(now, &h.settings) {
 			continue
 		}
 		p := pool(t.info.Pool)
--- a/holder/home.go
+++ b/holder/home.go
@@ -195,8 +195,8 @@
 		}
 		if !w.run.stopping {
 			stopped++
-			h.stopRun(now, w.run, reason)
 		}
+		h.abandonRun(now, w.run, reason)
 	}
 	if stopped > 0 {
 		h.log.Info("tasks of a home stopped", zap.String("home", string(m.peer.Host)), zap.String("reason", reason),
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -160,8 +160,8 @@
 // cancel stops a task that was started, and returns one that was not.
 func (h *Holder) cancel(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
 	state := h.recall(now, m, id)
-	if w := m.tasks[id]; w != nil && w.run != nil && !w.run.stopping {
-		h.stopRun(now, w.run, "cancelled")
+	if w := m.tasks[id]; w != nil && w.run != nil {
+		h.abandonRun(now, w.run, "cancelled")
 	}
 	return state
 }
--- a/holder/place.go
+++ b/holder/place.go
@@ -43,7 +43,7 @@
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
 	var best *target
 	for _, t := range h.sorted {
-		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, h.settings.Unlisted) {
+		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, &h.settings) {
 			continue
 		}
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
@@ -97,9 +97,21 @@
 // stopRun creates the stop order of a run. The order is sent again until it is
 // answered.
 func (h *Holder) stopRun(now time.Time, r *run, reason string) {
+	if !r.stopping {
+		r.stopSince = now
+	}
 	r.stopping = true
 	r.reason = reason
 	r.stopSent = now
 	order := medlargw.StopOrder{Run: r.id, FenceToken: r.target.token}
 	h.actions.Stops = append(h.actions.Stops, medlargw.StopCommand{Target: r.target.info, Order: order})
 }
+
+// abandonRun stops a run whose job was given up. Its home doesn't wait for the
+// proof of its end.
+func (h *Holder) abandonRun(now time.Time, r *run, reason string) {
+	r.abandoned = true
+	if !r.stopping {
+		h.stopRun(now, r, reason)
+	}
+}
--- a/holder/report.go
+++ b/holder/report.go
@@ -31,7 +31,7 @@
 	if t.failedRenewals > 0 {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
-	if now.Sub(t.lastAnswer) < h.settings.Lease/2 {
+	if now.Sub(t.lastAnswer) < h.settings.Lease/2 && !t.mustLapse(now, &h.settings) {
 		renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease
 		t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
 	}
@@ -215,7 +215,7 @@
 	h.log.Info("unknown run stopped", zap.String("task", id.Task), zap.Int("attempt", id.Attempt), zap.String("target", string(t.info.Name)))
 	r := &run{id: id, target: t, state: runRunning, sent: now, acked: now}
 	t.addRun(r)
-	h.stopRun(now, r, "unknown")
+	h.abandonRun(now, r, "unknown")
 }
 
 // handleAbsent handles a run that a report does not list. The absence proves
--- a/holder/target.go
+++ b/holder/target.go
@@ -31,7 +31,9 @@
 	leaseEnd  time.Duration // End of the lease in its start order, on the target's clock.
 
 	stopping     bool
-	stopSent     time.Time
+	abandoned    bool // Its job was given up, and may be submitted again before the run has ended.
+	stopSince    time.Time
+	stopSent     time.Time // When the latest stop order was sent.
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why the run is stopped.
 	countedSlow  bool      // The run was recorded as slow in the target's health.
@@ -121,10 +123,11 @@
 	return false
 }
 
-// usable reports whether new runs may be started on the target.
-func (t *target) usable(now time.Time, unlisted time.Duration) bool {
+// usable reports whether new runs may be started on the target. A start order
+// renews the lease too.
+func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && !t.info.Draining && !t.releasing && t.failedRenewals == 0 &&
-		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, unlisted)
+		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
 // updateClock records the arrival of an answer, and the target's clock in it.
@@ -154,6 +157,21 @@
 	return len(t.runs) > 0 && !t.claimed && now.Sub(t.transferredAt) > s.Lease
 }
 
+// mustLapse reports whether the lease must not be renewed: an abandoned run goes on
+// although its stop order should have been answered, or although its home is
+// silent. Other runs on the target end with it.
+func (t *target) mustLapse(now time.Time, s *medlargw.LeaseSettings) bool {
+	for _, r := range t.runs {
+		if r.abandoned && r.stopAnswered.IsZero() && now.Sub(r.stopSince) >= s.Order {
+			return true
+		}
+		if r.task != nil && now.Sub(r.task.home.lastHeard) >= s.Silence+s.Order {
+			return true
+		}
+	}
+	return false
+}
+
 // delisted reports whether the target has left the host list and is no longer
 // used.
 func (t *target) delisted(now time.Time, unlisted time.Duration) bool {
