Coordinator: a task that was returned goes to another holder next

Callers would see: an entry that answers nothing any more, and whose memory grows until the process is ended. Cause: a home prefers its own entry, whose offers need no message. If the only free target there is one that the task avoids, the holder refuses it; the task waits there; another entry reports free resources, so the task is recalled, and is offered to the own entry again. All of this happens at one instant on the control goroutine, which never comes back from flush. Ruled out: holders on other hosts, whose answers take time. Before: TestReturnedTaskGoesToAnotherHolder got no offer to the other entry in 20 rounds. After: it gets one.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -354,3 +354,34 @@
 		h.c.SetFreeResources(h.now, former.Incarnation, freeResources(uint64(h.now.Sub(start)), 2))
 	})
 }
+
+// TestReturnedTaskGoesToAnotherHolder guards against a home that offers a task to
+// its own entry for ever, without any time passing: the only free target there is
+// one that the task avoids, and another entry reports free resources.
+func TestReturnedTaskGoesToAnotherHolder(t *testing.T) {
+	h := newFixture(t)
+	own := medlargw.Peer{Host: "self", Zone: "z", Incarnation: 1}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{own, holder}})
+	h.c.SetFreeResources(h.now, own.Incarnation, freeResources(1, 1))
+	h.c.Submit(h.now, job(1))
+	for sequence := range uint64(20) {
+		for _, o := range h.offers() {
+			if len(o.Offer.Tasks) > 0 && o.To.Host == holder.Host {
+				return
+			}
+			reply := medlargw.OfferReply{Incarnation: o.To.Incarnation, FreeResources: freeResources(sequence+2, 1)}
+			for i := range o.Offer.Tasks {
+				state := medlargw.OfferRefused
+				if o.Offer.Tasks[i].MayQueue {
+					state = medlargw.OfferQueued
+				}
+				reply.States = append(reply.States, medlargw.OfferedState{ID: o.Offer.Tasks[i].ID, State: state})
+			}
+			for _, id := range o.Offer.Recalls {
+				reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: medlargw.OfferRefused})
+			}
+			h.c.HandleOfferReply(h.now, h.now, &o, &reply, nil)
+		}
+	}
+	t.Error("offers to the other entry after 20 rounds at one time: got none, want one")
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -31,6 +31,9 @@
 	// fit into the time until the deadline. Run times are seldom below that share
 	// of the estimate.
 	minEstimateShare = 0.5
+	// returnPause is the time for which a holder that has returned a task gets no
+	// new offer of it because of the resources that it reports as free.
+	returnPause = probeInterval
 	// minRetryAfter is the least delay that a refused caller is told to wait.
 	minRetryAfter = time.Second
 )
@@ -71,7 +74,8 @@
 	id           medlargw.TaskID // Identifies the current offer.
 	attempt      int
 	failures     int
-	refusals     int // Consecutive offers refused for lack of capacity.
+	refusals     int          // Consecutive offers refused for lack of capacity.
+	returns      []taskReturn // The latest ones, of different holders.
 	state        taskState
 	holder       *holder
 	formers      []*holder             // Former holders of its run, which may not have given it up.
@@ -82,6 +86,33 @@
 	avoid        []medlargw.TargetName // Targets on which it failed recently.
 }
 
+// taskReturn is the return of a task by a holder that refused it, or from which
+// it was recalled.
+type taskReturn struct {
+	holder *holder
+	at     time.Time
+}
+
+// recordReturn records that the task's holder has returned it.
+func (t *task) recordReturn(now time.Time) {
+	t.returns = slices.DeleteFunc(t.returns, func(r taskReturn) bool {
+		return r.holder == t.holder || now.Sub(r.at) >= returnPause
+	})
+	t.returns = append(t.returns, taskReturn{t.holder, now})
+}
+
+// returnedLately reports whether the holder has returned the task within
+// returnPause. What it reports as free may be of no use to the task, such as the
+// resources of a target that the task avoids.
+func (t *task) returnedLately(now time.Time, h *holder) bool {
+	for _, r := range t.returns {
+		if r.holder == h && now.Sub(r.at) < returnPause {
+			return true
+		}
+	}
+	return false
+}
+
 // Submit accepts a job, or refuses it at once if it could not start in time or
 // meet its deadline.
 func (c *Coordinator) Submit(now time.Time, m *medlargw.Job) {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -24,7 +24,7 @@
 func (c *Coordinator) place(now time.Time, t *task) {
 	m := t.job.job
 	if t.refusals < maxRefusals {
-		if h := c.reserveResources(now, t.job); h != nil {
+		if h := c.reserveResources(now, t); h != nil {
 			c.offerTo(t, h, false)
 			return
 		}
@@ -53,8 +53,10 @@
 // coordinator's view. The nearest holders take precedence, this entry first,
 // which needs no message. Among equally near ones, it is the holder that another
 // task of the job was last offered to, so that the tasks share one message and
-// its payload, or else the one of the target with the least free cores.
-func (c *Coordinator) reserveResources(now time.Time, j *job) *holder {
+// its payload, or else the one of the target with the least free cores. Holders
+// that have just returned the task are left out.
+func (c *Coordinator) reserveResources(now time.Time, t *task) *holder {
+	j := t.job
 	var best *holder
 	var free *medlargw.Resources
 	for _, h := range c.byDistance {
@@ -62,7 +64,7 @@
 			break
 		}
 		r := h.bestFit(j.job)
-		if r == nil {
+		if r == nil || t.returnedLately(now, h) {
 			continue
 		}
 		if h == j.lastHolder {
@@ -219,7 +221,7 @@
 	reserved := map[*medlargw.Resources]medlargw.Resources{}
 	for _, t := range queued {
 		for _, h := range c.byDistance {
-			if h == t.holder {
+			if h == t.holder || t.returnedLately(now, h) {
 				continue
 			}
 			if r := h.bestFit(t.job.job); r != nil {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -97,6 +97,7 @@
 		if state == medlargw.OfferRefused && !t.recalled {
 			t.refusals++
 		}
+		t.recordReturn(now)
 		c.detach(t)
 		if t.job.refusing {
 			c.refuseIfWithdrawn(now, t.job)
