Coordinator: reports to a former incarnation are ignored

Callers would see: a job that is answered as complete though a task of it has not succeeded, or a task that is started again while its run goes on. Cause: a home numbers its tasks from 1 in each incarnation. A report that was on its way when the entry started again was applied to the task with that number of the new incarnation. The report names the incarnation that it is for; nobody compared it. Ruled out: reports that are sent after the holder knows the new incarnation. Change: events for another incarnation are ignored. Before: TestReportToFormerIncarnationIsIgnored got 1 finished job. The other tests of the package name the home in their reports now.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -23,7 +23,10 @@
 	now time.Time
 }
 
-var holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
+var (
+	home   = medlargw.Peer{Host: "self", Zone: "z", Incarnation: 1}
+	holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
+)
 
 func newFixture(t *testing.T) *fixture {
 	settings := medlargw.LeaseSettings{
@@ -125,7 +128,7 @@
 	id := first.Offer.Tasks[0].ID
 	report := medlargw.Report{
 		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskUnknown}},
 	}
 	h.c.HandleReport(h.now, &report)
 	for _, o := range h.offers() {
@@ -150,7 +153,7 @@
 	id := first.Offer.Tasks[0].ID
 	h.c.HandleReport(h.now, &medlargw.Report{
 		From:  medlargw.Member{Host: successor.Host, Incarnation: successor.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskStarted}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskStarted}},
 	})
 	h.c.AbortAll(h.now, "the entry stood still")
 	cancelled := map[medlargw.HostName]bool{}
@@ -164,6 +167,23 @@
 	}
 }
 
+// TestReportToFormerIncarnationIsIgnored guards against the end of a task by the
+// report of another one: a report to the entry before its restart arrives after
+// it, and both incarnations have numbered their tasks from 1.
+func TestReportToFormerIncarnationIsIgnored(t *testing.T) {
+	h := newFixture(t)
+	first := h.submitStarted(1)
+	former := home
+	former.Incarnation = 99
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: holder.Host, Incarnation: holder.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: former, ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskSucceeded}},
+	})
+	if got := len(h.c.TakeActions(h.now).Finished); got != 0 {
+		t.Errorf("finished jobs: got %d, want 0", got)
+	}
+}
+
 // TestRefusalOnlyWhileNothingStarted checks that a job without capacity is
 // reported as not run only if none of its tasks was started.
 func TestRefusalOnlyWhileNothingStarted(t *testing.T) {
@@ -270,7 +290,7 @@
 		id := first.Offer.Tasks[0].ID
 		h.c.HandleReport(h.now, &medlargw.Report{
 			From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-			Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+			Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskUnknown}},
 		})
 		return id
 	}
@@ -315,7 +335,7 @@
 	})
 	h.c.HandleReport(h.now, &medlargw.Report{ // A late report aborts the job.
 		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
 	})
 	h.answer(&last, medlargw.OfferStarted)
 	for _, o := range h.offers() {
@@ -360,9 +380,8 @@
 // one that the task avoids, and another entry reports free resources.
 func TestReturnedTaskGoesToAnotherHolder(t *testing.T) {
 	h := newFixture(t)
-	own := medlargw.Peer{Host: "self", Zone: "z", Incarnation: 1}
-	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{own, holder}})
-	h.c.SetFreeResources(h.now, own.Incarnation, freeResources(1, 1))
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{home, holder}})
+	h.c.SetFreeResources(h.now, home.Incarnation, freeResources(1, 1))
 	h.c.Submit(h.now, job(1))
 	for sequence := range uint64(20) {
 		for _, o := range h.offers() {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -121,14 +121,15 @@
 	}
 }
 
-// HandleReport processes a holder's task events.
+// HandleReport processes a holder's task events. It ignores those for another
+// incarnation of this entry, which numbered its tasks alike.
 func (c *Coordinator) HandleReport(now time.Time, r *medlargw.Report) {
 	c.SetFreeResources(now, r.From.Incarnation, r.FreeResources)
 	from := c.holders[r.From.Incarnation]
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
-		if from == nil {
+		if from == nil || e.Home.Incarnation != c.self.Incarnation {
 			continue
 		}
 		if t == nil {
