Offers name the incarnation of the holder that they are meant for

Callers would see: a task that runs though its job was answered as not run or as given up, and at two targets at the same time when they submit the job again. Cause: an offer that is on its way while its holder starts again reaches the new incarnation at the same address. Its validity is a time on the clock of the former incarnation, so that it was valid for the new one however late it came. The new one started the tasks; the home dropped its reply, because of the other incarnation, and went on asking the former one. Ruled out: the validity of 0.4 s, which only holds on the clock that it refers to. Change: the offer carries the incarnation; another one answers without taking anything. Zero, from an older entry, is taken as before.

--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -60,7 +60,7 @@
 	if !probe && !due && !h.hasUpdates && len(h.cancels) == 0 {
 		return medlargw.Offer{}, false
 	}
-	o := medlargw.Offer{From: c.self, Cancels: h.cancels, Protocol: h.resources.Protocol}
+	o := medlargw.Offer{From: c.self, Holder: h.peer.Incarnation, Cancels: h.cancels, Protocol: h.resources.Protocol}
 	h.cancels = nil
 	if h.hasUpdates {
 		c.addTasks(now, h, &o)
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -149,8 +149,6 @@
 	}
 }
 
-// TestRecallArrivesAgain asserts that a task which was recalled before its
-// offer arrived is refused each time, and never reported as started.
 // TestStaleOffer asserts that an offer that arrives after the end of its
 // validity starts nothing, and that its reply is true for tasks that an earlier
 // copy of the offer has brought.
@@ -194,6 +192,8 @@
 	}
 }
 
+// TestRecallArrivesAgain asserts that a task which was recalled before its
+// offer arrived is refused each time, and never reported as started.
 func TestRecallArrivesAgain(t *testing.T) {
 	x := newFixture(t)
 	for range 2 {
@@ -207,6 +207,36 @@
 	}
 }
 
+// TestOfferToFormerIncarnation guards against a run that its home does not know:
+// an offer to the entry before its restart arrives after it, and the home ignores
+// the reply of the new incarnation.
+func TestOfferToFormerIncarnation(t *testing.T) {
+	tests := []struct {
+		name   string
+		holder medlargw.Incarnation
+		starts int
+	}{
+		{"this incarnation", self.Incarnation, 1},
+		{"a former incarnation", 99, 0},
+		{"not stated", 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			x.h.HandleOffer(x.now, 0, &medlargw.Offer{
+				From: medlargw.Member{Host: "home", Incarnation: 7}, Holder: test.holder, ValidUntil: time.Minute,
+				Tasks: []medlargw.OfferedTask{{
+					ID: 1, Run: medlargw.RunID{Task: "a", Attempt: 1}, Pool: "pool", Resources: medlargw.Resources{Cores: 14000},
+					Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
+				}},
+			})
+			if got := len(x.takeActions().Starts); got != test.starts {
+				t.Errorf("starts: got %d, want %d", got, test.starts)
+			}
+		})
+	}
+}
+
 // TestRejectedToken asserts that a holder whose token was rejected
 // starts nothing and claims the target again with a higher token only.
 func TestRejectedToken(t *testing.T) {
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -140,6 +140,7 @@
 		ValidUs: o.ValidUntil.Microseconds(),
 		Recalls: encodeIDs(o.Recalls),
 		Cancels: encodeIDs(o.Cancels),
+		Holder:  uint64(o.Holder),
 	}
 	for i := range o.Tasks {
 		task := encodeTask(&o.Tasks[i])
@@ -173,6 +174,7 @@
 		ValidUntil: microsToDuration(w.GetValidUs()),
 		Recalls:    decodeIDs(w.GetRecalls()),
 		Cancels:    decodeIDs(w.GetCancels()),
+		Holder:     medlargw.Incarnation(w.GetHolder()),
 	}
 	for _, task := range w.GetTasks() {
 		t := decodeTask(task)
--- a/messenger/offers_test.go
+++ b/messenger/offers_test.go
@@ -12,7 +12,7 @@
 
 // newOffer returns an offer of tasks with the given payloads.
 func newOffer(protocol int, payloads ...[]byte) medlargw.Offer {
-	o := medlargw.Offer{Protocol: protocol}
+	o := medlargw.Offer{Protocol: protocol, Holder: 9}
 	for i, p := range payloads {
 		o.Tasks = append(o.Tasks, medlargw.OfferedTask{ID: medlargw.TaskID(i + 1), Payload: p})
 	}
--- a/offer.go
+++ b/offer.go
@@ -38,6 +38,7 @@
 // that the home is alive.
 type Offer struct {
 	From       Member        // The home.
+	Holder     Incarnation   // Of the holder that the offer is meant for; zero is not stated.
 	ValidUntil time.Duration // End of validity on the holder's clock; afterwards the holder refuses the tasks. Zero is unknown.
 	Tasks      []OfferedTask
 	Recalls    []TaskID // Tasks to return if they have not been started.
