--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -168,6 +168,7 @@
 		r := byHome[to.Incarnation]
 		if to.Incarnation == c.self.Incarnation {
 			c.coord.HandleReport(now, r)
+			c.holder.ConfirmReports(now, r.Tasks)
 			continue
 		}
 		c.sendReport(to, r)
@@ -180,28 +181,28 @@
 	c.send(c.settings.Call, func(ctx context.Context) event {
 		err := c.messenger.Report(ctx, to.Addr, *r)
 		if err == nil {
-			return nil
+			return func(now time.Time) { c.holder.ConfirmReports(now, r.Tasks) }
 		}
 		return func(time.Time) { c.keepUnacked(r, err) }
 	})
 }
 
-// keepUnacked keeps the ends of tasks in a report that was not acknowledged,
-// unless its coordinator has left the group.
-// The coordinator processes an event only once, so that it can safely be sent
-// again.
+// keepUnacked keeps the events of a report that was not acknowledged, if they
+// must arrive and their coordinator has not left the group. The coordinator
+// processes an event only once, so that it can safely be sent again.
 func (c *Conductor) keepUnacked(r *medlargw.Report, err error) {
 	to := r.Tasks[0].Home
 	c.counters.unackedReports.Inc(1)
 	inGroup := c.inGroup(to.Incarnation)
 	ends, kept := 0, 0
-	for _, e := range r.Tasks {
-		if !e.Event.Terminal() {
+	for i := range r.Tasks {
+		e := &r.Tasks[i]
+		if !e.MustArrive() {
 			continue
 		}
 		ends++
 		if inGroup && len(c.unacked) < eventQueueSize {
-			c.unacked = append(c.unacked, e)
+			c.unacked = append(c.unacked, *e)
 			kept++
 		}
 	}
--- /dev/null
+++ b/conductor/handover_test.go
@@ -0,0 +1,97 @@
+package conductor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestUnansweredOfferIsHandedOver guards against two runs of a task with the
+// same attempt number: the reply to an offer is lost, the holder hands the
+// started tasks over to its successor, whose report is lost too, and the home
+// asks the former holder whether the tasks have started.
+func TestUnansweredOfferIsHandedOver(t *testing.T) {
+	for _, leaving := range []int{0, 1} {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("entry %d leaves, seed %d", leaving, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "b1"}, func(cl *cluster) {
+					home, former, successor := cl.entries[2], cl.entries[leaving], cl.entries[1-leaving]
+					cl.submit(home, "fill", 12, 250*time.Millisecond, 14000)
+					time.Sleep(10 * time.Millisecond)
+					cl.sim.setLinkDown(former.host, home.host, true)
+					cl.sim.setLinkDown(successor.host, home.host, true)
+					cl.submit(home, "job", 8, 900*time.Millisecond, 14000)
+					time.Sleep(20 * time.Millisecond)
+					cl.setGroups(former)
+					time.Sleep(100 * time.Millisecond)
+					cl.sim.setLinkDown(former.host, home.host, false)
+					time.Sleep(300 * time.Millisecond)
+					cl.sim.setLinkDown(successor.host, home.host, false)
+					time.Sleep(5 * time.Second)
+					for _, violation := range cl.sim.targets.Violations() {
+						t.Error(violation)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRunsOfUnansweredTransferGoOn guards against a second run of a task: a new
+// entry gets the transfer of targets but does not reach them, and the former
+// holder has no answer to the transfer and goes on renewing the lease.
+func TestRunsOfUnansweredTransferGoOn(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, []string{"a1", "b1"}, func(cl *cluster) {
+				former, home := cl.entries[0], cl.entries[1]
+				cl.submit(home, "fill", 12, 250*time.Millisecond, 14000)
+				time.Sleep(10 * time.Millisecond)
+				cl.submit(home, "job", 10, 1200*time.Millisecond, 14000)
+				time.Sleep(20 * time.Millisecond)
+				successor := cl.add("a2")
+				for _, target := range cl.sim.targets.Targets() {
+					cl.setHostDown(successor.host, string(target.Name), true)
+				}
+				cl.sim.setLinkDown(successor.host, former.host, true)
+				cl.setGroups()
+				time.Sleep(300 * time.Millisecond)
+				cl.sim.setLinkDown(former.host, successor.host, true)
+				time.Sleep(3 * time.Second)
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
+// TestLostReportOfHandover guards against a run that goes on unknown to its
+// home, and a second one when the caller submits the job again: the report that
+// the new holder has taken over is lost, and the former holder ends.
+func TestLostReportOfHandover(t *testing.T) {
+	for _, leaving := range []int{0, 1} {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("entry %d leaves, seed %d", leaving, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "b1"}, func(cl *cluster) {
+					home, former, successor := cl.entries[2], cl.entries[leaving], cl.entries[1-leaving]
+					cl.submit(home, "other", 18, 2400*time.Millisecond, 14000)
+					time.Sleep(10 * time.Millisecond)
+					cl.submit(home, "job", 14, 2400*time.Millisecond, 14000)
+					time.Sleep(20 * time.Millisecond)
+					cl.setGroups(former)
+					cl.sim.setLinkDown(successor.host, home.host, true)
+					time.Sleep(60 * time.Millisecond)
+					cl.sim.setLinkDown(successor.host, home.host, false)
+					time.Sleep(100 * time.Millisecond)
+					cl.stop(former)
+					cl.setGroups()
+					time.Sleep(6 * time.Second)
+					for _, violation := range cl.sim.targets.Violations() {
+						t.Error(violation)
+					}
+				})
+			})
+		}
+	}
+}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,10 @@
 	now time.Time
 }
 
-var holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
+var (
+	home   = medlargw.Peer{Host: "self", Zone: "z", Incarnation: 1}
+	holder = medlargw.Peer{Host: "h", Zone: "z", Incarnation: 2}
+)
 
 func newFixture(t *testing.T) *fixture { return newLoggedFixture(t, zap.NewNop()) }
 
@@ -126,7 +130,7 @@
 	id := first.Offer.Tasks[0].ID
 	report := medlargw.Report{
 		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskUnknown}},
 	}
 	h.c.HandleReport(h.now, &report)
 	for _, o := range h.offers() {
@@ -140,6 +144,48 @@
 	}
 }
 
+// TestCancelReachesFormerHolder guards against a run that goes on after its job
+// was given up: a holder whose transfer was not answered still holds the target
+// when the new holder reports that it has taken over.
+func TestCancelReachesFormerHolder(t *testing.T) {
+	h := newFixture(t)
+	successor := medlargw.Peer{Host: "successor", Zone: "z", Incarnation: 3}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, successor}})
+	first := h.submitStarted(1)
+	id := first.Offer.Tasks[0].ID
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: successor.Host, Incarnation: successor.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskStarted}},
+	})
+	h.c.AbortAll(h.now, "the entry stood still")
+	cancelled := map[medlargw.HostName]bool{}
+	for _, o := range h.offers() {
+		cancelled[o.To.Host] = slices.Contains(o.Offer.Cancels, id)
+	}
+	for _, p := range []medlargw.Peer{holder, successor} {
+		if !cancelled[p.Host] {
+			t.Errorf("cancel sent to %s: got none, want one", p.Host)
+		}
+	}
+}
+
+// TestReportToFormerIncarnationIsIgnored guards against the end of a task by the
+// report of another one: a report to the entry before its restart arrives after
+// it, and both incarnations have numbered their tasks from 1.
+func TestReportToFormerIncarnationIsIgnored(t *testing.T) {
+	h := newFixture(t)
+	first := h.submitStarted(1)
+	former := home
+	former.Incarnation = 99
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: holder.Host, Incarnation: holder.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: former, ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskSucceeded}},
+	})
+	if got := len(h.c.TakeActions(h.now).Finished); got != 0 {
+		t.Errorf("finished jobs: got %d, want 0", got)
+	}
+}
+
 // TestRefusalOnlyWhileNothingStarted checks that a job without capacity is
 // reported as not run only if none of its tasks was started.
 func TestRefusalOnlyWhileNothingStarted(t *testing.T) {
@@ -246,7 +292,7 @@
 		id := first.Offer.Tasks[0].ID
 		h.c.HandleReport(h.now, &medlargw.Report{
 			From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-			Tasks: []medlargw.TaskReport{{ID: id, Event: medlargw.TaskUnknown}},
+			Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskUnknown}},
 		})
 		return id
 	}
@@ -291,7 +337,7 @@
 	})
 	h.c.HandleReport(h.now, &medlargw.Report{ // A late report aborts the job.
 		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
 	})
 	h.answer(&last, medlargw.OfferStarted)
 	for _, o := range h.offers() {
@@ -330,3 +376,33 @@
 		h.c.SetFreeResources(h.now, former.Incarnation, freeResources(uint64(h.now.Sub(start)), 2))
 	})
 }
+
+// TestReturnedTaskGoesToAnotherHolder guards against a home that offers a task to
+// its own entry for ever, without any time passing: the only free target there is
+// one that the task avoids, and another entry reports free resources.
+func TestReturnedTaskGoesToAnotherHolder(t *testing.T) {
+	h := newFixture(t)
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{home, holder}})
+	h.c.SetFreeResources(h.now, home.Incarnation, freeResources(1, 1))
+	h.c.Submit(h.now, job(1))
+	for sequence := range uint64(20) {
+		for _, o := range h.offers() {
+			if len(o.Offer.Tasks) > 0 && o.To.Host == holder.Host {
+				return
+			}
+			reply := medlargw.OfferReply{Incarnation: o.To.Incarnation, FreeResources: freeResources(sequence+2, 1)}
+			for i := range o.Offer.Tasks {
+				state := medlargw.OfferRefused
+				if o.Offer.Tasks[i].MayQueue {
+					state = medlargw.OfferQueued
+				}
+				reply.States = append(reply.States, medlargw.OfferedState{ID: o.Offer.Tasks[i].ID, State: state})
+			}
+			for _, id := range o.Offer.Recalls {
+				reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: medlargw.OfferRefused})
+			}
+			h.c.HandleOfferReply(h.now, h.now, &o, &reply, nil)
+		}
+	}
+	t.Error("offers to the other entry after 20 rounds at one time: got none, want one")
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -100,6 +100,7 @@
 			t.refusals++
 		}
 		from, doubtful := t.holder, t.unanswered || state == medlargw.OfferExpired
+		t.recordReturn(now)
 		c.detach(t)
 		if t.job.refusing {
 			c.refuseIfWithdrawn(now, t.job)
@@ -127,7 +128,8 @@
 	}
 }
 
-// HandleReport processes a holder's task events.
+// HandleReport processes a holder's task events. It ignores those for another
+// incarnation of this entry, which numbered its tasks alike.
 func (c *Coordinator) HandleReport(now time.Time, r *medlargw.Report) {
 	c.SetFreeResources(now, r.From.Incarnation, r.FreeResources)
 	from := c.holders[r.From.Incarnation]
@@ -138,6 +140,9 @@
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
+		if from == nil || e.Home.Incarnation != c.self.Incarnation {
+			continue
+		}
 		if t == nil {
 			c.logFormerOffer(from, e)
 			if e.Event == medlargw.TaskStarted { // The job has ended in the meantime.
--- a/holder/home.go
+++ b/holder/home.go
@@ -25,12 +25,13 @@
 	prunedAt  time.Time // Last removal of old elements of ended.
 }
 
-// endedTask is the record of a task that has ended here or was returned.
+// endedTask is the record of a task that has ended here, was returned or was
+// handed over.
 type endedTask struct {
 	at     time.Time
-	report medlargw.TaskReport // Zero if the task was returned without a report.
+	report medlargw.TaskReport // Zero if there was none.
 	run    medlargw.RunID
-	to     medlargw.HostName // The new holder; empty unless the run was transferred.
+	to     medlargw.HostName // The new holder of the task's target; empty unless the run was handed over.
 }
 
 // jobTasks are the tasks of one job at this holder.
@@ -131,14 +132,19 @@
 			report.Elapsed = now.Sub(r.acked)
 		}
 	}
-	h.forget(now, w, "")
+	h.forget(now, w)
 	w.home.ended[w.offered.ID] = endedTask{at: now, report: report, run: w.offered.Run}
 	h.actions.Reports = append(h.actions.Reports, report)
 }
 
-// forget deletes a task and records it as returned without a report, or as
-// transferred to another holder.
-func (h *Holder) forget(now time.Time, w *task, to medlargw.HostName) {
+// forget deletes a task and records it as returned without a report.
+func (h *Holder) forget(now time.Time, w *task) {
+	w.home.remove(w)
+	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run}
+}
+
+// handOver deletes a task whose run the new holder of its target goes on with.
+func (h *Holder) handOver(now time.Time, w *task, to medlargw.HostName) {
 	w.home.remove(w)
 	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run, to: to}
 }
@@ -190,8 +196,8 @@
 		}
 		if !w.run.stopping {
 			stopped++
-			h.stopRun(now, w.run, reason)
 		}
+		h.abandonRun(now, w.run, reason)
 	}
 	if stopped > 0 {
 		h.log.Info("tasks of a home stopped", zap.String("home", string(m.peer.Host)), zap.String("reason", reason),
--- a/holder/log.go
+++ b/holder/log.go
@@ -13,7 +13,7 @@
 func (t *target) runFields(id medlargw.RunID) []zap.Field {
 	return []zap.Field{
 		zap.String("task", id.Task), zap.Int("attempt", id.Attempt), zap.String("target", string(t.info.Name)),
-		zap.Uint64("fence", t.token), zap.Uint64("seen", t.lastEnd),
+		zap.Uint64("fence", t.token), zap.Uint64("seen", t.ackable()),
 	}
 }
 
@@ -84,7 +84,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)), zap.String("reason", reason),
-		zap.Uint64("fence", t.token), zap.Uint64("seen", t.lastEnd), zap.Duration("lease", t.leaseEnd),
+		zap.Uint64("fence", t.token), zap.Uint64("seen", t.ackable()), zap.Duration("lease", t.leaseEnd),
 	}
 	if !t.clockAt.IsZero() {
 		fields = append(fields, zap.Duration("clock", t.clockLowerBound(now, h.settings.Drift)))
@@ -120,8 +120,13 @@
 }
 
 func (h *Holder) logTransferSent(t *target) {
-	fields := append(transferFields(&t.transferred), zap.String("to", string(t.transferredTo)),
-		zap.Int("kept", len(t.runs)-len(t.transferred.Runs)))
+	kept := 0
+	for _, r := range t.runs {
+		if r.task == nil || r.stopping {
+			kept++
+		}
+	}
+	fields := append(transferFields(&t.transferred), zap.String("to", string(t.transferredTo)), zap.Int("kept", kept))
 	if len(t.runs) > 0 {
 		h.log.Info("target transfer sent", fields...)
 		return
@@ -143,7 +148,7 @@
 func (h *Holder) logTransferReceived(t *target, transferred *medlargw.TransferredTarget, from medlargw.HostName) {
 	fields := append(transferFields(transferred), zap.String("from", string(from)))
 	if t.claimed {
-		fields = append(fields, zap.Uint64("own", t.token), zap.Uint64("acked", t.lastEnd), zap.Int("known", len(t.runs)))
+		fields = append(fields, zap.Uint64("own", t.token), zap.Uint64("acked", t.ackable()), zap.Int("known", len(t.runs)))
 	}
 	if t.claimed || len(transferred.Runs) > 0 {
 		h.log.Info("target transfer received", fields...)
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -9,10 +9,14 @@
 	"medlargw.example/medlargw"
 )
 
-// HandleOffer handles a home's offer. The parameter clock is the current time
+// HandleOffer handles a home's offer. One that is meant for a former incarnation of
+// this entry has no effect: its validity refers to another clock. The parameter clock is the current time
 // on this entry's clock, to which medlargw.Offer.ValidUntil refers.
 func (h *Holder) HandleOffer(now time.Time, clock time.Duration, o *medlargw.Offer) medlargw.OfferReply {
 	reply := medlargw.OfferReply{Incarnation: h.self.Incarnation, Clock: clock}
+	if o.Holder != 0 && o.Holder != h.self.Incarnation {
+		return reply // The home finds that its offer has not reached the holder.
+	}
 	stale := clock > o.ValidUntil
 	m := h.ensureHome(now, medlargw.Peer{Host: o.From.Host, Zone: o.From.Zone, Addr: o.From.Addr, Incarnation: o.From.Incarnation})
 	if !stale {
@@ -107,18 +111,23 @@
 	return added
 }
 
-// endedState returns the state of a task that has ended or was returned. It
-// repeats the report of an end, because the first one may have been lost.
+// endedState returns the state of a task that has ended, was returned or was
+// handed over. It repeats the report of an end, because the first one may have
+// been lost.
 func (h *Holder) endedState(m *home, id medlargw.TaskID) medlargw.OfferState {
 	e := m.ended[id]
-	if e.report.Home.Incarnation == 0 {
+	switch {
+	case e.to != "":
+		return medlargw.OfferStarted
+	case e.report.Home.Incarnation == 0:
 		return medlargw.OfferRefused
 	}
 	h.actions.Reports = append(h.actions.Reports, e.report)
 	return medlargw.OfferStarted
 }
 
-// hasEnded reports whether a task has ended here or was returned.
+// hasEnded reports whether a task has ended here, was returned or was handed
+// over.
 func (m *home) hasEnded(id medlargw.TaskID) bool {
 	_, ok := m.ended[id]
 	return ok
@@ -137,7 +146,7 @@
 		return medlargw.OfferQueued
 	}
 	h.dequeue(w)
-	h.forget(now, w, "")
+	h.forget(now, w)
 	return medlargw.OfferRefused
 }
 
@@ -154,15 +163,15 @@
 		return medlargw.OfferStarted
 	}
 	h.dequeue(w)
-	h.forget(now, w, "")
+	h.forget(now, w)
 	return medlargw.OfferRefused
 }
 
 // cancel stops a task that was started, and returns one that was not.
 func (h *Holder) cancel(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
 	state := h.recall(now, m, id)
-	if w := m.tasks[id]; w != nil && w.run != nil && !w.run.stopping {
-		h.stopRun(now, w.run, "cancelled")
+	if w := m.tasks[id]; w != nil && w.run != nil {
+		h.abandonRun(now, w.run, "cancelled")
 	}
 	return state
 }
--- a/messenger/offers_test.go
+++ b/messenger/offers_test.go
@@ -12,7 +12,7 @@
 
 // newOffer returns an offer of tasks with the given payloads.
 func newOffer(protocol int, payloads ...[]byte) medlargw.Offer {
-	o := medlargw.Offer{Protocol: protocol}
+	o := medlargw.Offer{Protocol: protocol, Holder: 9}
 	for i, p := range payloads {
 		o.Tasks = append(o.Tasks, medlargw.OfferedTask{ID: medlargw.TaskID(i + 1), Payload: p})
 	}
@@ -56,6 +56,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if got.Holder != o.Holder {
+				t.Errorf("incarnation of the holder: got %d, want %d", got.Holder, o.Holder)
+			}
 			for i, want := range test.payloads {
 				if !bytes.Equal(got.Tasks[i].Payload, want) {
 					t.Errorf("payload of task %d: got %d bytes, want %d", i, len(got.Tasks[i].Payload), len(want))
--- a/offer.go
+++ b/offer.go
@@ -38,6 +38,7 @@
 // that the home is alive.
 type Offer struct {
 	From       Member        // The home.
+	Holder     Incarnation   // Of the holder that the offer is meant for; zero is not stated.
 	ValidUntil time.Duration // End of validity on the holder's clock; afterwards the holder refuses the tasks. Zero is unknown.
 	Tasks      []OfferedTask
 	Recalls    []TaskID // Tasks to return if they have not been started.
@@ -116,8 +117,15 @@
 	Target  TargetName    // Where the task ran; empty if it was not started.
 	Elapsed time.Duration // Run time, if the run has ended.
 	Reason  string        // Cause of the event, for logs.
+	// TakenOver means that the run was started by another holder, which its home
+	// believes to hold it. It is not sent to the home.
+	TakenOver bool
 }
 
+// MustArrive reports whether the home has to learn of the event in any case: no
+// later message would tell it.
+func (r *TaskReport) MustArrive() bool { return r.Event.Terminal() || r.TakenOver }
+
 // Report carries events of tasks from a holder to the home of the tasks.
 type Report struct {
 	From          Member // The holder.
