--- a/coordinator/log_test.go
+++ b/coordinator/log_test.go
@@ -17,7 +17,7 @@
 func (h *fixture) report(from medlargw.Peer, id medlargw.TaskID, event medlargw.TaskEvent) {
 	h.c.HandleReport(h.now, &medlargw.Report{
 		From:  medlargw.Member{Host: from.Host, Incarnation: from.Incarnation},
-		Tasks: []medlargw.TaskReport{{ID: id, Event: event, Target: "t"}},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: event, Target: "t"}},
 	})
 }
 
