Coordinator: a task of a lost holder is repeated only if its job is idempotent

Callers would see: a task that has succeeded runs again, for jobs that must not. Cause: when a holder is lost, its runs have certainly ended 1.9 s after the last offer, but the home took "ended" for "ended without success". The end may have been read by the lost holder, or may be read by the one that claims the target after it. Ruled out: the acknowledgement of ends, which cannot help where nobody is left who knows the home of a run. Change: a job that is not idempotent is answered as lost at once when a holder is lost that may run a task of it. Before: TestLostHolderOfJob got 1 offer of a second attempt, want 0.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -245,7 +245,7 @@
 
 func (cl *cluster) submitOnce(e *entry, key string, tasks int, work time.Duration, cores int64) medlargw.Outcome {
 	job := &medlargw.Job{
-		RequestID: key, Service: medlargw.ServiceName(fmt.Sprintf("of-%d", tasks)), Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Grace: 60 * time.Millisecond,
+		Idempotent: true, RequestID: key, Service: medlargw.ServiceName(fmt.Sprintf("of-%d", tasks)), Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Grace: 60 * time.Millisecond,
 		Resources: medlargw.Resources{Cores: cores, Memory: 64}, EstimatedRuntime: work,
 		Arrived: time.Now(), Deadline: time.Now().Add(2500 * time.Millisecond),
 	}
--- a/conductor/congestion_test.go
+++ b/conductor/congestion_test.go
@@ -68,7 +68,7 @@
 		time.Sleep(time.Until(began.Add(j.at)))
 		e := cl.entries[i%len(cl.entries)]
 		m := &medlargw.Job{
-			RequestID: fmt.Sprintf("l%d", i), Service: "check", Pool: "pool", MaxAttempts: 2, SlackFactor: slackFactor, Grace: graceTime,
+			Idempotent: true, RequestID: fmt.Sprintf("l%d", i), Service: "check", Pool: "pool", MaxAttempts: 2, SlackFactor: slackFactor, Grace: graceTime,
 			Resources: medlargw.Resources{Cores: 1000, Memory: 1}, EstimatedRuntime: 60 * time.Millisecond,
 			Arrived: time.Now(), Deadline: time.Now().Add(1500 * time.Millisecond),
 		}
--- a/conductor/load_test.go
+++ b/conductor/load_test.go
@@ -120,7 +120,7 @@
 // medlargwJob returns the job as it is submitted, arriving now.
 func (j *loadJob) medlargwJob(key string) *medlargw.Job {
 	m := &medlargw.Job{
-		RequestID: key, Service: medlargw.ServiceName(kinds[j.kind].name), Pool: "pool", MaxAttempts: 2, Rank: j.kind,
+		Idempotent: true, RequestID: key, Service: medlargw.ServiceName(kinds[j.kind].name), Pool: "pool", MaxAttempts: 2, Rank: j.kind,
 		SlackFactor: slackFactor, Grace: graceTime, Resources: medlargw.Resources{Cores: j.cores, Memory: 64}, EstimatedRuntime: j.work,
 		Arrived: time.Now(), Deadline: time.Now().Add(j.deadline),
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -53,7 +53,7 @@
 
 func job(tasks int) *medlargw.Job {
 	j := &medlargw.Job{
-		RequestID: "k", Service: "s", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Grace: 60 * time.Millisecond,
+		RequestID: "k", Idempotent: true, Service: "s", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Grace: 60 * time.Millisecond,
 		Resources: medlargw.Resources{Cores: 14000}, EstimatedRuntime: 900 * time.Millisecond, Arrived: start, Deadline: start.Add(5 * time.Second),
 	}
 	for i := range tasks {
@@ -90,7 +90,7 @@
 
 // answer answers an offer with one state for all of its tasks.
 func (h *fixture) answer(o *medlargw.OfferCommand, state medlargw.OfferState) {
-	reply := medlargw.OfferReply{Incarnation: holder.Incarnation, Clock: h.now.Sub(start)}
+	reply := medlargw.OfferReply{Incarnation: o.To.Incarnation, Clock: h.now.Sub(start)}
 	for i := range o.Offer.Tasks {
 		reply.States = append(reply.States, medlargw.OfferedState{ID: o.Offer.Tasks[i].ID, State: state})
 	}
@@ -186,6 +186,46 @@
 	}
 }
 
+// TestLostHolderOfJob checks that a task whose holder is lost is started again
+// only if its job is idempotent: the run may have succeeded.
+func TestLostHolderOfJob(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		offers     int // Of the second attempt, to the other holder.
+		finished   int
+	}{
+		{"idempotent", true, 1, 0},
+		{"not idempotent", false, 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newFixture(t)
+			j := job(1)
+			j.Idempotent = test.idempotent
+			h.c.Submit(h.now, j)
+			h.answer(&h.offers()[0], medlargw.OfferStarted)
+			other := medlargw.Peer{Host: "other", Zone: "z", Incarnation: 3}
+			h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, other}})
+			h.c.SetFreeResources(h.now, other.Incarnation, freeResources(1, 1))
+			offers, finished := 0, 0
+			h.advance(3*time.Second, func() {
+				a := h.c.TakeActions(h.now)
+				finished += len(a.Finished)
+				for _, o := range a.Offers {
+					if o.To.Host == other.Host && len(o.Offer.Tasks) > 0 {
+						offers++
+						h.answer(&o, medlargw.OfferStarted)
+					}
+				}
+			})
+			if offers != test.offers || finished != test.finished {
+				t.Errorf("after the loss of the holder: got %d offers and %d finished jobs, want %d and %d", offers, finished, test.offers, test.finished)
+			}
+		})
+	}
+}
+
 // TestRefusalOnlyWhileNothingStarted checks that a job without capacity is
 // reported as not run only if none of its tasks was started.
 func TestRefusalOnlyWhileNothingStarted(t *testing.T) {
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -178,8 +178,9 @@
 }
 
 // markLost marks a holder as lost. Its tasks end by themselves within
-// selfStopDelay of the last offer; a job whose deadline leaves no time to wait
-// for that and to retry is aborted at once.
+// selfStopDelay of the last offer, but nobody can tell whether they have
+// succeeded. A job is aborted at once if it is not idempotent, or if its deadline
+// leaves no time to wait for that and to retry.
 func (c *Coordinator) markLost(now time.Time, h *holder) {
 	h.lost = true
 	all := h.sortedTasks()
@@ -191,7 +192,7 @@
 		if t.job.refusing {
 			t.job.refusing = false
 		}
-		if t.endedBy.Add(t.job.estimate).After(t.job.job.Deadline) {
+		if !t.job.job.Idempotent || t.endedBy.Add(t.job.estimate).After(t.job.job.Deadline) {
 			c.abort(now, t.job, medlargw.CodeAttemptLost, "the holder of its targets is lost")
 		}
 	}
