Coordinator: a former holder does not tell the end of a run that was taken over

Callers would see: a task that runs at two targets at the same time (rule TWICE). Cause: a report that a run was stopped was taken from any holder. One whose transfer was not answered, and that hears nothing from its targets any more, takes the run for stopped although the new holder goes on with it. Ruled out: the report that a run has succeeded or failed, which a holder reads from the target. Change: a former holder's report "stopped" is ignored like its report "unknown"; the new holder tells the end. Before: TestStoppedByFormerHolder got 1 offer after the former holder's report, want 0. After: none, and one after the new holder's report.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -169,6 +169,37 @@
 	}
 }
 
+// TestStoppedByFormerHolder guards against a second run of a task: a former holder
+// takes the run for stopped after another one has taken it over.
+func TestStoppedByFormerHolder(t *testing.T) {
+	h := newFixture(t)
+	successor := medlargw.Peer{Host: "successor", Zone: "z", Incarnation: 3}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, successor}})
+	id := h.submitStarted(1).Offer.Tasks[0].ID
+	report := func(from medlargw.Peer, event medlargw.TaskEvent) {
+		h.c.HandleReport(h.now, &medlargw.Report{
+			From:  medlargw.Member{Host: from.Host, Incarnation: from.Incarnation},
+			Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: event}},
+		})
+	}
+	offered := func() int {
+		n := 0
+		for _, o := range h.offers() {
+			n += len(o.Offer.Tasks)
+		}
+		return n
+	}
+	report(successor, medlargw.TaskStarted)
+	report(holder, medlargw.TaskStopped)
+	if got := offered(); got != 0 {
+		t.Errorf("offers after the report of the former holder: got %d, want 0", got)
+	}
+	report(successor, medlargw.TaskStopped)
+	if got := offered(); got != 1 {
+		t.Errorf("offers after the report of the new holder: got %d, want 1", got)
+	}
+}
+
 // TestReportToFormerIncarnationIsIgnored guards against the end of a task by the
 // report of another one: a report to the entry before its restart arrives after
 // it, and both incarnations have numbered their tasks from 1.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -150,8 +151,8 @@
 			}
 			continue
 		}
-		if t.holder != from && e.Event == medlargw.TaskUnknown {
-			continue // The task has moved to another holder since.
+		if t.holder != from && (e.Event == medlargw.TaskUnknown || e.Event == medlargw.TaskStopped && slices.Contains(t.formers, from)) {
+			continue // The task has moved to another holder since, which tells its end.
 		}
 		if t.holder != from {
 			c.logMoved(t, from, e)
