Holder: after a transfer, the end of a lease does not prove the end of a run

Cause: a holder that sent a transfer and hears nothing any more counted its leases as ended after their time. The transfer may have arrived, and the new holder renews them. Ruled out: runs that no transfer names; the new holder stops those and does not renew the lease until then. Change: runs that a transfer names end as unknown when the lease of this holder has ended.

--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -95,3 +95,30 @@
 		}
 	}
 }
+
+// TestFormerHolderIsCutOff guards against a second run of a task: a holder that
+// hears nothing any more after its transfer counts its leases as ended and says so
+// to the home, while the new holder renews them.
+func TestFormerHolderIsCutOff(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, []string{"a1", "a2", "b1"}, func(cl *cluster) {
+				former, successor, home := cl.entries[0], cl.entries[1], cl.entries[2]
+				cl.submit(home, "fill", 8, 250*time.Millisecond, 14000)
+				time.Sleep(10 * time.Millisecond)
+				cl.submit(home, "job", 14, 1300*time.Millisecond, 14000)
+				time.Sleep(50 * time.Millisecond)
+				cl.setGroups(former)
+				cl.sim.setLinkDown(successor.host, former.host, true)
+				cl.sim.setLinkDown(home.host, former.host, true)
+				for _, target := range cl.sim.targets.Targets() {
+					cl.sim.setLinkDown(string(target.Name), former.host, true)
+				}
+				time.Sleep(4 * time.Second)
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -109,7 +109,7 @@
 		h.dropTarget(t, "no longer listed")
 		return
 	case t.leasesEnded(now, &h.settings):
-		h.endAllRuns(now, t, "lease ended")
+		h.endLeases(now, t)
 	case t.unreachable(now, &h.settings):
 		h.abandonRuns(now, t, "the claim is not answered")
 	}
--- a/holder/order.go
+++ b/holder/order.go
@@ -170,7 +170,21 @@
 	}
 }
 
-// endRun removes a run whose end is proven, and ends its task.
+// endLeases ends all runs of a target after the end of the leases that this holder
+// knows. A new holder that has the transfer of a run may have renewed its lease.
+func (h *Holder) endLeases(now time.Time, t *target) {
+	h.logRunsEnded(now, t, "lease ended")
+	for _, r := range t.sortedRuns() {
+		if r.transferred {
+			h.endRun(now, r, medlargw.TaskUnknown, "lease ended after a transfer")
+			continue
+		}
+		h.endRun(now, r, medlargw.TaskStopped, "lease ended")
+	}
+}
+
+// endRun removes a run that has ended or may go on under another holder, and ends
+// its task.
 func (h *Holder) endRun(now time.Time, r *run, event medlargw.TaskEvent, reason string) {
 	r.target.removeRun(r)
 	if r.task != nil {
--- a/holder/target.go
+++ b/holder/target.go
@@ -30,6 +30,7 @@
 	acked     time.Time     // When the target confirmed the start; zero is not confirmed.
 	leaseEnd  time.Duration // End of the lease in its start order, on the target's clock.
 
+	transferred  bool // A transfer that may have arrived names the run.
 	stopping     bool
 	abandoned    bool // Its job was given up, and may be submitted again before the run has ended.
 	stopSent     time.Time
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -31,6 +31,7 @@
 		if r.task == nil || r.stopping {
 			continue // The new holder stops the runs that it does not know.
 		}
+		r.transferred = true
 		transferred.Runs = append(transferred.Runs, r.task.transferred(now))
 	}
 	for i := range t.pendingEnds {
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -86,3 +86,25 @@
 		t.Errorf("ends reported within 4 s without an answer to the claim: got %v, want one unknown", ends)
 	}
 }
+
+// TestLeaseAfterUnansweredTransfer guards against a second run of a task: a holder
+// whose transfer was not answered counts the lease as ended, while the new holder
+// renews it.
+func TestLeaseAfterUnansweredTransfer(t *testing.T) {
+	x := newFixture(t)
+	x.startRun(1)
+	transfer := x.release()
+	x.h.TransferAnswered(x.now, transfer, noAnswerError{})
+	var ends []medlargw.TaskEvent
+	for range 100 {
+		x.now = x.now.Add(20 * time.Millisecond)
+		x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+		x.h.Tick(x.now)
+		for _, e := range x.takeActions().Reports {
+			ends = append(ends, e.Event)
+		}
+	}
+	if len(ends) != 1 || ends[0] != medlargw.TaskUnknown {
+		t.Errorf("events within 2 s without any answer: got %v, want one unknown", ends)
+	}
+}
