Holder: the transfer of a target that is not listed yet is refused

Callers would see: a job that is answered only at its deadline, with 504, after an entry has started. Cause: an entry that has just started gets transfers before it has the host list. It ignored the targets that it did not know, and answered the transfer. The former holder forgot their runs; their leases ended, and nobody told the home. Ruled out: a transfer that is lost, which the former holder repeats. Change: such a transfer is refused as a whole, and the former holder keeps the targets and tries again, each 100 ms after a failure.

--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"medlargw.example/medlargw"
 )
 
 // TestUnansweredOfferIsHandedOver guards against two runs of a task with the
@@ -122,3 +124,32 @@
 		})
 	}
 }
+
+// TestTransferBeforeHostList guards against a job that is answered only at its
+// deadline: an entry that has just started gets a transfer before it has the list
+// of targets.
+func TestTransferBeforeHostList(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, []string{"a1", "b1"}, func(cl *cluster) {
+				cl.submit(cl.entries[0], "job", 10, 900*time.Millisecond, 14000)
+				time.Sleep(20 * time.Millisecond)
+				started := cl.add("a2")
+				g := medlargw.Group{}
+				for _, e := range cl.entries {
+					g.Entries = append(g.Entries, e.peer)
+				}
+				started.conductor.SetGroup(g) // Without targets.
+				for _, e := range cl.entries[:2] {
+					e.conductor.SetGroup(medlargw.Group{Entries: g.Entries, Targets: cl.sim.targets.Targets()})
+				}
+				time.Sleep(400 * time.Millisecond)
+				cl.setGroups()
+				time.Sleep(3 * time.Second)
+				if got := cl.outcomes[""]; got != 1 {
+					t.Errorf("complete jobs: got %d of %v, want 1", got, cl.outcomes)
+				}
+			})
+		})
+	}
+}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -38,8 +38,7 @@
 		if c.leaving() {
 			return errLeaving
 		}
-		c.holder.HandleTransfer(now, &t)
-		return nil
+		return c.holder.HandleTransfer(now, &t)
 	})
 }
 
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -80,7 +80,7 @@
 var faultMessages = []string{
 	"holder lost", "target does not answer", "target lost to a higher fencing token", "new incarnation of a target",
 	"the process stood still", "tasks of a home stopped", "target dropped", "not enrolled at the platform", "enrolment had ended", "leaving",
-	"runs of a target counted as ended", "target transfer failed", "target transfer ignored", "report not acknowledged",
+	"runs of a target counted as ended", "target transfer failed", "target transfer refused", "report not acknowledged",
 }
 
 // doubtMessages are the log messages on single tasks whose run may have gone on
--- a/holder/ends_test.go
+++ b/holder/ends_test.go
@@ -152,7 +152,7 @@
 			if got := acked(renewals); got != 0 && test.after < time.Second {
 				t.Errorf("acknowledged before the transfer: got %d, want 0", got)
 			}
-			x.h.HandleTransfer(x.now, transferred(1, run))
+			x.handOver(transferred(1, run))
 			got := events(x.takeActions().Reports)
 			if len(got) != 2 || got[0] != medlargw.TaskStarted || got[1] != test.want {
 				t.Errorf("events after the transfer: got %v, want started and %v", got, test.want)
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -284,7 +284,7 @@
 func TestTransferToAFencedHolder(t *testing.T) {
 	x := newFixture(t)
 	token := x.renewal.Renewal.FenceToken + 1<<24
-	x.h.HandleTransfer(x.now, &medlargw.Transfer{
+	x.handOver(&medlargw.Transfer{
 		From: medlargw.Member{Host: "other", Incarnation: 9},
 		Targets: []medlargw.TransferredTarget{{Name: "t", IncarnationStart: start, FenceToken: token, Runs: []medlargw.TransferredRun{{
 			Home: medlargw.Peer{Host: "home", Incarnation: 7},
--- a/holder/log_test.go
+++ b/holder/log_test.go
@@ -65,12 +65,12 @@
 		}, []string{"stale offer of a known task task=b home=home answer=started"}},
 		{"transfer after the claim", func(x *fixture) {
 			x.report(done(medlargw.RunID{Task: "b", Attempt: 1}))
-			x.h.HandleTransfer(x.now, transferred(1, medlargw.RunID{Task: "b", Attempt: 1}))
+			x.handOver(transferred(1, medlargw.RunID{Task: "b", Attempt: 1}))
 		}, []string{
 			"end of an unknown run task=b kind=done sequence=1 seen=0", "target transfer received from=former seen=0 acked=0",
 		}},
 		{"transfer of a run that has left no end", func(x *fixture) {
-			x.h.HandleTransfer(x.now, transferred(1, medlargw.RunID{Task: "b", Attempt: 1}))
+			x.handOver(transferred(1, medlargw.RunID{Task: "b", Attempt: 1}))
 		}, []string{
 			"target transfer received from=former seen=0 acked=0", "transferred run is gone task=b home=home seen=0",
 		}},
@@ -93,7 +93,7 @@
 			"run ended during the transfer of its target task=b to=successor kind=done sequence=1 seen=0",
 		}},
 		{"transferred run that is not listed", func(x *fixture) {
-			x.h.HandleTransfer(x.now, transferred(x.renewal.Renewal.FenceToken+1<<24, medlargw.RunID{Task: "b", Attempt: 1}))
+			x.handOver(transferred(x.renewal.Renewal.FenceToken+1<<24, medlargw.RunID{Task: "b", Attempt: 1}))
 			x.h.Tick(x.now)
 			x.takeActions()
 			x.now = x.now.Add(10 * time.Millisecond)
--- a/holder/target.go
+++ b/holder/target.go
@@ -66,6 +66,7 @@
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
 	releasing     bool      // Another entry should hold the target.
 	transferring  bool      // The transfer is in flight.
+	nextTransfer  time.Time // No transfer is sent before.
 	releaseTo     medlargw.Peer
 	transferred   medlargw.TransferredTarget // Content of that transfer.
 	transferredTo medlargw.HostName          // Receiver of that transfer.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -8,10 +9,13 @@
 	"medlargw.example/medlargw"
 )
 
+// transferRetry is the pause after a transfer that failed.
+const transferRetry = 100 * time.Millisecond
+
 // release starts the transfer of a target to its new owner once all its runs
 // are confirmed, and reports whether the target was removed.
 func (h *Holder) release(now time.Time, t *target) bool {
-	if t.transferring {
+	if t.transferring || now.Before(t.nextTransfer) {
 		return false
 	}
 	if !t.claimed {
@@ -80,6 +84,7 @@
 		}
 		t.transferring = false
 		if err != nil {
+			t.nextTransfer = now.Add(transferRetry)
 			h.log.Warn("target transfer failed", append(transferFields(transferred), zap.String("to", string(tr.To.Host)), zap.Error(err))...)
 			continue
 		}
@@ -108,18 +113,23 @@
 	h.removeTarget(t)
 }
 
-// HandleTransfer handles the transfer of targets and their runs to this entry.
-func (h *Holder) HandleTransfer(now time.Time, tr *medlargw.Transfer) {
+// HandleTransfer handles the transfer of targets and their runs to this entry. It
+// takes none of them and returns an error if this entry's host list lacks one: its
+// address is unknown, and its runs need the former holder until then.
+func (h *Holder) HandleTransfer(now time.Time, tr *medlargw.Transfer) error {
+	for i := range tr.Targets {
+		transferred := &tr.Targets[i]
+		if _, listed := h.listedTarget(transferred.Name); !listed && h.targets[transferred.Name] == nil {
+			h.log.Info("target transfer refused", append(transferFields(transferred), zap.String("from", string(tr.From.Host)))...)
+			return fmt.Errorf("transfer from %s: target %s is not listed", tr.From.Host, transferred.Name)
+		}
+	}
 	for i := range tr.Targets {
 		transferred := &tr.Targets[i]
 		h.tokens.observe(transferred.FenceToken)
 		t := h.targets[transferred.Name]
 		if t == nil {
-			info, ok := h.listedTarget(transferred.Name)
-			if !ok {
-				h.log.Info("target transfer ignored", append(transferFields(transferred), zap.String("from", string(tr.From.Host)))...)
-				continue
-			}
+			info, _ := h.listedTarget(transferred.Name)
 			t = newTarget(info)
 			h.addTarget(t)
 		}
@@ -133,6 +143,7 @@
 		}
 		h.takeOver(now, t, transferred)
 	}
+	return nil
 }
 
 // mergeTransfer handles the transfer of a target that this entry claimed before
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -65,13 +65,51 @@
 	return &medlargw.Transfer{From: medlargw.Member{Host: "former", Incarnation: 9}, Targets: []medlargw.TransferredTarget{target}}
 }
 
+// handOver passes the transfer to the holder, which must take it.
+func (x *fixture) handOver(tr *medlargw.Transfer) {
+	x.t.Helper()
+	if err := x.h.HandleTransfer(x.now, tr); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+// TestTransferOfUnlistedTarget guards against runs that nobody holds: an entry
+// that has just started does not know the target of a transfer yet, and its former
+// holder must keep it.
+func TestTransferOfUnlistedTarget(t *testing.T) {
+	x := newFixture(t)
+	token := x.renewal.Renewal.FenceToken + 1<<24
+	tr := transferred(token, medlargw.RunID{Task: "a", Attempt: 1})
+	other := tr.Targets[0]
+	other.Name = "other"
+	other.Runs = nil
+	tr.Targets = append(tr.Targets, other)
+	if err := x.h.HandleTransfer(x.now, tr); err == nil {
+		t.Error("transfer of a target that is not listed: got no error, want one")
+	}
+	if a := x.takeActions(); len(a.Reports) != 0 {
+		t.Errorf("reports after the refusal: got %v, want none", events(a.Reports))
+	}
+	x.h.SetGroup(x.now, medlargw.Group{
+		Entries: []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}},
+		Targets: []medlargw.Target{
+			{Name: "other", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}},
+			{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}},
+		},
+	})
+	x.handOver(tr)
+	if got := events(x.takeActions().Reports); len(got) != 1 || got[0] != medlargw.TaskStarted {
+		t.Errorf("reports after the list: got %v, want one started", got)
+	}
+}
+
 // TestUnclaimedRunsAreNotStopped guards against a second run of a task: a holder
 // that gets a target handed over and does not reach it counts the leases there
 // as ended, while the former holder renews them.
 func TestUnclaimedRunsAreNotStopped(t *testing.T) {
 	x := newFixture(t)
 	token := x.renewal.Renewal.FenceToken + 1<<24
-	x.h.HandleTransfer(x.now, transferred(token, medlargw.RunID{Task: "a", Attempt: 1}))
+	x.handOver(transferred(token, medlargw.RunID{Task: "a", Attempt: 1}))
 	var ends []medlargw.TaskEvent
 	for range 200 {
 		x.now = x.now.Add(20 * time.Millisecond)
