--- /dev/null
+++ b/conductor/search_entry_test.go
@@ -0,0 +1,389 @@
+package conductor_test
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/coordinator"
+	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/holder"
+	"medlargw.example/medlargw/pacer"
+)
+
+// Intervals of the conductor and of the membership.
+const (
+	searchBusyTick  = 20 * time.Millisecond
+	searchIdleTick  = 50 * time.Millisecond
+	searchStall     = time.Second
+	searchHeartbeat = 100 * time.Millisecond
+	searchMaxUnsent = 1024
+	searchMaxRounds = 100
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// searchHandler handles an event at an entry.
+type searchHandler func(now time.Time)
+
+// heardEntry is what an entry knows of a peer.
+type heardEntry struct {
+	peer medlargw.Peer
+	at   time.Time // When it was heard; zero if it has left.
+}
+
+// searchEntry does what package conductor does around the coordinator and the
+// holder of an entry, without goroutines.
+type searchEntry struct {
+	w         *searchWorld
+	host      string
+	peer      medlargw.Peer
+	self      medlargw.Member
+	settings  medlargw.LeaseSettings
+	startedAt time.Time
+
+	coord     *coordinator.Coordinator
+	holder    *holder.Holder
+	link      *pacer.Pacer
+	unacked   []medlargw.TaskReport
+	group     medlargw.Group
+	groupKey  string
+	resources medlargw.HolderResources
+	lastWake  time.Time
+
+	heard       []heardEntry // In the order of first hearing.
+	listLag     time.Duration
+	stopped     bool
+	frozenUntil time.Time
+	inbox       []searchHandler // Events during a freeze.
+}
+
+// addEntry starts an entry at a host, in place of its former incarnation.
+func (w *searchWorld) addEntry(host, zone string, number int, log *zap.Logger) {
+	w.lastIncarnation++
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 7000)
+	e := &searchEntry{
+		w: w, host: host, settings: leaseSettings(), startedAt: w.now, lastWake: w.now, link: pacer.New(0),
+		peer: medlargw.Peer{Host: medlargw.HostName(host), Zone: medlargw.ZoneName(zone), Addr: addr, Incarnation: w.lastIncarnation},
+		// The list of targets is read each second.
+		listLag: w.upTo(time.Second),
+	}
+	e.self = medlargw.Member{Host: e.peer.Host, Zone: e.peer.Zone, Addr: addr, Incarnation: e.peer.Incarnation}
+	log = log.Named(fmt.Sprintf("%s/%d", host, w.lastIncarnation))
+	e.coord = coordinator.New(log, e.settings, e.self, estimator.New(), e.link)
+	e.holder = holder.New(log, e.settings, e.self, e.link)
+	if number < len(w.entries) {
+		w.entries[number] = e
+	} else {
+		w.entries = append(w.entries, e)
+	}
+	w.log("%s starts as incarnation %d", host, w.lastIncarnation)
+	e.updateGroup()
+	w.after(w.upTo(searchBusyTick), e.tick)
+	w.after(w.upTo(searchHeartbeat), e.beat)
+}
+
+func (e *searchEntry) frozen() bool { return e.frozenUntil.After(e.w.now) }
+
+// post handles an event, after the end of a freeze.
+func (e *searchEntry) post(h searchHandler) {
+	switch {
+	case e.stopped:
+	case e.frozen():
+		e.inbox = append(e.inbox, h)
+	default:
+		e.handle(h)
+	}
+}
+
+func (e *searchEntry) handle(all ...searchHandler) {
+	now := e.readClock()
+	for _, h := range all {
+		h(now)
+	}
+	e.flush(now)
+}
+
+func (e *searchEntry) freeze(d time.Duration) {
+	e.frozenUntil = e.w.now.Add(d)
+	e.w.at(e.frozenUntil, func() {
+		all := e.inbox
+		e.inbox = nil
+		if e.stopped {
+			return
+		}
+		e.w.log("%s goes on", e.host)
+		if e.w.chance(0.5) {
+			e.handle(e.timeouts)
+		}
+		e.handle(all...)
+	})
+}
+
+func (e *searchEntry) uptime(now time.Time) time.Duration { return now.Sub(e.startedAt) }
+
+func (e *searchEntry) readClock() time.Time {
+	now := e.w.now
+	if now.Sub(e.lastWake) > searchStall {
+		e.coord.AbortAll(now, "the entry stood still")
+		e.holder.Tick(now)
+	}
+	e.lastWake = now
+	return now
+}
+
+func (e *searchEntry) tick() {
+	if e.stopped {
+		return
+	}
+	if e.frozen() {
+		e.w.at(e.frozenUntil, e.tick)
+		return
+	}
+	e.handle(e.timeouts)
+	if e.coord.AnyWaiting() || e.holder.HasPending() {
+		e.w.after(searchBusyTick, e.tick)
+		return
+	}
+	e.w.after(searchIdleTick, e.tick)
+}
+
+func (e *searchEntry) timeouts(now time.Time) {
+	e.holder.Tick(now)
+	e.coord.Tick(now)
+}
+
+// flush carries out the actions of both state machines until there are none.
+func (e *searchEntry) flush(now time.Time) {
+	if len(e.unacked) > 0 {
+		events := e.unacked
+		e.unacked = nil
+		e.sendReports(now, events)
+	}
+	changed := false
+	for round := 0; ; round++ {
+		if round == searchMaxRounds {
+			e.w.endless = append(e.w.endless, fmt.Sprintf("%s: got actions in each of %d rounds at one time, want an end", e.host, round))
+			break // The conductor would go on.
+		}
+		a, b := e.coord.TakeActions(now), e.holder.TakeActions()
+		if len(a.Offers)+len(a.Finished)+len(b.Starts)+len(b.Stops)+len(b.Renewals)+len(b.Reports)+len(b.Transfers) == 0 {
+			break
+		}
+		changed = true
+		for i := range a.Finished {
+			e.w.jobEnded(a.Finished[i].Job, &a.Finished[i].Outcome)
+		}
+		e.sendOrders(&b)
+		e.sendReports(now, b.Reports)
+		for i := range a.Offers {
+			e.sendOffer(now, &a.Offers[i])
+		}
+	}
+	if changed {
+		e.resources = e.holder.FreeResources(now)
+		e.coord.SetFreeResources(now, e.self.Incarnation, e.resources)
+	}
+}
+
+func (e *searchEntry) sendOrders(a *medlargw.HolderActions) {
+	for i := range a.Starts {
+		e.sendStart(&a.Starts[i])
+	}
+	for i := range a.Stops {
+		e.sendStop(&a.Stops[i])
+	}
+	for i := range a.Renewals {
+		e.sendRenewal(&a.Renewals[i])
+	}
+	for i := range a.Transfers {
+		e.sendTransfer(&a.Transfers[i])
+	}
+}
+
+func (e *searchEntry) sendStart(c *medlargw.StartCommand) {
+	w, name := e.w, c.Target.Name
+	w.log("%s sends start of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>24, name)
+	w.order(e, startMessage, name, e.settings.Order, func(respond func(searchHandler)) {
+		reply := medlargw.OrderReply{Status: medlargw.OrderUnhealthy}
+		if !w.chance(w.unused) {
+			reply = w.targets.Start(name, c.Order)
+		}
+		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>24, reply.Status)
+		w.targetChanged(name)
+		respond(func(now time.Time) { e.holder.StartAnswered(now, c, reply, nil) })
+	}, func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, errNoAnswer) })
+}
+
+func (e *searchEntry) sendStop(c *medlargw.StopCommand) {
+	w, name := e.w, c.Target.Name
+	w.log("%s sends stop of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>24, name)
+	w.order(e, stopMessage, name, e.settings.Order, func(respond func(searchHandler)) {
+		reply := w.targets.Stop(name, c.Order)
+		w.log("%s: stop of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>24, reply.Status)
+		w.targetChanged(name)
+		respond(func(now time.Time) { e.holder.StopAnswered(now, c, reply, nil) })
+	}, func(now time.Time) { e.holder.StopAnswered(now, c, medlargw.OrderReply{}, errNoAnswer) })
+}
+
+func (e *searchEntry) sendRenewal(c *medlargw.RenewCommand) {
+	w, name, sent := e.w, c.Target.Name, e.w.now
+	w.order(e, renewMessage, name, e.settings.Order+c.Renewal.MaxWait, func(respond func(searchHandler)) {
+		w.poll(&searchPoll{
+			name: name, renewal: c.Renewal, until: w.now.Add(c.Renewal.MaxWait),
+			respond: func(report medlargw.RunReport) {
+				if len(report.Active)+len(report.Ended) > 0 || report.Status != medlargw.OrderDone {
+					w.log("%s: renewal of %s with token %d and acked %d: %v, active %v, ended %v",
+						name, e.host, c.Renewal.FenceToken>>24, c.Renewal.AckedSequence, report.Status, report.Active, report.Ended)
+				}
+				respond(func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &report, nil) })
+			},
+		})
+	}, func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &medlargw.RunReport{}, errNoAnswer) })
+}
+
+// order sends an order or a renewal to a target.
+func (w *searchWorld) order(e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(func(searchHandler)), failed searchHandler) {
+	w.call(e, k, string(name), limit, func(respond func(searchHandler)) {
+		if until := w.delayed[name]; until.After(w.now) {
+			w.after(w.upTo(maxLateness), func() { serve(func(searchHandler) {}) })
+			return
+		}
+		serve(respond)
+	}, failed)
+}
+
+// peerCall sends a request to the entry at an address, whatever its incarnation.
+func (e *searchEntry) peerCall(k messageKind, to medlargw.HostName, serve func(receiver *searchEntry, now time.Time, respond func(searchHandler)), failed searchHandler) {
+	e.w.call(e, k, string(to), e.settings.Call, func(respond func(searchHandler)) {
+		receiver := e.w.entry(string(to))
+		if receiver == nil {
+			if e.w.chance(0.7) {
+				respond(failed) // The connection is refused.
+			}
+			return
+		}
+		receiver.post(func(now time.Time) { serve(receiver, now, respond) })
+	}, failed)
+}
+
+func (e *searchEntry) sendTransfer(t *medlargw.Transfer) {
+	w := e.w
+	w.log("%s sends transfer to %s: %s", e.host, t.To.Host, describeTransfer(t))
+	e.peerCall(transferMessage, t.To.Host, func(receiver *searchEntry, now time.Time, respond func(searchHandler)) {
+		if receiver.leaving() {
+			respond(func(now time.Time) { e.holder.TransferAnswered(now, t, errNoAnswer) })
+			return
+		}
+		w.log("%s takes transfer of %s: %s", receiver.host, e.host, describeTransfer(t))
+		receiver.holder.HandleTransfer(now, t)
+		respond(func(now time.Time) { e.holder.TransferAnswered(now, t, nil) })
+	}, func(now time.Time) { e.holder.TransferAnswered(now, t, errNoAnswer) })
+}
+
+func describeTransfer(t *medlargw.Transfer) string {
+	var s string
+	for i := range t.Targets {
+		t := &t.Targets[i]
+		s += fmt.Sprintf("%s token %d acked %d runs", t.Name, t.FenceToken>>24, t.AckedSequence)
+		for _, r := range t.Runs {
+			s += fmt.Sprintf(" %v", r.Task.Run)
+		}
+		s += "; "
+	}
+	return s
+}
+
+func (e *searchEntry) sendOffer(now time.Time, o *medlargw.OfferCommand) {
+	if o.To.Incarnation == e.self.Incarnation {
+		o.Offer.ValidUntil = e.uptime(now)
+		reply := e.holder.HandleOffer(now, e.uptime(now), &o.Offer)
+		e.logOffer("offers to itself", o, &reply)
+		e.coord.HandleOfferReply(now, now, o, &reply, nil)
+		return
+	}
+	e.logOffer("sends offer to "+string(o.To.Host), o, nil)
+	e.peerCall(offerMessage, o.To.Host, func(receiver *searchEntry, at time.Time, respond func(searchHandler)) {
+		reply := receiver.holder.HandleOffer(at, receiver.uptime(at), &o.Offer)
+		e.logOffer("has offer handled by "+receiver.host, o, &reply)
+		respond(func(at time.Time) { e.coord.HandleOfferReply(at, now, o, &reply, nil) })
+	}, func(at time.Time) { e.coord.HandleOfferReply(at, now, o, &medlargw.OfferReply{}, errNoAnswer) })
+}
+
+func (e *searchEntry) logOffer(what string, o *medlargw.OfferCommand, reply *medlargw.OfferReply) {
+	if len(o.Offer.Tasks)+len(o.Offer.Recalls)+len(o.Offer.Cancels) == 0 {
+		return
+	}
+	var tasks, states string
+	for i := range o.Offer.Tasks {
+		tasks += fmt.Sprintf(" %d=%v", o.Offer.Tasks[i].ID, o.Offer.Tasks[i].Run)
+	}
+	if reply != nil {
+		states = fmt.Sprintf(", states %v", reply.States)
+	}
+	e.w.log("%s %s: tasks%s, recalls %v, cancels %v%s", e.host, what, tasks, o.Offer.Recalls, o.Offer.Cancels, states)
+}
+
+// sendReports sends task events to the coordinators of their jobs.
+func (e *searchEntry) sendReports(now time.Time, events []medlargw.TaskReport) {
+	if len(events) == 0 {
+		return
+	}
+	resources := e.holder.FreeResources(now)
+	resources.Clock = e.uptime(now)
+	var reports []*medlargw.Report
+	for i := range events {
+		at := slices.IndexFunc(reports, func(r *medlargw.Report) bool { return r.Tasks[0].Home.Incarnation == events[i].Home.Incarnation })
+		if at < 0 {
+			at = len(reports)
+			reports = append(reports, &medlargw.Report{From: e.self, FreeResources: resources})
+		}
+		reports[at].Tasks = append(reports[at].Tasks, events[i])
+	}
+	for _, r := range reports {
+		if r.Tasks[0].Home.Incarnation == e.self.Incarnation {
+			e.w.log("%s reports to itself: %s", e.host, describeReport(r))
+			e.coord.HandleReport(now, r)
+			continue
+		}
+		e.sendReport(r)
+	}
+}
+
+func (e *searchEntry) sendReport(r *medlargw.Report) {
+	to := r.Tasks[0].Home.Host
+	e.w.log("%s sends report to %s: %s", e.host, to, describeReport(r))
+	e.peerCall(reportMessage, to, func(receiver *searchEntry, now time.Time, respond func(searchHandler)) {
+		e.w.log("%s gets report of %s: %s", receiver.host, e.host, describeReport(r))
+		receiver.coord.HandleReport(now, r)
+		respond(nil)
+	}, func(time.Time) { e.keepUnacked(r) })
+}
+
+func describeReport(r *medlargw.Report) string {
+	var s string
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		s += fmt.Sprintf("%d %v on %s (%s); ", t.ID, t.Event, t.Target, t.Reason)
+	}
+	return s
+}
+
+// keepUnacked keeps the ends of tasks in a report without an answer, as long as
+// the home is in the group.
+func (e *searchEntry) keepUnacked(r *medlargw.Report) {
+	home := r.Tasks[0].Home.Incarnation
+	if !slices.ContainsFunc(e.group.Entries, func(p medlargw.Peer) bool { return p.Incarnation == home }) {
+		return
+	}
+	for _, t := range r.Tasks {
+		if t.Event.Terminal() && len(e.unacked) < searchMaxUnsent {
+			e.unacked = append(e.unacked, t)
+		}
+	}
+}
--- /dev/null
+++ b/conductor/search_test.go
@@ -0,0 +1,309 @@
+package conductor_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"pgregory.net/rapid"
+
+	"medlargw.example/medlargw"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("17")
+	}
+	os.Exit(m.Run())
+}
+
+// disturbance is a kind of a searchFault.
+type disturbance int
+
+const (
+	plannedStop disturbance = iota
+	plannedStopTakenBack
+	lostEntry
+	cutEntries
+	cutOneWay
+	cutTarget
+	cutTargetAnswers
+	crashedTarget
+	slowTarget
+	hangingTarget
+	failingTarget
+	lateOrders
+	frozenEntry
+	unlistedTarget
+	disturbances // Number of kinds.
+)
+
+func (d disturbance) String() string {
+	return [...]string{
+		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
+		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target",
+	}[d]
+}
+
+// searchFault is a fault or a change of the group. Entry, Other and Target are
+// the numbers of an entry, of another entry and of a target.
+type searchFault struct {
+	Kind   disturbance
+	At     time.Duration // After the start of the jobs.
+	Entry  int
+	Other  int
+	Target int
+	Length time.Duration
+	Return time.Duration // Until a stopped entry starts again.
+}
+
+// Times of a check. Jobs and faults begin within searchActive, and the messages
+// are disturbed until then.
+const (
+	searchWarmUp   = 1200 * time.Millisecond
+	searchActive   = 4 * time.Second
+	searchLast     = 5 * time.Second // Time without jobs in which the last messages arrive.
+	searchLongest  = time.Minute
+	searchEntries  = 3
+	searchMaxSteps = 1 << 20
+)
+
+// TestOneRunAtATime checks that no target starts a task while another one runs
+// it, or after its job was answered as not run, and none beyond its resources;
+// and that all jobs get an outcome, which is true. Offers, reports, transfers,
+// orders, renewals and their answers are lost, late or overtake each other, and
+// entries and targets stop, start and are cut off.
+func TestOneRunAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, func(w *searchWorld) []string { return append(w.targets.Violations(), w.problems...) })
+	})
+}
+
+// TestNoRunAfterAcknowledgedSuccess checks that no task is started after a run of
+// it has succeeded in the same submission of its job, if that end is acknowledged
+// to the target: a holder has then read an end of which the home does not know.
+func TestNoRunAfterAcknowledgedSuccess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, func(w *searchWorld) []string { return w.targets.Repeats() })
+	})
+}
+
+// TestActionsEnd checks that the actions that follow an event come to an end: a
+// home and the holder of the same entry exchange offers without a pause.
+func TestActionsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, func(w *searchWorld) []string { return w.endless })
+	})
+}
+
+// runSearch plays one drawn course of events. It fails at the first broken rule.
+func runSearch(t *rapid.T, broken func(w *searchWorld) []string) {
+	w := newSearchWorld(rapid.Uint64().Draw(t, "seed"), t.Logf)
+	w.suspect = drawDuration(t, 300, 1200, "suspect")
+	w.indirect = rapid.Bool().Draw(t, "indirect")
+	w.listed = rapid.Bool().Draw(t, "listed")
+	w.unused = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "unhealthy")
+	fates := drawFates(t)
+	zones := rapid.SampledFrom([][]string{{"a", "a", "a"}, {"a", "a", "b"}}).Draw(t, "zones")
+	for i := range rapid.IntRange(1, 4).Draw(t, "targets") {
+		name := medlargw.TargetName(fmt.Sprintf("t%d", i))
+		w.names = append(w.names, name)
+		w.targets.Add(medlargw.Target{
+			Name: name, Zone: medlargw.ZoneName(zones[i%searchEntries]), Pool: "pool",
+			Resources: medlargw.Resources{Cores: 32000, Memory: 1 << 20},
+		})
+		w.targets.SetClockRate(name, []float64{1, 0.98}[i%2])
+	}
+	log := searchLogger(t)
+	for i := range searchEntries {
+		w.addEntry(fmt.Sprintf("e%d", i), zones[i], i, log)
+	}
+	jobs := rapid.SliceOfN(rapid.Custom(drawJob), 1, 10).Draw(t, "jobs")
+	faults := rapid.SliceOfN(rapid.Custom(drawFault), 0, 8).Draw(t, "faults")
+	w.after(searchWarmUp, func() {
+		w.fates = fates
+		for _, j := range jobs {
+			w.addCaller(j)
+		}
+		for _, f := range faults {
+			w.after(f.At, func() { w.disturb(f, log) })
+		}
+	})
+	w.after(searchWarmUp+searchActive+2*time.Second, func() { w.calm(log) })
+	w.run(t, broken)
+}
+
+// run runs all events until the callers have their answers and nothing is under
+// way.
+func (w *searchWorld) run(t *rapid.T, broken func(w *searchWorld) []string) {
+	last := w.start.Add(searchLongest)
+	for range searchMaxSteps {
+		w.step()
+		if all := broken(w); len(all) > 0 {
+			t.Fatalf("after %v: %s", w.now.Sub(w.start), all[0])
+		}
+		if last.Sub(w.now) > searchLast && w.now.Sub(w.start) > searchWarmUp+searchActive && w.allEnded() {
+			last = w.now.Add(searchLast)
+		}
+		if w.now.After(last) {
+			break
+		}
+	}
+	for _, c := range w.callers {
+		if !c.ended {
+			t.Fatalf("%s: got no outcome in %v, want one", c.key, w.now.Sub(w.start))
+		}
+	}
+}
+
+func (w *searchWorld) allEnded() bool {
+	for _, c := range w.callers {
+		if !c.ended {
+			return false
+		}
+	}
+	return len(w.callers) > 0
+}
+
+func drawDuration(t *rapid.T, least, most int, label string) time.Duration {
+	return time.Duration(rapid.IntRange(least, most).Draw(t, label)) * time.Millisecond
+}
+
+func drawJob(t *rapid.T) searchJob {
+	return searchJob{
+		At:       drawDuration(t, 0, int(searchActive.Milliseconds()), "at"),
+		Entry:    rapid.IntRange(0, 1).Draw(t, "entry"),
+		Tasks:    rapid.IntRange(1, 3).Draw(t, "tasks"),
+		Work:     drawDuration(t, 30, 900, "work"),
+		Cores:    int64(rapid.SampledFrom([]int{8000, 16000}).Draw(t, "cores")),
+		Deadline: time.Duration(rapid.SampledFrom([]int{1500, 5000, 10000}).Draw(t, "deadline")) * time.Millisecond,
+		Slack:    rapid.SampledFrom([]float64{1.6, 12}).Draw(t, "slack"),
+	}
+}
+
+func drawFault(t *rapid.T) searchFault {
+	return searchFault{
+		Kind:   disturbance(rapid.IntRange(0, int(disturbances)-1).Draw(t, "kind")),
+		At:     drawDuration(t, 0, int(searchActive.Milliseconds()), "at"),
+		Entry:  rapid.IntRange(0, searchEntries-1).Draw(t, "entry"),
+		Other:  rapid.IntRange(1, searchEntries-1).Draw(t, "other"),
+		Target: rapid.IntRange(0, 3).Draw(t, "target"),
+		Length: drawDuration(t, 10, 2500, "length"),
+		Return: drawDuration(t, 50, 3000, "return"),
+	}
+}
+
+// drawFates draws what happens to all messages, and to up to two kinds of them
+// more often.
+func drawFates(t *rapid.T) [messageKinds]messageFate {
+	var fates [messageKinds]messageFate
+	base := messageFate{
+		lost: rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "lost"),
+		late: rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "late"),
+		slow: rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "slow"),
+	}
+	base.maxDelay = drawDuration(t, 5, 900, "delay")
+	for k := range fates {
+		fates[k] = base
+	}
+	fates[heartbeatMessage].slow = 0
+	for range rapid.IntRange(0, 2).Draw(t, "special") {
+		f := &fates[rapid.IntRange(0, int(messageKinds)-1).Draw(t, "message")]
+		f.lost = rapid.SampledFrom([]float64{0, 0.3, 0.7}).Draw(t, "lost")
+		f.late = rapid.SampledFrom([]float64{0, 0.3, 0.7}).Draw(t, "late")
+		f.slow = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "slow")
+		f.maxDelay = drawDuration(t, 5, 900, "delay")
+	}
+	return fates
+}
+
+// disturb begins a fault.
+func (w *searchWorld) disturb(f searchFault, log *zap.Logger) {
+	e := w.entries[f.Entry]
+	other := w.entries[(f.Entry+f.Other)%searchEntries]
+	name := w.names[f.Target%len(w.names)]
+	w.log("%s: %s, %s, %s for %v", f.Kind, e.host, other.host, name, f.Length)
+	restart := func() { w.restart(f.Entry, log) }
+	switch f.Kind {
+	case plannedStop:
+		e.setLeaving(true)
+		w.after(f.Length, func() {
+			e.stop(true)
+			w.after(f.Return, restart)
+		})
+	case plannedStopTakenBack:
+		e.setLeaving(true)
+		w.after(f.Length/10, func() { e.setLeaving(false) })
+	case lostEntry:
+		e.stop(false)
+		w.after(f.Return, restart)
+	case cutEntries:
+		w.cut(e.host, other.host, f.Length)
+		w.cut(other.host, e.host, f.Length)
+	case cutOneWay:
+		w.cut(e.host, other.host, f.Length)
+	case cutTarget:
+		w.cut(e.host, string(name), f.Length)
+		w.cut(string(name), e.host, f.Length)
+	case cutTargetAnswers:
+		w.cut(string(name), e.host, f.Length)
+	case crashedTarget:
+		w.crash(name)
+	case slowTarget, hangingTarget, failingTarget:
+		w.targets.SetFaults(name, map[disturbance]medlargw.TargetFaults{
+			slowTarget: {SlowFactor: 4}, hangingTarget: {Hang: true}, failingTarget: {Fail: true},
+		}[f.Kind])
+		w.after(f.Length, func() { w.targets.SetFaults(name, medlargw.TargetFaults{}) })
+	case lateOrders:
+		w.delayed[name] = w.now.Add(f.Length)
+	case frozenEntry:
+		e.freeze(f.Length)
+		w.after(resendAfter, func() {
+			if e.frozen() {
+				w.abandon(e)
+			}
+		})
+	case unlistedTarget:
+		w.unlisted[name] = w.now.Add(f.Length)
+	}
+}
+
+// restart starts an entry that has stopped as a new incarnation.
+func (w *searchWorld) restart(number int, log *zap.Logger) {
+	if old := w.entries[number]; old.stopped {
+		w.addEntry(old.host, string(old.peer.Zone), number, log)
+	}
+}
+
+// calm ends all faults.
+func (w *searchWorld) calm(log *zap.Logger) {
+	w.log("calm")
+	w.fates = [messageKinds]messageFate{}
+	clear(w.cuts)
+	clear(w.delayed)
+	clear(w.unlisted)
+	for i := range w.entries {
+		w.restart(i, log)
+		if e := w.entries[i]; e.peer.Leaving {
+			e.setLeaving(false)
+		}
+	}
+	for _, name := range w.names {
+		w.targets.SetFaults(name, medlargw.TargetFaults{})
+	}
+}
+
+// searchLogger returns a logger that writes to the log of the check if
+// MEDLARGW_TRACE is set.
+func searchLogger(t *rapid.T) *zap.Logger {
+	if os.Getenv("MEDLARGW_TRACE") == "" {
+		return zap.NewNop()
+	}
+	encoder := zapcore.NewConsoleEncoder(zapcore.EncoderConfig{MessageKey: "msg", NameKey: "logger", EncodeName: zapcore.FullNameEncoder})
+	return zap.New(zapcore.NewCore(encoder, zapcore.AddSync(t.Output()), zap.DebugLevel))
+}
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -32,6 +32,8 @@
 	activeRuns        map[string]int  // Number of active runs by task.
 	notRun            map[string]bool // Tasks whose jobs were reported as not run.
 	violations        []string
+	submissions       map[submission]*history
+	repeats           []string
 	usefulCoreSeconds float64 // Core-seconds of successful runs.
 	wastedCoreSeconds float64 // Core-seconds of all other runs.
 }
@@ -41,10 +43,13 @@
 	info         medlargw.Target
 	startedAt    time.Time
 	fencingToken uint64
+	clockRate    float64
 	leaseEnd     time.Duration // On the clock of the target.
+	lapsedAt     time.Time     // When its lease last lapsed.
 	runs         map[medlargw.RunID]*run
 	highestEnded map[string]int    // Highest attempt that was stopped or has ended, by task.
 	pendingEnds  []medlargw.RunEnd // Not yet acknowledged by a renewal.
+	successes    []success         // Of pendingEnds.
 	lastEnd      uint64            // Sequence number of the last end.
 	changed      chan struct{}     // Closed and replaced when a run starts or ends.
 	faults       medlargw.TargetFaults
@@ -53,6 +58,7 @@
 // run is an active run.
 type run struct {
 	id        medlargw.RunID
+	of        submission
 	resources medlargw.Resources
 	startedAt time.Time
 	runTime   time.Duration
@@ -69,6 +75,8 @@
 		targets:    map[medlargw.TargetName]*target{},
 		activeRuns: map[string]int{},
 		notRun:     map[string]bool{},
+
+		submissions: map[submission]*history{},
 	}
 }
 
@@ -76,7 +84,7 @@
 func (im *Imitator) Add(info medlargw.Target) {
 	im.mu.Lock()
 	defer im.mu.Unlock()
-	t := &target{info: info}
+	t := &target{info: info, clockRate: 1}
 	im.reset(t)
 	im.targets[info.Name] = t
 }
@@ -86,9 +94,11 @@
 	t.info.IncarnationStart = t.startedAt
 	t.fencingToken = 0
 	t.leaseEnd = 0
+	t.lapsedAt = time.Time{}
 	t.runs = map[medlargw.RunID]*run{}
 	t.highestEnded = map[string]int{}
 	t.pendingEnds = nil
+	t.successes = nil
 	t.lastEnd = 0
 	t.changed = make(chan struct{})
 }
@@ -129,6 +139,13 @@
 	im.targets[name].faults = f
 }
 
+// SetClockRate sets how fast the clock of a target runs.
+func (im *Imitator) SetClockRate(name medlargw.TargetName, rate float64) {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	im.targets[name].clockRate = rate
+}
+
 // Faults returns the faults of a target.
 func (im *Imitator) Faults(name medlargw.TargetName) medlargw.TargetFaults {
 	im.mu.Lock()
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -1,6 +1,7 @@
 package imitator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,13 +11,18 @@
 
 // clock returns the time on the target's monotonic clock, which starts at zero
 // with each incarnation.
-func (im *Imitator) clock(t *target) time.Duration { return im.now().Sub(t.startedAt) }
+func (im *Imitator) clock(t *target) time.Duration {
+	return time.Duration(float64(im.now().Sub(t.startedAt)) * t.clockRate)
+}
 
 // endDueRuns ends the runs that are due to end, and stops the others if the
 // lease has expired.
 func (im *Imitator) endDueRuns(t *target) {
 	now := im.now()
-	leaseEnd := t.startedAt.Add(t.leaseEnd)
+	leaseEnd := t.startedAt.Add(time.Duration(float64(t.leaseEnd) / t.clockRate))
+	if leaseEnd.Before(now) {
+		t.lapsedAt = leaseEnd
+	}
 	for _, r := range t.runsByStart() {
 		switch {
 		case !r.endsAt.IsZero() && !r.endsAt.After(now) && !r.endsAt.After(leaseEnd):
@@ -32,7 +38,9 @@
 	for _, r := range t.runs {
 		all = append(all, r)
 	}
-	slices.SortFunc(all, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
+	slices.SortFunc(all, func(a, b *run) int {
+		return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.id.Task, b.id.Task), cmp.Compare(a.id.Attempt, b.id.Attempt))
+	})
 	return all
 }
 
@@ -43,6 +51,9 @@
 	t.highestEnded[r.id.Task] = max(t.highestEnded[r.id.Task], r.id.Attempt)
 	t.lastEnd++
 	t.pendingEnds = append(t.pendingEnds, medlargw.RunEnd{Sequence: t.lastEnd, Run: r.id, Kind: kind})
+	if kind == medlargw.RunSucceeded {
+		im.recordSuccess(t, r)
+	}
 	t.notifyWaiters()
 }
 
@@ -91,6 +102,8 @@
 	if im.notRun[task] {
 		im.addViolation("task %s: started after its job was refused", task)
 	}
+	of := submission{task: task, payload: string(o.Payload)}
+	im.recordStart(t, o.Run, of)
 	work := im.describe(task, o.Payload)
 	used := work.Resources
 	for _, r := range t.runs {
@@ -102,7 +115,7 @@
 	if t.faults.SlowFactor > 0 {
 		work.RunTime = time.Duration(float64(work.RunTime) * t.faults.SlowFactor)
 	}
-	r := &run{id: o.Run, resources: work.Resources, startedAt: im.now(), runTime: work.RunTime}
+	r := &run{id: o.Run, of: of, resources: work.Resources, startedAt: im.now(), runTime: work.RunTime}
 	if !t.faults.Hang {
 		r.endsAt = r.startedAt.Add(work.RunTime)
 	}
@@ -156,6 +169,13 @@
 	}
 }
 
+// Report renews the lease and returns a report at once, whatever n.MaxWait is,
+// with the time until the next run is due to end.
+func (im *Imitator) Report(name medlargw.TargetName, n medlargw.Renewal) (medlargw.RunReport, time.Duration) {
+	report, _, next := im.report(name, &n)
+	return report, next
+}
+
 // report applies the renewal. It returns the report, a channel that is closed
 // when the next run starts or ends, and the time until the next run is due to
 // end.
@@ -171,6 +191,7 @@
 	}
 	t.fencingToken = n.FenceToken
 	t.leaseEnd = max(t.leaseEnd, min(n.LeaseEnd, report.Clock+maxLease))
+	im.recordAck(t, n.AckedSequence)
 	t.pendingEnds = slices.DeleteFunc(t.pendingEnds, func(e medlargw.RunEnd) bool { return e.Sequence <= n.AckedSequence })
 	report.Ended = slices.Clone(t.pendingEnds)
 	next := maxLease
