--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -165,6 +165,7 @@
 		r := byHome[to.Incarnation]
 		if to.Incarnation == c.self.Incarnation {
 			c.coord.HandleReport(now, r)
+			c.holder.ConfirmReports(now, r.Tasks)
 			continue
 		}
 		c.sendReport(to, r)
@@ -177,24 +178,24 @@
 	c.send(c.settings.Call, func(ctx context.Context) event {
 		err := c.messenger.Report(ctx, to.Addr, *r)
 		if err == nil {
-			return nil
+			return func(now time.Time) { c.holder.ConfirmReports(now, r.Tasks) }
 		}
 		return func(time.Time) { c.keepUnacked(r, err) }
 	})
 }
 
-// keepUnacked keeps the ends of tasks in a report that was not acknowledged.
-// The coordinator processes an event only once, so that it can safely be sent
-// again.
+// keepUnacked keeps the events of a report that was not acknowledged, if they
+// must arrive. The coordinator processes an event only once, so that it can safely
+// be sent again.
 func (c *Conductor) keepUnacked(r *medlargw.Report, err error) {
 	to := r.Tasks[0].Home
 	if !c.inGroup(to.Incarnation) {
 		c.log.Debug("dropped report to a coordinator that left the group", zap.String("home", string(to.Host)), zap.Error(err))
 		return
 	}
-	for _, e := range r.Tasks {
-		if e.Event.Terminal() && len(c.unacked) < eventQueueSize {
-			c.unacked = append(c.unacked, e)
+	for i := range r.Tasks {
+		if r.Tasks[i].MustArrive() && len(c.unacked) < eventQueueSize {
+			c.unacked = append(c.unacked, r.Tasks[i])
 		}
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -14,7 +14,7 @@
 // The holder's account of the resources is exact: a run takes its resources
 // from the creation of its start order until its end is proven. An end is
 // proven by the target's report, by a new incarnation of the target, or by the
-// expiry of the lease on the target's own clock.
+// expiry of the lease on the target's own clock after the claim was answered.
 //
 // The holder is a state machine without I/O. The time is an argument of each
 // event, and the messages to send are collected until TakeActions is called.
@@ -110,11 +110,14 @@
 		return
 	case t.leasesEnded(now, &h.settings):
 		h.endAllRuns(now, t, "lease ended")
+	case t.unreachable(now, &h.settings):
+		h.abandonRuns(now, t, "the claim is not answered")
 	}
 	if t.releasing && h.release(now, t) {
 		return
 	}
 	h.resendStops(now, t)
+	t.dropPendingEnds(now, h.settings.Silence)
 	if !t.renewing && !now.Before(t.nextRenew) {
 		h.renew(now, t)
 	}
@@ -155,7 +158,7 @@
 	}
 	busy := h.pacer.Busy(now)
 	for _, t := range h.sorted {
-		if !t.usable(now, h.settings.Unlisted) {
+		if !t.usable(now, &h.settings) {
 			continue
 		}
 		p := pool(t.info.Pool)
--- a/holder/place.go
+++ b/holder/place.go
@@ -43,7 +43,7 @@
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
 	var best *target
 	for _, t := range h.sorted {
-		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, h.settings.Unlisted) {
+		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, &h.settings) {
 			continue
 		}
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
@@ -103,3 +103,12 @@
 	order := medlargw.StopOrder{Run: r.id, FenceToken: r.target.token}
 	h.actions.Stops = append(h.actions.Stops, medlargw.StopCommand{Target: r.target.info, Order: order})
 }
+
+// abandonRun stops a run whose job was given up. Its home doesn't wait for the
+// proof of its end.
+func (h *Holder) abandonRun(now time.Time, r *run, reason string) {
+	r.abandoned = true
+	if !r.stopping {
+		h.stopRun(now, r, reason)
+	}
+}
--- a/holder/report.go
+++ b/holder/report.go
@@ -18,19 +18,20 @@
 // renew sends the next renewal, or the claim of a target that is not claimed.
 func (h *Holder) renew(now time.Time, t *target) {
 	t.renewing = true
+	t.awaitsConfirm = false
 	if !t.claimed {
 		t.token = h.tokens.next()
 		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{
 			Target:  t.info,
-			Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.lastEnd},
+			Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()},
 		})
 		return
 	}
-	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.lastEnd, MaxWait: h.pollWait(now, t)}
+	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable(), MaxWait: h.pollWait(now, t)}
 	if t.failedRenewals > 0 {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
-	if now.Sub(t.lastAnswer) < h.settings.Lease/2 {
+	if now.Sub(t.lastAnswer) < h.settings.Lease/2 && !t.mustLapse(now, &h.settings) {
 		renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease
 		t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
 	}
@@ -86,13 +87,12 @@
 		h.renewalFailed(now, t, nil)
 		return
 	}
-	h.renewalAnswered(now, t)
+	h.renewalAnswered(now, t, report)
 	h.checkIncarnation(t, report)
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
 	h.handleActive(now, sent, t, report)
-	t.nextRenew = now
-	h.renew(now, t)
+	h.scheduleRenewal(now, t)
 	h.place(now)
 }
 
@@ -110,7 +110,7 @@
 	t.nextRenew = now.Add(retry)
 }
 
-func (h *Holder) renewalAnswered(now time.Time, t *target) {
+func (h *Holder) renewalAnswered(now time.Time, t *target, report *medlargw.RunReport) {
 	if t.failedRenewals > 0 && t.claimed {
 		h.log.Info("target answers again", zap.String("target", string(t.info.Name)), zap.Duration("silent", now.Sub(t.lastAnswer)))
 	}
@@ -118,6 +118,8 @@
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
+		t.claimedAt = now
+		t.leaseEnd = max(t.leaseEnd, report.Clock+h.settings.Longest) // A former holder may have renewed the lease until now.
 		h.log.Debug("target claimed", zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token))
 	}
 }
@@ -135,6 +137,7 @@
 	}
 	t.incarnationStart = report.IncarnationStart
 	t.lastEnd = 0
+	t.pendingEnds = nil
 	t.leaseEnd = report.Clock + h.settings.Longest
 	t.health = newHealth()
 }
@@ -147,9 +150,13 @@
 			continue
 		}
 		t.lastEnd = e.Sequence
-		if r := t.runs[e.Run]; r != nil {
-			h.handleEnd(now, t, r, e.Kind)
+		r := t.runs[e.Run]
+		if r == nil {
+			t.addPendingEnd(now, *e, nil)
+			continue
 		}
+		t.addPendingEnd(now, *e, r.task)
+		h.handleEnd(now, t, r, e.Kind)
 	}
 }
 
@@ -208,7 +215,7 @@
 	h.log.Info("unknown run stopped", zap.String("task", id.Task), zap.Int("attempt", id.Attempt), zap.String("target", string(t.info.Name)))
 	r := &run{id: id, target: t, state: runRunning, sent: now, acked: now}
 	t.addRun(r)
-	h.stopRun(now, r, "unknown")
+	h.abandonRun(now, r, "unknown")
 }
 
 // handleAbsent handles a run that a report does not list. The absence proves
--- a/holder/target.go
+++ b/holder/target.go
@@ -31,6 +31,7 @@
 	leaseEnd  time.Duration // End of the lease in its start order, on the target's clock.
 
 	stopping     bool
+	abandoned    bool // Its job was given up, and may be submitted again before the run has ended.
 	stopSent     time.Time
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why the run is stopped.
@@ -45,17 +46,20 @@
 	token            uint64
 	incarnationStart time.Time
 	lastEnd          uint64             // Sequence number of the last end that was processed.
+	pendingEnds      []pendingEnd       // Ends that must not be acknowledged yet, in the order of their numbers.
 	free             medlargw.Resources // Resources that no run takes; may be negative.
 	runs             map[medlargw.RunID]*run
 
 	clock    time.Duration // The target's clock in its last answer.
 	clockAt  time.Time     // Arrival of that answer; zero is never.
-	leaseEnd time.Duration // The latest end of a lease in any order sent.
+	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
 
 	renewing       bool
+	awaitsConfirm  bool // The next renewal waits until homes have confirmed ends.
 	nextRenew      time.Time
+	claimedAt      time.Time // When the claim was answered.
 	lastAnswer     time.Time // Arrival of the last answer.
-	transferredAt  time.Time // When it was transferred to this entry; zero is never.
+	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
 
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
@@ -118,10 +122,11 @@
 	return false
 }
 
-// usable reports whether new runs may be started on the target.
-func (t *target) usable(now time.Time, unlisted time.Duration) bool {
+// usable reports whether new runs may be started on the target. A start order
+// renews the lease too.
+func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && !t.info.Draining && !t.releasing && t.failedRenewals == 0 &&
-		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, unlisted)
+		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
 // updateClock records the arrival of an answer, and the target's clock in it.
@@ -139,16 +144,28 @@
 }
 
 // leasesEnded reports whether all leases of runs on the target have certainly
-// ended. The leases from a former holder began before the transfer.
+// ended. Until the target has answered the claim, a former holder may renew them.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	if len(t.runs) == 0 {
-		return false
-	}
-	formerEnded := now.Sub(t.transferredAt) > time.Duration(float64(s.Lease)*(1+s.Drift))+leaseEndMargin
-	if t.clockAt.IsZero() {
-		return !t.transferredAt.IsZero() && formerEnded
+	return len(t.runs) > 0 && t.claimed && !t.clockAt.IsZero() &&
+		t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin
+}
+
+// unreachable reports whether the target has runs that a former holder
+// transferred, and has not answered the claim for the length of a lease.
+func (t *target) unreachable(now time.Time, s *medlargw.LeaseSettings) bool {
+	return len(t.runs) > 0 && !t.claimed && now.Sub(t.transferredAt) > s.Lease
+}
+
+// mustLapse reports whether the lease must not be renewed: the stop of an abandoned
+// run is not answered, or the home of a run is silent. Its caller may submit the
+// job again soon. If the stop is lost, the other runs on the target end too.
+func (t *target) mustLapse(now time.Time, s *medlargw.LeaseSettings) bool {
+	for _, r := range t.runs {
+		if r.abandoned && r.stopAnswered.IsZero() || r.task != nil && now.Sub(r.task.home.lastHeard) > s.Silence {
+			return true
+		}
 	}
-	return formerEnded && t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin
+	return false
 }
 
 // delisted reports whether the target has left the host list and is no longer
