--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -360,6 +360,7 @@
 		if r.Tasks[0].Home.Incarnation == e.self.Incarnation {
 			e.w.log("%s reports to itself: %s", e.host, lazyString(func() string { return describeReport(r) }))
 			e.coord.HandleReport(now, r)
+			e.holder.ConfirmReports(now, r.Tasks)
 			continue
 		}
 		e.sendReport(r)
@@ -372,7 +373,7 @@
 	e.peerCall(reportMessage, to, func(receiver *searchEntry, now time.Time, respond func(searchHandler)) {
 		e.w.log("%s gets report of %s: %s", receiver.host, e.host, lazyString(func() string { return describeReport(r) }))
 		receiver.coord.HandleReport(now, r)
-		respond(nil)
+		respond(func(now time.Time) { e.holder.ConfirmReports(now, r.Tasks) })
 	}, func(time.Time) { e.keepUnacked(r) })
 }
 
@@ -385,16 +386,16 @@
 	return s
 }
 
-// keepUnacked keeps the ends of tasks in a report without an answer, as long as
-// the home is in the group.
+// keepUnacked keeps the events of a report without an answer that must arrive, as
+// long as the home is in the group.
 func (e *searchEntry) keepUnacked(r *medlargw.Report) {
 	home := r.Tasks[0].Home.Incarnation
 	if !slices.ContainsFunc(e.group.Entries, func(p medlargw.Peer) bool { return p.Incarnation == home }) {
 		return
 	}
-	for _, t := range r.Tasks {
-		if t.Event.Terminal() && len(e.unacked) < searchMaxUnsent {
-			e.unacked = append(e.unacked, t)
+	for i := range r.Tasks {
+		if r.Tasks[i].MustArrive() && len(e.unacked) < searchMaxUnsent {
+			e.unacked = append(e.unacked, r.Tasks[i])
 		}
 	}
 }
