--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -136,6 +136,9 @@
 	c.counters.offers.Inc(1)
 	c.send(c.settings.Call, func(ctx context.Context) event {
 		reply, err := c.messenger.Offer(ctx, o.To.Addr, o.Offer)
+		if err != nil {
+			c.counters.unansweredOffers.Inc(1)
+		}
 		return func(at time.Time) { c.coord.HandleOfferReply(at, now, o, &reply, err) }
 	})
 }
@@ -185,19 +188,27 @@
 }
 
 // keepUnacked keeps the events of a report that was not acknowledged, if they
-// must arrive. The coordinator processes an event only once, so that it can safely
-// be sent again.
+// must arrive and their coordinator has not left the group. The coordinator
+// processes an event only once, so that it can safely be sent again.
 func (c *Conductor) keepUnacked(r *medlargw.Report, err error) {
 	to := r.Tasks[0].Home
-	if !c.inGroup(to.Incarnation) {
-		c.log.Debug("dropped report to a coordinator that left the group", zap.String("home", string(to.Host)), zap.Error(err))
-		return
-	}
+	c.counters.unackedReports.Inc(1)
+	inGroup := c.inGroup(to.Incarnation)
+	ends, kept := 0, 0
 	for i := range r.Tasks {
-		if r.Tasks[i].MustArrive() && len(c.unacked) < eventQueueSize {
-			c.unacked = append(c.unacked, r.Tasks[i])
+		e := &r.Tasks[i]
+		if !e.MustArrive() {
+			continue
+		}
+		ends++
+		if inGroup && len(c.unacked) < eventQueueSize {
+			c.unacked = append(c.unacked, *e)
+			kept++
 		}
 	}
+	if ends > 0 {
+		c.log.Info("report not acknowledged", zap.String("home", string(to.Host)), zap.Int("ends", ends), zap.Int("kept", kept), zap.Error(err))
+	}
 }
 
 // inGroup reports whether the incarnation is in the current group of entries.
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -164,7 +164,9 @@
 	}
 	for _, t := range h.sortedTasks() {
 		if !t.endedBy.IsZero() && !now.Before(t.endedBy) {
+			attempt := t.attempt
 			c.retry(now, t, "")
+			c.logEndedByTime(now, t, attempt, h)
 		}
 	}
 }
@@ -176,19 +178,21 @@
 }
 
 // markLost marks a holder as lost. Its tasks end by themselves within
-// selfStopDelay of the last offer; a job whose deadline leaves no time to wait
-// for that and to retry is aborted at once.
+// selfStopDelay of the last offer, but nobody can tell whether they have
+// succeeded. A job is aborted at once if it is not idempotent, or if its deadline
+// leaves no time to wait for that and to retry.
 func (c *Coordinator) markLost(now time.Time, h *holder) {
 	h.lost = true
 	all := h.sortedTasks()
-	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.lastAnswered)), zap.Int("tasks", len(all)))
+	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.lastAnswered)),
+		zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))
 	for _, t := range all {
 		t.endedBy = h.lastSent.Add(c.selfStopDelay())
 		t.job.started = true // The holder may have received the offer.
 		if t.job.refusing {
 			t.job.refusing = false
 		}
-		if t.endedBy.Add(t.job.estimate).After(t.job.job.Deadline) {
+		if !t.job.job.Idempotent || t.endedBy.Add(t.job.estimate).After(t.job.job.Deadline) {
 			c.abort(now, t.job, medlargw.CodeAttemptLost, "the holder of its targets is lost")
 		}
 	}
--- a/holder/home.go
+++ b/holder/home.go
@@ -28,9 +28,10 @@
 // endedTask is the record of a task that has ended here, was returned or was
 // handed over.
 type endedTask struct {
-	at         time.Time
-	handedOver bool                // The task runs on a target that has a new holder.
-	report     medlargw.TaskReport // Zero if there was none.
+	at     time.Time
+	report medlargw.TaskReport // Zero if there was none.
+	run    medlargw.RunID
+	to     medlargw.HostName // The new holder of the task's target; empty unless the run was handed over.
 }
 
 // jobTasks are the tasks of one job at this holder.
@@ -132,20 +133,20 @@
 		}
 	}
 	h.forget(now, w)
-	w.home.ended[w.offered.ID] = endedTask{at: now, report: report}
+	w.home.ended[w.offered.ID] = endedTask{at: now, report: report, run: w.offered.Run}
 	h.actions.Reports = append(h.actions.Reports, report)
 }
 
 // forget deletes a task and records it as returned without a report.
 func (h *Holder) forget(now time.Time, w *task) {
 	w.home.remove(w)
-	w.home.ended[w.offered.ID] = endedTask{at: now}
+	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run}
 }
 
 // handOver deletes a task whose run the new holder of its target goes on with.
-func (h *Holder) handOver(now time.Time, w *task) {
+func (h *Holder) handOver(now time.Time, w *task, to medlargw.HostName) {
 	w.home.remove(w)
-	w.home.ended[w.offered.ID] = endedTask{at: now, handedOver: true}
+	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run, to: to}
 }
 
 // expireHomes stops the tasks of homes that were not heard from for
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -26,7 +26,9 @@
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
 	}
 	for _, id := range o.Recalls {
-		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.recall(now, m, id)})
+		state := h.recall(now, m, id)
+		h.logEnded(now, m, id, state)
+		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: state})
 	}
 	if stale {
 		reply.States = append(reply.States, h.expire(now, m, o.Tasks)...)
@@ -47,6 +49,9 @@
 	h.dropDuplicateReports(m, firstNew, added)
 	for i := range tasks {
 		states[i] = medlargw.OfferedState{ID: tasks[i].ID, State: h.offeredState(now, m, &tasks[i], added[i])}
+		if added[i] == nil {
+			h.logEnded(now, m, states[i].ID, states[i].State)
+		}
 	}
 	return states
 }
@@ -74,6 +79,7 @@
 			m.ended[id] = endedTask{at: now}
 			states[i].State = medlargw.OfferExpired
 		}
+		h.logStale(now, m, &tasks[i], states[i].State)
 	}
 	return states
 }
@@ -111,7 +117,7 @@
 func (h *Holder) endedState(m *home, id medlargw.TaskID) medlargw.OfferState {
 	e := m.ended[id]
 	switch {
-	case e.handedOver:
+	case e.to != "":
 		return medlargw.OfferStarted
 	case e.report.Home.Incarnation == 0:
 		return medlargw.OfferRefused
--- a/holder/report.go
+++ b/holder/report.go
@@ -87,6 +87,9 @@
 		h.renewalFailed(now, t, nil)
 		return
 	}
+	if !t.claimed {
+		h.logClaim(t, c, report)
+	}
 	h.renewalAnswered(now, t, report)
 	h.checkIncarnation(t, report)
 	t.updateClock(now, report.Clock)
@@ -120,7 +123,6 @@
 		t.claimed = true
 		t.claimedAt = now
 		t.leaseEnd = max(t.leaseEnd, report.Clock+h.settings.Longest) // A former holder may have renewed the lease until now.
-		h.log.Debug("target claimed", zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token))
 	}
 }
 
@@ -149,6 +151,7 @@
 		if e.Sequence <= t.lastEnd {
 			continue
 		}
+		h.logEnd(t, e)
 		t.lastEnd = e.Sequence
 		r := t.runs[e.Run]
 		if r == nil {
@@ -212,7 +215,7 @@
 // stopUnknown stops a run that another holder started. Its size is unknown, so
 // no run is started on the target until it has ended.
 func (h *Holder) stopUnknown(now time.Time, t *target, id medlargw.RunID) {
-	h.log.Info("unknown run stopped", zap.String("task", id.Task), zap.Int("attempt", id.Attempt), zap.String("target", string(t.info.Name)))
+	h.log.Info("unknown run stopped", t.runFields(id)...)
 	r := &run{id: id, target: t, state: runRunning, sent: now, acked: now}
 	t.addRun(r)
 	h.abandonRun(now, r, "unknown")
@@ -225,10 +228,13 @@
 func (h *Holder) handleAbsent(now, sent time.Time, r *run, clock time.Duration) {
 	switch {
 	case r.state == runRunning && !r.acked.After(sent):
+		h.logAbsent(r, "not listed", clock)
 		h.endRun(now, r, medlargw.TaskStopped, "no longer listed as running")
-	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent),
-		r.state == runUnconfirmed && clock > r.leaseEnd+leaseEndMargin:
-		r.stopping = false // The run was never started, so its task may be started again.
+	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent):
+		h.logAbsent(r, "stop answered", clock)
+		h.returnTask(now, r)
+	case r.state == runUnconfirmed && clock > r.leaseEnd+leaseEndMargin:
+		h.logAbsent(r, "lease ended", clock)
 		h.returnTask(now, r)
 	}
 }
@@ -236,6 +242,7 @@
 // returnTask returns a task whose start order is proven not to have been
 // carried out. The attempt number of the run can't be used again.
 func (h *Holder) returnTask(now time.Time, r *run) {
+	r.stopping = false // The run was never started, so its task may be started again.
 	r.target.removeRun(r)
 	if r.task != nil {
 		h.endTask(now, r.task, medlargw.TaskReturned, r, "start not answered")
--- a/holder/target.go
+++ b/holder/target.go
@@ -67,6 +67,7 @@
 	transferring  bool      // The transfer is in flight.
 	releaseTo     medlargw.Peer
 	transferred   medlargw.TransferredTarget // Content of that transfer.
+	transferredTo medlargw.HostName          // Receiver of that transfer.
 
 	health
 }
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -40,6 +40,8 @@
 	}
 	t.transferring = true
 	t.transferred = transferred
+	t.transferredTo = t.releaseTo.Host
+	h.logTransferSent(t)
 	h.addTransfer(t.releaseTo, transferred)
 	return false
 }
@@ -77,9 +79,10 @@
 		}
 		t.transferring = false
 		if err != nil {
-			h.log.Warn("target transfer failed", zap.String("target", string(t.info.Name)), zap.String("to", string(tr.To.Host)), zap.Error(err))
+			h.log.Warn("target transfer failed", append(transferFields(transferred), zap.String("to", string(tr.To.Host)), zap.Error(err))...)
 			continue
 		}
+		h.logTransferFinished(t, transferred, "answered")
 		h.finishTransfer(now, t, transferred)
 	}
 }
@@ -96,7 +99,7 @@
 		switch {
 		case r.task == nil:
 		case transferredRuns[r.id]:
-			h.handOver(now, r.task)
+			h.handOver(now, r.task, t.transferredTo)
 		default:
 			h.endTask(now, r.task, medlargw.TaskUnknown, r, "handed over while it was stopped")
 		}
@@ -113,11 +116,13 @@
 		if t == nil {
 			info, ok := h.listedTarget(transferred.Name)
 			if !ok {
+				h.log.Info("target transfer ignored", append(transferFields(transferred), zap.String("from", string(tr.From.Host)))...)
 				continue
 			}
 			t = newTarget(info)
 			h.addTarget(t)
 		}
+		h.logTransferReceived(t, transferred, tr.From.Host)
 		if t.claimed && t.token < transferred.FenceToken {
 			h.stepDown(now, t) // Another entry claimed the target without this one's knowledge.
 		}
@@ -156,6 +161,7 @@
 			h.handleEnd(now, t, r, p.end.Kind)
 			continue
 		}
+		h.log.Info("transferred run is gone", append(t.runFields(r.id), zap.String("home", string(m.Home.Host)))...)
 		h.endTask(now, w, medlargw.TaskUnknown, r, "ended before it was handed over")
 	}
 }
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -18,25 +18,6 @@
 	return a.Starts[0].Order.Run
 }
 
-// release makes another entry the owner of the target, and returns the transfer
-// to it.
-func (x *fixture) release() medlargw.Transfer {
-	x.t.Helper()
-	x.h.SetGroup(x.now, medlargw.Group{
-		Entries: []medlargw.Peer{
-			{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation, Leaving: true},
-			{Host: "successor", Zone: self.Zone, Incarnation: 2},
-		},
-		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
-	})
-	x.h.Tick(x.now)
-	all := x.takeActions().Transfers
-	if len(all) != 1 {
-		x.t.Fatalf("transfers: got %d, want 1", len(all))
-	}
-	return all[0]
-}
-
 // TestHandedOverTaskIsNotRefused guards against a second run with the same
 // attempt number: a home whose offer was not answered asks the former holder
 // for the task, and offers it elsewhere if the reply is that it did not start.
@@ -59,7 +40,7 @@
 			x := newFixture(t)
 			x.startRun(1)
 			transfer := x.release()
-			x.h.TransferAnswered(x.now, &transfer, nil)
+			x.h.TransferAnswered(x.now, transfer, nil)
 			reply := x.h.HandleOffer(x.now, test.clock, &test.offer)
 			if got := reply.States[0].State; got != medlargw.OfferStarted {
 				t.Errorf("state of a task that was handed over: got %d, want %d", got, medlargw.OfferStarted)
