--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -49,7 +49,6 @@
 
 	coord     *coordinator.Coordinator
 	holder    *holder.Holder
-	link      *pacer.Pacer
 	unacked   []medlargw.TaskReport
 	group     medlargw.Group
 	groupKey  string
@@ -68,15 +67,16 @@
 	w.lastIncarnation++
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 7000)
 	e := &searchEntry{
-		w: w, host: host, settings: leaseSettings(), startedAt: w.now, lastWake: w.now, link: pacer.New(0),
+		w: w, host: host, settings: leaseSettings(), startedAt: w.now, lastWake: w.now,
 		peer: medlargw.Peer{Host: medlargw.HostName(host), Zone: medlargw.ZoneName(zone), Addr: addr, Incarnation: w.lastIncarnation},
 		// The list of targets is read each second.
 		listLag: w.upTo(time.Second),
 	}
 	e.self = medlargw.Member{Host: e.peer.Host, Zone: e.peer.Zone, Addr: addr, Incarnation: e.peer.Incarnation}
 	log = log.Named(fmt.Sprintf("%s/%d", host, w.lastIncarnation))
-	e.coord = coordinator.New(log, e.settings, e.self, estimator.New(), e.link)
-	e.holder = holder.New(log, e.settings, e.self, e.link)
+	link := pacer.New(0)
+	e.coord = coordinator.New(log, e.settings, e.self, estimator.New(), link)
+	e.holder = holder.New(log, e.settings, e.self, link)
 	if number < len(w.entries) {
 		w.entries[number] = e
 	} else {
@@ -291,19 +291,6 @@
 	}, func(now time.Time) { e.holder.TransferAnswered(now, t, errNoAnswer) })
 }
 
-func describeTransfer(t *medlargw.Transfer) string {
-	var s string
-	for i := range t.Targets {
-		t := &t.Targets[i]
-		s += fmt.Sprintf("%s token %d acked %d runs", t.Name, t.FenceToken>>24, t.AckedSequence)
-		for _, r := range t.Runs {
-			s += fmt.Sprintf(" %v", r.Task.Run)
-		}
-		s += "; "
-	}
-	return s
-}
-
 func (e *searchEntry) sendOffer(now time.Time, o *medlargw.OfferCommand) {
 	if o.To.Incarnation == e.self.Incarnation {
 		o.Offer.ValidUntil = e.uptime(now)
