Coordinator: a refusing holder is left out only at the time of its refusal

Callers would see: fewer complete jobs while the network links are full. Cause: left a holder out for 25 ms after any return of a task. On full links tasks that could start at their own entry went to other hosts, with their payload twice on the link. Change: a holder is left out at the instant of its refusal only, and only for a task that was recalled from a queue in this attempt. Offers to other hosts take time, so that this is enough to come to an end. TestReturnedTaskGoesToAnotherHolder, TestLateCopyOfOfferStartsNothingTwice and TestRulesOfTargetsUnderFaults pass.

--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -31,9 +31,6 @@
 	// fit into the time until the deadline. Run times are seldom below that share
 	// of the estimate.
 	minEstimateShare = 0.5
-	// returnPause is the time for which a holder that has returned a task gets no
-	// new offer of it because of the resources that it reports as free.
-	returnPause = probeInterval
 	// minRetryAfter is the least delay that a refused caller is told to wait.
 	minRetryAfter = time.Second
 )
@@ -74,8 +71,10 @@
 	id           medlargw.TaskID // Identifies the current offer.
 	attempt      int
 	failures     int
-	refusals     int          // Consecutive offers refused for lack of capacity.
-	returns      []taskReturn // The latest ones, of different holders.
+	refusals     int       // Consecutive offers refused for lack of capacity.
+	refusedBy    []*holder // Holders that have refused it at refusedAt.
+	refusedAt    time.Time
+	rebalanced   bool // It was recalled from a queue for the free resources of another holder.
 	state        taskState
 	holder       *holder
 	formers      []*holder             // Former holders of its run, which may not have given it up.
@@ -88,31 +87,21 @@
 	formerIDs    []medlargw.TaskID     // Of its former offers.
 }
 
-// taskReturn is the return of a task by a holder that refused it, or from which
-// it was recalled.
-type taskReturn struct {
-	holder *holder
-	at     time.Time
-}
-
-// recordReturn records that the task's holder has returned it.
-func (t *task) recordReturn(now time.Time) {
-	t.returns = slices.DeleteFunc(t.returns, func(r taskReturn) bool {
-		return r.holder == t.holder || now.Sub(r.at) >= returnPause
-	})
-	t.returns = append(t.returns, taskReturn{t.holder, now})
+// recordRefusal counts the refusal of the task by its holder.
+func (t *task) recordRefusal(now time.Time) {
+	t.refusals++
+	if !t.refusedAt.Equal(now) {
+		t.refusedAt, t.refusedBy = now, nil
+	}
+	t.refusedBy = append(t.refusedBy, t.holder)
 }
 
-// returnedLately reports whether the holder has returned the task within
-// returnPause. What it reports as free may be of no use to the task, such as the
-// resources of a target that the task avoids.
-func (t *task) returnedLately(now time.Time, h *holder) bool {
-	for _, r := range t.returns {
-		if r.holder == h && now.Sub(r.at) < returnPause {
-			return true
-		}
-	}
-	return false
+// refusedNow reports whether the holder has refused the task at this time, and the
+// task was recalled from a queue in this attempt. Offers to this entry take no time,
+// and what it reports as free may be of no use to the task, such as the resources of
+// a target that the task avoids.
+func (t *task) refusedNow(now time.Time, h *holder) bool {
+	return t.rebalanced && t.refusedAt.Equal(now) && slices.Contains(t.refusedBy, h)
 }
 
 // Submit accepts a job, or refuses it at once if it could not start in time or
@@ -336,6 +325,7 @@
 	c.detach(t)
 	t.attempt++
 	t.refusals = 0
+	t.rebalanced = false
 	if target != "" {
 		t.avoid = append(t.avoid, target)
 		if len(t.avoid) > maxAvoidedTargets {
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -54,7 +54,7 @@
 // which needs no message. Among equally near ones, it is the holder that another
 // task of the job was last offered to, so that the tasks share one message and
 // its payload, or else the one of the target with the least free cores. Holders
-// that have just returned the task are left out.
+// that have refused the task at this time are left out.
 func (c *Coordinator) reserveResources(now time.Time, t *task) *holder {
 	j := t.job
 	var best *holder
@@ -64,7 +64,7 @@
 			break
 		}
 		r := h.bestFit(j.job)
-		if r == nil || t.returnedLately(now, h) {
+		if r == nil || t.refusedNow(now, h) {
 			continue
 		}
 		if h == j.lastHolder {
@@ -221,7 +221,7 @@
 	reserved := map[*medlargw.Resources]medlargw.Resources{}
 	for _, t := range queued {
 		for _, h := range c.byDistance {
-			if h == t.holder || t.returnedLately(now, h) {
+			if h == t.holder || t.refusedNow(now, h) {
 				continue
 			}
 			if r := h.bestFit(t.job.job); r != nil {
@@ -229,6 +229,7 @@
 				*r = r.Sub(t.job.job.Resources) // Reserved until the task is returned.
 				t.recall()
 				t.refusals = 0
+				t.rebalanced = true
 				break
 			}
 		}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -98,10 +98,9 @@
 			return
 		}
 		if state == medlargw.OfferRefused && !t.recalled {
-			t.refusals++
+			t.recordRefusal(now)
 		}
 		from, doubtful := t.holder, t.unanswered || state == medlargw.OfferExpired
-		t.recordReturn(now)
 		c.detach(t)
 		if t.job.refusing {
 			c.refuseIfWithdrawn(now, t.job)
