Holder: fencing tokens differ between the incarnations of an entry

Callers would see: a target that is overloaded, and a task that may run twice. Cause: tokens begin at term 1 with the address and port of the entry, so that an entry that starts again claimed its targets with the token of its former incarnation. A start order of that one that was still under way was not fenced. Ruled out: the end of the lease in the order, which had not passed. Change: the low bits of a token hold 8 bits of the incarnation besides.

--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -283,7 +283,7 @@
 // not know them.
 func TestTransferToAFencedHolder(t *testing.T) {
 	x := newFixture(t)
-	token := x.renewal.Renewal.FenceToken + 1<<24
+	token := x.renewal.Renewal.FenceToken + 1<<32
 	x.handOver(&medlargw.Transfer{
 		From: medlargw.Member{Host: "other", Incarnation: 9},
 		Targets: []medlargw.TransferredTarget{{Name: "t", IncarnationStart: start, FenceToken: token, Runs: []medlargw.TransferredRun{{
--- a/holder/log_test.go
+++ b/holder/log_test.go
@@ -93,7 +93,7 @@
 			"run ended during the transfer of its target task=b to=successor kind=done sequence=1 seen=0",
 		}},
 		{"transferred run that is not listed", func(x *fixture) {
-			x.handOver(transferred(x.renewal.Renewal.FenceToken+1<<24, medlargw.RunID{Task: "b", Attempt: 1}))
+			x.handOver(transferred(x.renewal.Renewal.FenceToken+1<<32, medlargw.RunID{Task: "b", Attempt: 1}))
 			x.h.Tick(x.now)
 			x.takeActions()
 			x.now = x.now.Add(10 * time.Millisecond)
--- a/holder/token.go
+++ b/holder/token.go
@@ -1,11 +1,19 @@
 package holder
 
-import "net/netip"
+import (
+	"net/netip"
 
-// entryIDBits is the number of low bits of a fencing token that identify the
-// entry by the end of its address and its port, so that two entries never use
-// the same token.
-const entryIDBits = 24
+	"medlargw.example/medlargw"
+)
+
+// The low bits of a fencing token identify the entry by the end of its address and
+// its port, so that two entries never use the same token, and its incarnation, so
+// that an entry that starts again does not use the tokens of before.
+const (
+	addressBits     = 24
+	incarnationBits = 8
+	entryIDBits     = addressBits + incarnationBits
+)
 
 // tokenSource generates fencing tokens. A token is a rising term in the high
 // bits and the entry's ID in the low bits.
@@ -15,10 +23,11 @@
 	termStep uint64 // Added to the term by a rejection; doubles each time.
 }
 
-func newTokenSource(addr netip.AddrPort) tokenSource {
+func newTokenSource(addr netip.AddrPort, incarnation medlargw.Incarnation) tokenSource {
 	raw := addr.Addr().As16()
-	entryID := uint64(raw[13])<<16 | uint64(raw[14])<<8 | uint64(raw[15])
-	entryID = (entryID + uint64(addr.Port())) & (1<<entryIDBits - 1)
+	address := uint64(raw[13])<<16 | uint64(raw[14])<<8 | uint64(raw[15])
+	address = (address + uint64(addr.Port())) & (1<<addressBits - 1)
+	entryID := address<<incarnationBits | uint64(incarnation)&(1<<incarnationBits-1)
 	return tokenSource{term: 1, entryID: entryID, termStep: 1}
 }
 
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -78,7 +78,7 @@
 // holder must keep it.
 func TestTransferOfUnlistedTarget(t *testing.T) {
 	x := newFixture(t)
-	token := x.renewal.Renewal.FenceToken + 1<<24
+	token := x.renewal.Renewal.FenceToken + 1<<32
 	tr := transferred(token, medlargw.RunID{Task: "a", Attempt: 1})
 	other := tr.Targets[0]
 	other.Name = "other"
@@ -108,7 +108,7 @@
 // as ended, while the former holder renews them.
 func TestUnclaimedRunsAreNotStopped(t *testing.T) {
 	x := newFixture(t)
-	token := x.renewal.Renewal.FenceToken + 1<<24
+	token := x.renewal.Renewal.FenceToken + 1<<32
 	x.handOver(transferred(token, medlargw.RunID{Task: "a", Attempt: 1}))
 	var ends []medlargw.TaskEvent
 	for range 200 {
