Coordinator: a report of a holder that is not known yet is taken

Cause: reports of entries that the home did not have in its group yet were ignored, but acknowledged. A new entry that takes over a run may be known to the former holder first; its report was gone, and the cancel went to the former holder only. Ruled out: the repetition of unacknowledged reports, since this one is answered. Change: such a holder is added without offers to it; the next group completes it. Before: TestReportOfUnknownHolder got no cancel. The log line and its test follow: the report is taken.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,7 +109,7 @@
 		h := c.holders[p.Incarnation]
 		if h == nil {
 			h = newHolder(now)
-			h.affinity = xxhash.Sum64String(string(c.self.Host) + "/" + string(p.Host))
+			h.affinity = c.affinity(p.Host)
 			c.holders[p.Incarnation] = h
 		}
 		h.peer = p
@@ -129,6 +129,11 @@
 	c.sortHolders()
 }
 
+// affinity returns the hash by which this entry orders equally suitable holders.
+func (c *Coordinator) affinity(host medlargw.HostName) uint64 {
+	return xxhash.Sum64String(string(c.self.Host) + "/" + string(host))
+}
+
 func (c *Coordinator) sortHolders() {
 	c.byDistance = c.byDistance[:0]
 	for _, h := range c.holders {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// TestReportOfUnknownHolder guards against a run that goes on after its job was given
+// up: a new entry reports that it has taken over the run before the home has that
+// entry in its group, and the cancel must reach it.
+func TestReportOfUnknownHolder(t *testing.T) {
+	h := newFixture(t)
+	id := h.submitStarted(1).Offer.Tasks[0].ID
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: "new", Zone: "z", Incarnation: 9},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskStarted}},
+	})
+	h.c.AbortAll(h.now, "the entry stood still")
+	for _, o := range h.offers() {
+		if o.To.Host == "new" && slices.Contains(o.Offer.Cancels, id) {
+			return
+		}
+	}
+	t.Error("cancels sent to the new entry: got none, want one")
+}
+
 // TestReportToFormerIncarnationIsIgnored guards against the end of a task by the
 // report of another one: a report to the entry before its restart arrives after
 // it, and both incarnations have numbered their tasks from 1.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -134,13 +134,12 @@
 	c.SetFreeResources(now, r.From.Incarnation, r.FreeResources)
 	from := c.holders[r.From.Incarnation]
 	if from == nil {
-		c.log.Info("report from an unknown holder ignored", zap.String("holder", string(r.From.Host)), zap.Int("tasks", len(r.Tasks)))
-		return
+		from = c.addReporter(now, &r.From)
 	}
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
-		if from == nil || e.Home.Incarnation != c.self.Incarnation {
+		if e.Home.Incarnation != c.self.Incarnation {
 			continue
 		}
 		if t == nil {
@@ -162,6 +161,19 @@
 	}
 }
 
+// addReporter adds a holder that reports before this entry has it in its group. It
+// gets no new tasks until then.
+func (c *Coordinator) addReporter(now time.Time, m *medlargw.Member) *holder {
+	c.log.Info("report from an unknown holder", zap.String("holder", string(m.Host)))
+	h := newHolder(now)
+	h.peer = medlargw.Peer{Host: m.Host, Zone: m.Zone, Addr: m.Addr, Incarnation: m.Incarnation}
+	h.affinity = c.affinity(m.Host)
+	h.absentSince = now
+	c.holders[m.Incarnation] = h
+	c.sortHolders()
+	return h
+}
+
 func (c *Coordinator) applyEvent(now time.Time, t *task, e *medlargw.TaskReport) {
 	if e.Event.Terminal() && e.Event != medlargw.TaskSucceeded {
 		c.log.Info("attempt ended", zap.String("task", t.job.job.Tasks[t.index].ID), zap.Int("attempt", t.attempt),
