Holder: a target that fences during a transfer waits for the transfer's answer

Callers would see: a job that is answered only at its deadline, with 504. Cause: a rejection by the fencing token during a transfer was taken for the proof that its receiver has the runs. If the transfer is lost and another entry has claimed the target, the runs were forgotten without a report. Found by a review. Ruled out: the usual order, in which the receiver claims the target before its answer has arrived; the answer follows. Change: the answer to the transfer decides. After an error the tasks end as unknown. Before: TestFencedDuringLostTransfer got no event for the lost transfer. After: unknown.

--- a/holder/order.go
+++ b/holder/order.go
@@ -122,18 +122,18 @@
 
 // handleFenced handles the rejection of an order or a claim by a target that
 // has seen a higher fencing token. A rejected claim is repeated at once with a
-// higher token. During a transfer, a rejected order proves that the new holder
-// has claimed the target. Otherwise this holder gives up its claim, and claims
-// the target again after LeaseSettings.Refused if it is still the owner.
+// higher token. During a transfer, its answer tells whether the new holder has
+// the runs. Otherwise this holder gives up its claim, and claims the target again
+// after LeaseSettings.Refused if it is still the owner.
 func (h *Holder) handleFenced(now time.Time, t *target) {
 	h.tokens.rejected()
 	if !t.claimed {
 		t.nextRenew = now // Tries the claim again with a higher token.
 		return
 	}
-	if t.transferring { // The new holder has claimed it.
-		h.logTransferFinished(t, &t.transferred, "fenced")
-		h.finishTransfer(now, t, &t.transferred)
+	if t.transferring {
+		t.fenced = true
+		t.nextRenew = now.Add(h.settings.Call)
 		return
 	}
 	h.stepDown(now, t)
--- a/holder/target.go
+++ b/holder/target.go
@@ -67,6 +67,7 @@
 	releasing     bool      // Another entry should hold the target.
 	transferring  bool      // The transfer is in flight.
 	nextTransfer  time.Time // No transfer is sent before.
+	fenced        bool      // During the transfer, the target has rejected an order of this holder.
 	releaseTo     medlargw.Peer
 	transferred   medlargw.TransferredTarget // Content of that transfer.
 	transferredTo medlargw.HostName          // Receiver of that transfer.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -85,6 +85,11 @@
 		t.transferring = false
 		if err != nil {
 			t.nextTransfer = now.Add(transferRetry)
+			if t.fenced {
+				t.fenced = false
+				h.stepDown(now, t) // It is unknown which entry has claimed the target.
+				t.nextRenew = now.Add(h.settings.Refused)
+			}
 			h.log.Warn("target transfer failed", append(transferFields(transferred), zap.String("to", string(tr.To.Host)), zap.Error(err))...)
 			continue
 		}
--- a/holder/transfer_test.go
+++ b/holder/transfer_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +147,29 @@
 		t.Errorf("events within 2 s without any answer: got %v, want one unknown", ends)
 	}
 }
+
+// TestFencedDuringLostTransfer guards against a task whose end nobody reports: the
+// transfer of its target is lost, and the target has been claimed by another entry
+// in the meantime.
+func TestFencedDuringLostTransfer(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error // Of the transfer.
+		want []medlargw.TaskEvent
+	}{
+		{"arrived", nil, nil},
+		{"lost", noAnswerError{}, []medlargw.TaskEvent{medlargw.TaskUnknown}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			x.startRun(1)
+			transfer := x.release()
+			x.report(medlargw.RunReport{Status: medlargw.OrderFenced})
+			x.h.TransferAnswered(x.now, transfer, test.err)
+			if got := events(x.takeActions().Reports); !slices.Equal(got, test.want) {
+				t.Errorf("events after the transfer: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
