--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -146,9 +146,11 @@
 				time.Sleep(400 * time.Millisecond)
 				cl.setGroups()
 				time.Sleep(3 * time.Second)
-				if got := cl.outcomes[""]; got != 1 {
-					t.Errorf("complete jobs: got %d of %v, want 1", got, cl.outcomes)
-				}
+				cl.withLock(func() {
+					if got := cl.outcomes[""]; got != 1 {
+						t.Errorf("complete jobs: got %d of %v, want 1", got, cl.outcomes)
+					}
+				})
 			})
 		})
 	}
--- a/conductor/stale_test.go
+++ b/conductor/stale_test.go
@@ -37,12 +37,14 @@
 				for _, violation := range cl.sim.targets.Violations() {
 					t.Error(violation)
 				}
-				if cl.pending != 0 {
-					t.Errorf("jobs without an outcome: got %d, want 0", cl.pending)
-				}
-				if cl.outcomes[""] == 0 {
-					t.Errorf("complete jobs: got none of %v, want some", cl.outcomes)
-				}
+				cl.withLock(func() {
+					if cl.pending != 0 {
+						t.Errorf("jobs without an outcome: got %d, want 0", cl.pending)
+					}
+					if cl.outcomes[""] == 0 {
+						t.Errorf("complete jobs: got none of %v, want some", cl.outcomes)
+					}
+				})
 			})
 		})
 	}
