Comments: acknowledged number of a transfer, clock of an offer

Cause: the comment on TransferredTarget.AckedSequence told the rule from before ends waited for their homes, and that on HandleOffer was not wrapped. Change: comments only. After: build, and tests of holder, coordinator and messenger pass.

--- a/holder/offer.go
+++ b/holder/offer.go
@@ -9,9 +9,10 @@
 	"medlargw.example/medlargw"
 )
 
-// HandleOffer handles a home's offer. One that is meant for a former incarnation of
-// this entry has no effect: its validity refers to another clock. The parameter clock is the current time
-// on this entry's clock, to which medlargw.Offer.ValidUntil refers.
+// HandleOffer handles a home's offer. The parameter clock is the current time on
+// this entry's clock, to which medlargw.Offer.ValidUntil refers. An offer that is
+// meant for a former incarnation of this entry has no effect: its validity refers
+// to another clock.
 func (h *Holder) HandleOffer(now time.Time, clock time.Duration, o *medlargw.Offer) medlargw.OfferReply {
 	reply := medlargw.OfferReply{Incarnation: h.self.Incarnation, Clock: clock}
 	if o.Holder != 0 && o.Holder != h.self.Incarnation {
--- a/offer.go
+++ b/offer.go
@@ -152,7 +152,7 @@
 	Name             TargetName
 	IncarnationStart time.Time // Start of the target's incarnation; zero is unknown.
 	FenceToken       uint64    // Of the former holder.
-	AckedSequence    uint64    // Of the last end of a run that the former holder has handled.
+	AckedSequence    uint64    // Up to which the former holder has acknowledged ends; the others are listed again.
 	Runs             []TransferredRun
 }
 
