Gauger: lag of the control loop, in metrics and heartbeats

Cause: an entry without processor time takes the answers that wait in its own queue for silence of its peers and targets, and no one can see that it lags. Change: package gauger keeps the greatest lateness of about the last second: of the ticker, of events in the queue (they carry the time of posting), and of a pause of the whole process. The metric "lag" shows it in milliseconds, and the field lag_us of heartbeats tells it to peers; a missing field is zero. Nothing is decided by it yet.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -16,6 +16,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/coordinator"
 	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/gauger"
 	"medlargw.example/medlargw/holder"
 	"medlargw.example/medlargw/pacer"
 	"medlargw.example/medlargw/registrar"
@@ -38,6 +39,12 @@
 // event is a function that the control goroutine calls.
 type event func(now time.Time)
 
+// queuedEvent is an event with the time at which it was posted.
+type queuedEvent struct {
+	apply  event
+	posted time.Time
+}
+
 // Conductor is the component "dispatcher" of an entry whose targets are leased.
 type Conductor struct {
 	log       *zap.Logger
@@ -57,14 +64,16 @@
 	unacked  []medlargw.TaskReport // Events whose reports failed and that must arrive; they are sent again.
 	group    medlargw.Group
 	lastWake time.Time
+	gauger   *gauger.Gauger
 	pacer    *pacer.Pacer // Of this entry's network link.
 	linkBusy bool         // When the free resources were last published.
 
-	events    chan event
+	events    chan queuedEvent
 	nextGroup atomic.Pointer[medlargw.Group] // Not applied yet; nil if there is none.
 	resources atomic.Pointer[medlargw.HolderResources]
 	status    atomic.Pointer[medlargw.DispatchStatus]
-	ready     atomic.Bool // At least one target is known.
+	ready     atomic.Bool  // At least one target is known.
+	lag       atomic.Int64 // Lateness of the control goroutine when it last woke up.
 
 	ctx     context.Context //nolint:containedctx // Cancelled when the component stops.
 	cancel  context.CancelFunc
@@ -80,6 +89,7 @@
 	_ medlargw.OfferHandler      = (*Conductor)(nil)
 	_ medlargw.HeartbeatObserver = (*Conductor)(nil)
 	_ medlargw.ResourceReporter  = (*Conductor)(nil)
+	_ medlargw.LagReporter       = (*Conductor)(nil)
 )
 
 // New returns a conductor that has not started. It sends orders to targets
@@ -96,6 +106,7 @@
 	self := medlargw.Member{Host: settings.Host, Zone: settings.Zone, Addr: settings.Listen.Peers, Incarnation: incarnation}
 	link := pacer.New(settings.Lease.Link)
 	c := &Conductor{
+		gauger:    gauger.New(),
 		pacer:     link,
 		log:       log.Named("conductor"),
 		registry:  reg,
@@ -108,12 +119,13 @@
 		coord:     coordinator.New(log, settings.Lease, self, estimator.New(), link),
 		holder:    holder.New(log, settings.Lease, self, link),
 		waiters:   map[*medlargw.Job]chan<- medlargw.Outcome{},
-		events:    make(chan event, eventQueueSize),
+		events:    make(chan queuedEvent, eventQueueSize),
 		senders:   pool.New(),
 		done:      make(chan struct{}),
 	}
 	c.resources.Store(&medlargw.HolderResources{})
 	c.status.Store(&medlargw.DispatchStatus{})
+	registry.GetOrRegister("lag", metrics.NewFunctionalGauge(func() int64 { return c.Lag().Milliseconds() }))
 	return c
 }
 
@@ -158,12 +170,14 @@
 		select {
 		case e := <-c.events:
 			now := c.readClock()
+			c.recordLateness(now, now.Sub(e.posted))
 			c.updateLink(now)
-			e(now)
+			e.apply(now)
 			c.drainEvents(now)
 			c.flush(now)
-		case <-ticker.C:
+		case due := <-ticker.C:
 			now := c.readClock()
+			c.recordLateness(now, time.Since(due))
 			c.holder.Tick(now)
 			c.updateLink(now)
 			c.coord.Tick(now)
@@ -188,7 +202,9 @@
 	for {
 		select {
 		case e := <-c.events:
-			e(now)
+			at := c.clock.Now()
+			c.recordLateness(at, at.Sub(e.posted))
+			e.apply(now)
 		default:
 			return
 		}
@@ -199,6 +215,7 @@
 // it fails the jobs of this entry.
 func (c *Conductor) readClock() time.Time {
 	now := c.clock.Now()
+	c.recordLateness(now, now.Sub(c.lastWake)-idleTick) // A suspended process, which the ticker does not see.
 	if gap := now.Sub(c.lastWake); gap > stallThreshold {
 		c.log.Warn("the process stood still", zap.Duration("gap", gap))
 		c.coord.AbortAll(now, "the entry stood still")
@@ -212,7 +229,7 @@
 // control goroutine has ended.
 func (c *Conductor) post(e event) bool {
 	select {
-	case c.events <- e:
+	case c.events <- queuedEvent{e, c.clock.Now()}:
 		return true
 	case <-c.ctx.Done():
 		return false
@@ -253,6 +270,17 @@
 	return r
 }
 
+// recordLateness records how late the control goroutine processes a timer or an
+// event.
+func (c *Conductor) recordLateness(now time.Time, late time.Duration) {
+	c.gauger.Record(now, late)
+	c.lag.Store(int64(c.gauger.Lag(now)))
+}
+
+// Lag returns how late the control goroutine was in about the last second; zero
+// while it is on time.
+func (c *Conductor) Lag() time.Duration { return time.Duration(c.lag.Load()) }
+
 // Ready reports whether this entry knows targets for its jobs.
 func (c *Conductor) Ready() bool { return c.ready.Load() }
 
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -8,6 +8,7 @@
 	"borrow":                "Calls for loans of slots, by outcome.",
 	"entry":                 "State of this entry: tasks, slots, members and ages in seconds where the name says so.",
 	"jobs":                  "Jobs that ended, by outcome: complete, or the code of the refusal or failure.",
+	"lag":                   "Greatest lateness of timers and queued events of the control loop in the last second, in milliseconds.",
 	"limit-changes":         "Teams that reached their limit or fell below it again.",
 	"loans":                 "Slots that are lent and borrowed now.",
 	"log":                   "Lines of the log that were left out.",
--- a/member.go
+++ b/member.go
@@ -87,6 +87,7 @@
 	FreeSlots     int             // Of the targets that the entry owns.
 	Waiting       []ClassDemand   // By class.
 	FreeResources HolderResources // Of the targets that it holds under lease.
+	Lag           time.Duration   // How late it acts, for lack of processor time; zero while it is on time.
 }
 
 // ClassDemand is the number of tasks of a class that wait for a slot, and the
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -26,6 +26,7 @@
 			Free:       int32(b.Digest.FreeSlots),
 			Waiting:    encodeDemand(b.Digest.Waiting),
 			Room:       encodeHolderResources(&b.Digest.FreeResources),
+			LagUs:      b.Digest.Lag.Microseconds(),
 		},
 		View: b.ViewHash,
 	}
@@ -45,6 +46,7 @@
 			FreeSlots:     int(r.GetDigest().GetFree()),
 			Waiting:       decodeDemand(r.GetDigest().GetWaiting()),
 			FreeResources: decodeHolderResources(r.GetDigest().GetRoom()),
+			Lag:           max(0, microsToDuration(r.GetDigest().GetLagUs())),
 		},
 		ViewHash: r.GetView(),
 	}
--- a/offer.go
+++ b/offer.go
@@ -179,6 +179,12 @@
 	FreeResources() HolderResources
 }
 
+// LagReporter returns how late this process acts; zero while it is on time. The
+// component "dispatcher" of an entry with targets under lease implements it.
+type LagReporter interface {
+	Lag() time.Duration
+}
+
 // OfferCommand is an Offer to be sent.
 type OfferCommand struct {
 	To    Peer
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -42,6 +42,7 @@
 	forwardHandler     medlargw.ForwardHandler    // Nil when there is no component "keeper".
 	hostsVersioner     medlargw.HostListVersioner // Nil when the assigner offers none.
 	resourceReporter   medlargw.ResourceReporter  // Nil when the dispatcher holds no targets under lease.
+	lagReporter        medlargw.LagReporter       // Nil when the dispatcher does not measure its lateness.
 	heartbeatObservers []medlargw.HeartbeatObserver
 	memberObservers    []medlargw.MembersObserver
 	incarnation        medlargw.Incarnation
@@ -110,6 +111,7 @@
 	t.forwardHandler, _ = registrar.Find[medlargw.ForwardHandler](t.registry, "keeper")
 	t.hostsVersioner, _ = registrar.Find[medlargw.HostListVersioner](t.registry, "assigner")
 	t.resourceReporter, _ = registrar.Find[medlargw.ResourceReporter](t.registry, "dispatcher")
+	t.lagReporter, _ = registrar.Find[medlargw.LagReporter](t.registry, "dispatcher")
 	for _, name := range []string{"watcher", "assigner", "dispatcher", "sender"} {
 		if o, err := registrar.Find[medlargw.HeartbeatObserver](t.registry, name); err == nil {
 			t.heartbeatObservers = append(t.heartbeatObservers, o)
@@ -240,6 +242,9 @@
 	if t.resourceReporter != nil {
 		d.FreeResources = t.resourceReporter.FreeResources()
 	}
+	if t.lagReporter != nil {
+		d.Lag = t.lagReporter.Lag()
+	}
 	s, err := t.inspector.Status(ctx)
 	if err != nil {
 		return d
