Shares of targets by capacity of hosts

Ruled out: weights with a constant for entries that state none. While a roll mixes builds, old and new ones would then compute other owners, and claim the targets from each other every two seconds. The weights apply only once all entries of the zone state their capacity.

Change: package apportioner, weighted rendezvous hashing with a bound of load; the capacity comes from the settings and is carried by membership, host list and enrolment. The highest capacities read the host list. With equal or unstated capacities the owners are those of before (TestEqualCapacity).

The owners of all targets are kept while entries and targets do not change.

--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -35,6 +35,8 @@
 	Zone  string         `json:"zone"`
 	Addr  netip.AddrPort `json:"addr"`
 	Admin netip.AddrPort `json:"admin"`
+
+	Capacity int64 `json:"capacity,omitempty"` // Thousandths of a core.
 }
 
 // DecodeHosts decodes a host list from JSON.
@@ -67,6 +69,7 @@
 			Zone:      medlargw.ZoneName(e.Zone),
 			Addr:      e.Addr,
 			AdminAddr: e.Admin,
+			Capacity:  medlargw.ValidCapacity(e.Capacity),
 		})
 	}
 	return list
@@ -104,6 +107,8 @@
 			Zone:  string(e.Zone),
 			Addr:  e.Addr,
 			Admin: e.AdminAddr,
+
+			Capacity: e.Capacity,
 		})
 	}
 	return wire
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -215,7 +215,7 @@
 	if list := a.list.Load(); list != nil {
 		g := newGroup(list, members)
 		if a.HostsAge() < staleAfter {
-			g.ListedEntries = listedPeers(list)
+			g.ListedEntries = listedPeers(list, members)
 		}
 		a.groupSetter.SetGroup(g)
 	}
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -24,6 +24,7 @@
 			Addr:        m.Addr,
 			Incarnation: m.Incarnation,
 			Leaving:     leaving,
+			Capacity:    m.Capacity,
 		})
 	}
 	g.HasUnknownEntries = hasUnknownEntries(list, members)
@@ -43,11 +44,19 @@
 }
 
 // listedPeers returns the entries that the list names. The list does not give
-// their incarnations.
-func listedPeers(list *medlargw.HostList) []medlargw.Peer {
+// their incarnations. What an entry has stated as a member precedes its record in
+// the list, which an entry of an older build may have passed on without the
+// capacity.
+func listedPeers(list *medlargw.HostList, members []medlargw.Member) []medlargw.Peer {
 	var all []medlargw.Peer
 	for _, e := range list.Entries {
-		all = append(all, medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr})
+		p := medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr, Capacity: e.Capacity}
+		for i := range members {
+			if members[i].Host == e.Name && members[i].Capacity != 0 {
+				p.Capacity = members[i].Capacity
+			}
+		}
+		all = append(all, p)
 	}
 	return all
 }
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -62,14 +62,24 @@
 	return a.isReader() || a.HostsAge() > staleAfter
 }
 
-// isReader reports whether this entry is one of the zone's readers: those whose
-// names have the lowest hashes.
+// isReader reports whether this entry is one of the zone's readers.
 func (a *Assigner) isReader() bool {
-	names := servingNames(a.members.Members())
-	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Compare(xxhash.Sum64String("platform/"+x), xxhash.Sum64String("platform/"+y))
+	readers := readersOf(servingMembers(a.members.Members()))
+	return slices.ContainsFunc(readers, func(m medlargw.Member) bool { return m.Host == a.settings.Host })
+}
+
+// readersOf returns the entries that read the list: those of the highest capacity,
+// if all state one, and of equal ones those whose names have the lowest hashes.
+func readersOf(all []medlargw.Member) []medlargw.Member {
+	stated := !slices.ContainsFunc(all, func(m medlargw.Member) bool { return m.Capacity == 0 })
+	hash := func(m *medlargw.Member) uint64 { return xxhash.Sum64String("platform/" + string(m.Host)) }
+	slices.SortFunc(all, func(x, y medlargw.Member) int {
+		if stated && x.Capacity != y.Capacity {
+			return cmp.Compare(y.Capacity, x.Capacity)
+		}
+		return cmp.Compare(hash(&x), hash(&y))
 	})
-	return slices.Contains(names[:min(readersPerZone, len(names))], string(a.settings.Host))
+	return all[:min(readersPerZone, len(all))]
 }
 
 // readList reads the list from the platform and applies it. It returns false if
@@ -178,19 +188,19 @@
 	return a.differ.Changes(version)
 }
 
-// servingNames returns the names of the entries of this zone that may own
-// targets. If there are none, it returns this entry's name, whatever its state.
-func servingNames(all []medlargw.Member) []string {
+// servingMembers returns the entries of this zone that may own targets. If there
+// are none, it returns this entry, whatever its state.
+func servingMembers(all []medlargw.Member) []medlargw.Member {
 	self := &all[0]
-	var names []string
+	var serving []medlargw.Member
 	for i := range all {
 		joining := i == 0 && all[i].State == medlargw.MemberJoining
 		if all[i].Zone == self.Zone && (all[i].CanOwn() || joining) {
-			names = append(names, string(all[i].Host))
+			serving = append(serving, all[i])
 		}
 	}
-	if names == nil {
-		names = append(names, string(self.Host))
+	if serving == nil {
+		serving = append(serving, *self)
 	}
-	return names
+	return serving
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -56,6 +56,7 @@
 	waiters  map[*medlargw.Job]chan<- medlargw.Outcome
 	unacked  []medlargw.TaskReport // Events whose reports failed and that must arrive; they are sent again.
 	group    medlargw.Group
+	share    medlargw.TargetShare // Of the targets of this entry's zone.
 	lastWake time.Time
 	pacer    *pacer.Pacer // Of this entry's network link.
 	linkBusy bool         // When the free resources were last published.
@@ -234,9 +235,24 @@
 		c.group = *c.nextGroup.Swap(nil)
 		c.holder.SetGroup(now, c.group)
 		c.coord.SetGroup(now, c.group)
+		c.recordShare(c.holder.Share())
 	})
 }
 
+// recordShare publishes this entry's share of the targets as metrics. It logs a
+// share that has changed otherwise than by the coming and going of targets.
+func (c *Conductor) recordShare(s medlargw.TargetShare) {
+	before := c.share
+	c.share = s
+	c.counters.setShare(&s)
+	if s.Entries == before.Entries && s.Weighted == before.Weighted && s.Capacity == before.Capacity && s.Unstated == before.Unstated {
+		return
+	}
+	c.log.Info("share of the targets changed", zap.Int("owned", s.Owned), zap.Float64("due", s.Due),
+		zap.Int("targets", s.Targets), zap.Int("entries", s.Entries), zap.Int64("capacity", s.Capacity),
+		zap.Bool("weighted", s.Weighted), zap.String("unstated", string(s.Unstated)))
+}
+
 // HeartbeatReceived records the free resources in a peer's heartbeat.
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
 	c.post(func(now time.Time) {
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -26,6 +26,10 @@
 
 	unansweredOffers metrics.Counter
 	unackedReports   metrics.Counter
+
+	targetsOwned metrics.Gauge
+	targetsDue   metrics.GaugeFloat64
+	capacity     metrics.Gauge
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -39,9 +43,21 @@
 
 		unansweredOffers: metrics.GetOrRegisterCounter("peers.unanswered-offers", r),
 		unackedReports:   metrics.GetOrRegisterCounter("peers.unacknowledged-reports", r),
+
+		targetsOwned: metrics.GetOrRegisterGauge("share.owned", r),
+		targetsDue:   metrics.GetOrRegisterGaugeFloat64("share.due", r),
+		capacity:     metrics.GetOrRegisterGauge("share.capacity", r),
 	}
 }
 
+// setShare records the targets that this entry owns in its zone, those that are
+// due to it, and its capacity in thousandths of a core.
+func (c *counters) setShare(s *medlargw.TargetShare) {
+	c.targetsOwned.Update(int64(s.Owned))
+	c.targetsDue.Update(s.Due)
+	c.capacity.Update(s.Capacity)
+}
+
 // countJob records the end of a job and its response time.
 func (c *counters) countJob(f *medlargw.FinishedJob, response time.Duration) {
 	o := &f.Outcome
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -1,12 +1,10 @@
 package holder
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/apportioner"
 )
 
 // transferWait is the time that a new owner waits for the transfer of a target
@@ -32,11 +30,12 @@
 	}
 	before := h.candidates
 	h.candidates = candidatesOf(&g)
+	former := h.apportion(&g, &before)
 	listed := make(map[medlargw.TargetName]bool, len(g.Targets))
 	for i := range g.Targets {
 		info := &g.Targets[i]
 		listed[info.Name] = true
-		h.assignTarget(now, info, &before)
+		h.assignTarget(now, info, former)
 	}
 	for _, t := range h.sorted {
 		if !listed[t.info.Name] && t.unlistedSince.IsZero() {
@@ -50,9 +49,44 @@
 	}
 }
 
-// assignTarget claims or releases a target, given the candidates of the last
-// assignment.
-func (h *Holder) assignTarget(now time.Time, info *medlargw.Target, before *candidates) {
+// apportion divides the targets among the candidates, in the zones whose owners
+// this entry needs. It returns the former division of the zones that have lost all
+// entries since the last assignment, given the candidates of that.
+func (h *Holder) apportion(g *medlargw.Group, before *candidates) *apportioner.Apportioner {
+	needed := map[medlargw.ZoneName]bool{h.self.Zone: true}
+	for _, t := range h.sorted {
+		needed[t.info.Zone] = true
+	}
+	byZone := map[medlargw.ZoneName][]medlargw.TargetName{}
+	for i := range g.Targets {
+		info := &g.Targets[i]
+		if needed[info.Zone] || len(h.candidates.byZone[info.Zone]) == 0 {
+			byZone[info.Zone] = append(byZone[info.Zone], info.Name)
+		}
+	}
+	former := apportioner.New()
+	for zone, targets := range byZone {
+		entries := h.candidates.byZone[zone]
+		if len(entries) == 0 {
+			entries = h.candidates.all
+			if zone != h.self.Zone && len(before.byZone[zone]) > 0 {
+				former.Update(zone, targets, before.byZone[zone])
+			}
+		}
+		h.apportioner.Update(zone, targets, entries)
+	}
+	h.apportioner.Retain(func(zone medlargw.ZoneName) bool { return len(byZone[zone]) > 0 })
+	return former
+}
+
+// Share returns this entry's share of the targets of its zone.
+func (h *Holder) Share() medlargw.TargetShare {
+	return h.apportioner.Share(h.self.Zone, h.self.Incarnation)
+}
+
+// assignTarget claims or releases a target, given the former division of zones
+// that have lost all entries.
+func (h *Holder) assignTarget(now time.Time, info *medlargw.Target, formerZones *apportioner.Apportioner) {
 	t := h.targets[info.Name]
 	if t != nil {
 		t.update(*info)
@@ -61,11 +95,13 @@
 		delete(h.owners, info.Name)
 		return // An entry of its zone owns it.
 	}
-	former, known := h.formerOwner(info, before)
-	owner, found := former, known
-	if !known || former.Zone != info.Zone || !h.candidates.sameInZone(before, info.Zone) {
-		owner, found = h.owner(now, info)
+	former, known := h.owners[info.Name]
+	if !known {
+		// The owners of targets of other zones are not stored while those zones have
+		// entries.
+		former, known = formerZones.Owner(info.Zone, info.Name)
 	}
+	owner, found := h.owner(now, info)
 	h.owners[info.Name] = owner
 	switch {
 	case found && owner.Incarnation == h.self.Incarnation:
@@ -81,19 +117,6 @@
 	}
 }
 
-// formerOwner returns the owner at the last assignment, and whether it is known.
-// The owners of targets of other zones are not stored while those zones have
-// entries.
-func (h *Holder) formerOwner(info *medlargw.Target, before *candidates) (medlargw.Peer, bool) {
-	if former, known := h.owners[info.Name]; known {
-		return former, true
-	}
-	if info.Zone == h.self.Zone {
-		return medlargw.Peer{}, false
-	}
-	return rendezvous(info.Name, before.byZone[info.Zone])
-}
-
 // HandleHeartbeat handles a sign of life of a peer, which names the time since the
 // peer's start. The uptime is that of this entry. A peer that started well before
 // this entry may hold the targets that this entry owns now, and transfers them
@@ -130,13 +153,11 @@
 // owner returns the entry that should hold the target: an entry of its zone, or
 // of any zone when that zone has none.
 func (h *Holder) owner(now time.Time, t *medlargw.Target) (medlargw.Peer, bool) {
-	if p, ok := rendezvous(t.Name, h.candidates.byZone[t.Zone]); ok {
-		return p, true
-	}
-	if !h.candidates.leaving[t.Zone] && now.Sub(h.firstAssigned) < settleTime {
+	settled := h.candidates.leaving[t.Zone] || now.Sub(h.firstAssigned) >= settleTime
+	if len(h.candidates.byZone[t.Zone]) == 0 && !settled {
 		return medlargw.Peer{}, false
 	}
-	return rendezvous(t.Name, h.candidates.all)
+	return h.apportioner.Owner(t.Zone, t.Name)
 }
 
 // candidates are the entries that may hold targets.
@@ -168,22 +189,3 @@
 	}
 	return c
 }
-
-// sameInZone reports whether a zone has entries, and they are the same as
-// before.
-func (c *candidates) sameInZone(before *candidates, zone medlargw.ZoneName) bool {
-	return len(c.byZone[zone]) > 0 && slices.Equal(c.byZone[zone], before.byZone[zone])
-}
-
-// rendezvous returns the candidate with the highest hash of target and host
-// (rendezvous hashing), and whether there is any candidate.
-func rendezvous(target medlargw.TargetName, all []medlargw.Peer) (medlargw.Peer, bool) {
-	var best medlargw.Peer
-	var highest uint64
-	for _, p := range all {
-		if score := xxhash.Sum64String(string(target) + "/" + string(p.Host)); score >= highest {
-			best, highest = p, score
-		}
-	}
-	return best, len(all) > 0
-}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/apportioner"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -41,6 +42,7 @@
 	sorted            []*target                             // By name, so that the choice among equal targets is deterministic.
 	owners            map[medlargw.TargetName]medlargw.Peer // Of the targets of this entry's zone, and of those that it holds.
 	candidates        candidates                            // Computed at the last assignment.
+	apportioner       *apportioner.Apportioner              // Divides the targets among the candidates.
 	homes             map[medlargw.Incarnation]*home
 	waiting           []*task
 	group             medlargw.Group
@@ -64,6 +66,8 @@
 		targets:  map[medlargw.TargetName]*target{},
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
 		homes:    map[medlargw.Incarnation]*home{},
+
+		apportioner: apportioner.New(),
 	}
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -39,19 +39,20 @@
 func (l *Loader) Parse(path string, text []byte) (medlargw.Settings, error) {
 	p := parser.Parse(path, text, &l.findings)
 	s := medlargw.Settings{
-		Host:   medlargw.HostName(p.Required("host")),
-		Zone:   medlargw.ZoneName(p.Required("zone")),
-		Listen: parseListen(p.Object("listen")),
-		Store:  parseAddr(p, "store", "127.0.0.1:7800"),
-		Peers:  l.parsePeers(p),
-		Key:    parseSecret(p, "key"),
-		Admin:  parseSecret(p, "admin"),
-		Favour: parseFavour(p),
-		Intake: parseIntake(p.Object("intake")),
-		Task:   parseTask(p.Object("task")),
-		Group:  parseGroup(p.Object("group")),
-		Lease:  parseLease(p.Object("lease")),
-		TLS:    parseTLS(p.Object("tls")),
+		Host:     medlargw.HostName(p.Required("host")),
+		Zone:     medlargw.ZoneName(p.Required("zone")),
+		Listen:   parseListen(p.Object("listen")),
+		Store:    parseAddr(p, "store", "127.0.0.1:7800"),
+		Peers:    l.parsePeers(p),
+		Key:      parseSecret(p, "key"),
+		Admin:    parseSecret(p, "admin"),
+		Favour:   parseFavour(p),
+		Intake:   parseIntake(p.Object("intake")),
+		Task:     parseTask(p.Object("task")),
+		Group:    parseGroup(p.Object("group")),
+		Lease:    parseLease(p.Object("lease")),
+		Capacity: parseCapacity(p.Object("capacity")),
+		TLS:      parseTLS(p.Object("tls")),
 	}
 	if minDrain := s.Group.Notice + s.Intake.Deadline; s.Group.Drain < minDrain {
 		p.Report("group", "got drain %s, want at least notice and intake.deadline, %s", s.Group.Drain, minDrain)
@@ -180,6 +181,22 @@
 	return l
 }
 
+func parseCapacity(p *parser.Parser) medlargw.CapacitySettings {
+	defer p.Close()
+	c := medlargw.CapacitySettings{
+		Shares: medlargw.Shares(p.String("shares", string(medlargw.SharesByCapacity))),
+		Cores:  p.Number("cores", 0, 0, medlargw.MaxCores),
+		Memory: int64(p.Int("memory", 0, 0, medlargw.MaxMemory)),
+	}
+	if c.Shares != medlargw.SharesByCapacity && c.Shares != medlargw.SharesEqual {
+		p.Report("shares", "got %q, want \"capacity\" or \"equal\"", string(c.Shares))
+	}
+	if c.Memory > 0 && c.Cores == 0 {
+		p.Report("memory", "got %d without cores, want both or only cores", c.Memory)
+	}
+	return c
+}
+
 func parseTLS(p *parser.Parser) medlargw.TLSSettings {
 	defer p.Close()
 	t := medlargw.TLSSettings{Cert: p.String("cert", ""), Key: p.String("key", "")}
--- a/loan.go
+++ b/loan.go
@@ -19,7 +19,19 @@
 	Zone        ZoneName
 	Addr        netip.AddrPort
 	Incarnation Incarnation
-	Leaving     bool // It is stopping: it owns nothing any more, and still reports what it uses.
+	Leaving     bool  // It is stopping: it owns nothing any more, and still reports what it uses.
+	Capacity    int64 // Of its host, as in Member.
+}
+
+// TargetShare is the share of one entry in the targets of a zone.
+type TargetShare struct {
+	Entries  int      // Entries that share the targets.
+	Targets  int      // Targets of the zone.
+	Owned    int      // Targets that the entry owns.
+	Due      float64  // Targets that are due to it by its capacity.
+	Capacity int64    // Of the entry, as in Member.
+	Weighted bool     // The shares depend on the capacities; otherwise they are equal.
+	Unstated HostName // An entry that states no capacity, if there is one.
 }
 
 // Demand is what an entry uses of targets and limits, and what its waiting
--- a/member.go
+++ b/member.go
@@ -35,6 +35,16 @@
 	State        MemberState
 	LastHeard    time.Time // When the entry that keeps this record last heard of it.
 	Successor    HostName  // Entry that has its used tickets after a planned stop.
+	Capacity     int64     // Of its host, in thousandths of a core of the reference; zero is not stated.
+}
+
+// ValidCapacity returns a capacity that a message or a record states, or zero, not
+// stated, if it is out of range.
+func ValidCapacity(stated int64) int64 {
+	if stated < 0 || stated > MaxCapacity {
+		return 0
+	}
+	return stated
 }
 
 // CanOwn reports whether the entry may be the owner of targets and limits. A
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -64,6 +64,7 @@
 		Counter:     m.StateVersion,
 		State:       int32(m.State),
 		Successor:   string(m.Successor),
+		Capacity:    m.Capacity,
 	}
 }
 
@@ -77,6 +78,7 @@
 		StateVersion: m.GetCounter(),
 		State:        decodeState(m.GetState()),
 		Successor:    medlargw.HostName(m.GetSuccessor()),
+		Capacity:     medlargw.ValidCapacity(m.GetCapacity()),
 	}
 }
 
--- a/settings.go
+++ b/settings.go
@@ -8,19 +8,20 @@
 // Settings are the settings of one entry process. In the file that package
 // loader reads, a setting has the name of its field in lower case.
 type Settings struct {
-	Host   HostName
-	Zone   ZoneName
-	Listen ListenSettings
-	Store  netip.AddrPort   // Address of the platform's key-value service and host list.
-	Peers  []netip.AddrPort // Entries to contact first, in any zone.
-	Key    string           // Secret shared by all entries of the deployment, which signs their messages.
-	Admin  string           // Secret of the administration interface.
-	Favour Favour
-	Intake IntakeSettings
-	Task   TaskSettings
-	Group  GroupSettings
-	Lease  LeaseSettings
-	TLS    TLSSettings
+	Host     HostName
+	Zone     ZoneName
+	Listen   ListenSettings
+	Store    netip.AddrPort   // Address of the platform's key-value service and host list.
+	Peers    []netip.AddrPort // Entries to contact first, in any zone.
+	Key      string           // Secret shared by all entries of the deployment, which signs their messages.
+	Admin    string           // Secret of the administration interface.
+	Favour   Favour
+	Intake   IntakeSettings
+	Task     TaskSettings
+	Group    GroupSettings
+	Lease    LeaseSettings
+	Capacity CapacitySettings
+	TLS      TLSSettings
 }
 
 // ListenSettings are the addresses on which the process listens.
@@ -75,6 +76,33 @@
 	HTTP    int           // HTTP version of requests to peers, 1 or 2. Both are served.
 }
 
+// CapacitySettings describe the host of an entry, and whether its share of the
+// targets under lease depends on that. The rate of the host's network link is
+// LeaseSettings.Link.
+type CapacitySettings struct {
+	Shares Shares
+	Cores  float64 // Processor of the host, in cores of one speed for all hosts; zero is not stated.
+	Memory int64   // Memory of the process, in MiB; zero is unlimited.
+}
+
+// The most cores, and the most memory in MiB, that settings may give.
+const (
+	MaxCores  = 1000
+	MaxMemory = 1 << 30
+)
+
+// MaxCapacity is the highest capacity of an entry, in thousandths of a core.
+const MaxCapacity = 1000 * MaxCores
+
+// Shares is what the shares of the entries in the targets under lease depend on.
+type Shares string
+
+// The values of Shares.
+const (
+	SharesByCapacity Shares = "capacity"
+	SharesEqual      Shares = "equal"
+)
+
 // TLSSettings are the paths of the certificate and of its private key. If both
 // are empty, the listener serves plain TCP.
 type TLSSettings struct {
--- a/target.go
+++ b/target.go
@@ -26,6 +26,7 @@
 	Zone      ZoneName
 	Addr      netip.AddrPort // Where it serves the other entries.
 	AdminAddr netip.AddrPort // Where it serves operators.
+	Capacity  int64          // Of the host, as in Member.
 }
 
 // HostList is the platform's list of hosts. It may be out of date.
--- a/tracker/codec.go
+++ b/tracker/codec.go
@@ -25,6 +25,7 @@
 	Counter     uint64         `json:"counter"`
 	State       int            `json:"state"`
 	Successor   string         `json:"successor,omitempty"`
+	Capacity    int64          `json:"capacity,omitempty"`
 }
 
 type viewWire struct {
@@ -42,6 +43,7 @@
 		Counter:     m.StateVersion,
 		State:       int(m.State),
 		Successor:   string(m.Successor),
+		Capacity:    m.Capacity,
 	}
 }
 
@@ -58,6 +60,7 @@
 		StateVersion: w.Counter,
 		State:        medlargw.MemberState(w.State),
 		Successor:    medlargw.HostName(w.Successor),
+		Capacity:     medlargw.ValidCapacity(w.Capacity),
 	}, nil
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/apportioner"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/spawner"
 )
@@ -83,7 +84,7 @@
 		spawner:     spawner.New(),
 		done:        make(chan struct{}),
 	}
-	self := medlargw.Member{Host: settings.Host, Zone: settings.Zone, Incarnation: incarnation}
+	self := medlargw.Member{Host: settings.Host, Zone: settings.Zone, Incarnation: incarnation, Capacity: apportioner.Capacity(&settings)}
 	t.view = newView(self, settings.Group, settings.Intake.Ticket)
 	t.publishSnapshot()
 	return t
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -112,13 +112,19 @@
 }
 
 // update replaces what is known of a member, apart from the time at which it
-// was last heard of, and sets its state.
+// was last heard of, and sets its state. The known capacity is kept if the message
+// states none: an entry of an older build that reports of another leaves it out.
 func (v *view) update(now time.Time, p *peer, m *medlargw.Member, state medlargw.MemberState) {
-	lastHeard := p.member.LastHeard
-	before := p.member.State
+	before := p.member
 	p.member = *m
-	p.member.LastHeard = lastHeard
-	p.member.State = before
+	p.member.LastHeard = before.LastHeard
+	p.member.State = before.State
+	if m.Capacity == 0 {
+		p.member.Capacity = before.Capacity
+	}
+	if p.member.Capacity != before.Capacity {
+		v.version++
+	}
 	v.setState(now, p, state)
 }
 
@@ -153,6 +159,10 @@
 // mergeState applies another entry's view of a member when both entries know
 // the same state version of that member.
 func (v *view) mergeState(now time.Time, p *peer, from, m *medlargw.Member) {
+	if p.member.Capacity == 0 && m.Capacity != 0 {
+		p.member.Capacity = m.Capacity
+		v.version++
+	}
 	ended := m.State == medlargw.MemberLeaving || m.State == medlargw.MemberGone
 	silent := now.Sub(p.lastDirectMessage) > v.settings.Suspect
 	switch {
