--- a/accessor/contract_test.go
+++ b/accessor/contract_test.go
@@ -129,7 +129,7 @@
 			Name: "t", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 8, Memory: 1 << 30, Draining: true,
 		}},
 		Entries: []medlargw.EntryHost{{
-			Name: "e", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:81"), AdminAddr: netip.MustParseAddrPort("10.0.0.2:82"),
+			Name: "e", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:81"), AdminAddr: netip.MustParseAddrPort("10.0.0.2:82"), Capacity: 480,
 		}},
 	}
 	for _, p := range implementations(t) {
--- a/conductor/handover_test.go
+++ b/conductor/handover_test.go
@@ -155,3 +155,58 @@
 		})
 	}
 }
+
+// TestCapacitiesWithRuns guards against runs that end or start twice when the
+// shares change below them: the entries of a zone state other capacities, all at
+// once or in two views for a while, as in a planned replacement that mixes builds.
+func TestCapacitiesWithRuns(t *testing.T) {
+	tests := []struct {
+		name  string
+		views int // Entries that learn of the capacities at first.
+	}{
+		{"all at once", 3},
+		{"one learns first", 1},
+		{"two learn first", 2},
+	}
+	for _, test := range tests {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "a3"}, func(cl *cluster) {
+					for i := range 6 {
+						cl.submit(cl.entries[i%3], fmt.Sprintf("job %d", i), 4, 900*time.Millisecond, 14000)
+					}
+					time.Sleep(50 * time.Millisecond)
+					capacities := []int64{800, 144, 480}
+					for _, e := range cl.entries[:test.views] {
+						cl.setGroupWithCapacities(e, capacities)
+					}
+					time.Sleep(400 * time.Millisecond)
+					for _, e := range cl.entries {
+						cl.setGroupWithCapacities(e, capacities)
+					}
+					time.Sleep(6 * time.Second)
+					for _, violation := range cl.sim.targets.Violations() {
+						t.Error(violation)
+					}
+					cl.withLock(func() {
+						if got := cl.outcomes[""]; got != 6 {
+							t.Errorf("complete jobs: got %d of %v, want 6", got, cl.outcomes)
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// setGroupWithCapacities passes an entry the group of all entries with the given
+// capacities.
+func (cl *cluster) setGroupWithCapacities(e *entry, capacities []int64) {
+	g := medlargw.Group{Targets: cl.sim.targets.Targets()}
+	for i, other := range cl.entries {
+		p := other.peer
+		p.Capacity = capacities[i]
+		g.Entries = append(g.Entries, p)
+	}
+	e.conductor.SetGroup(g)
+}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -63,7 +63,7 @@
 	return medlargw.Member{
 		Host: "h", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.1:7"),
 		AdminAddr: netip.MustParseAddrPort("10.0.0.1:8"), Incarnation: 1 << 63, StateVersion: 3,
-		State: medlargw.MemberLeaving, Successor: "s",
+		State: medlargw.MemberLeaving, Successor: "s", Capacity: 480,
 	}
 }
 
