--- a/messenger/members.go
+++ b/messenger/members.go
@@ -66,6 +66,7 @@
 		Counter:     m.StateVersion,
 		State:       int32(m.State),
 		Successor:   string(m.Successor),
+		Capacity:    m.Capacity,
 	}
 }
 
@@ -79,6 +80,7 @@
 		StateVersion: m.GetCounter(),
 		State:        decodeState(m.GetState()),
 		Successor:    medlargw.HostName(m.GetSuccessor()),
+		Capacity:     medlargw.ValidCapacity(m.GetCapacity()),
 	}
 }
 
