Holder: a target that was slow is tried with one run; failures count by their rate

Cause: the slowness of a target decays, and then the target took runs for all its resources at once, which were all stopped as stalled if it was still slow. And only failures in a row lengthened the pause of a target, so that one which fails each third run was paused for 300 ms each time. Ruled out: the first detection; the runs before it are few. Change: after its slowness has decayed a target takes one run at a time until one ends in usual time. The pause doubles with a score of failures that decays by 0.7 with each run that succeeds.

--- a/holder/health.go
+++ b/holder/health.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"math"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -19,8 +20,12 @@
 	slownessHalfLife = 2 * time.Second
 	maxSlowness      = 10
 
-	initialFailurePause = 300 * time.Millisecond // After the first of consecutive failed runs.
+	initialFailurePause = 300 * time.Millisecond // After the first failed run.
 	maxFailurePause     = 4 * time.Second
+	// failureDecay is the factor of the failure score for each run that succeeds. A
+	// target that fails a third of its runs comes to a score of 2, one that fails
+	// one run in a hundred stays at 1.
+	failureDecay = 0.7
 )
 
 // slowJob identifies a job whose runs were slow on a target.
@@ -29,13 +34,14 @@
 	number uint64 // OfferedTask.Job.
 }
 
-// health is the recent performance of a target.
+// health is the recent performance of a target, compared with its rating.
 type health struct {
-	slowness    float64   // Moving average of run time divided by estimate.
+	slowness    float64   // Moving average of run time divided by the expected one.
 	slownessAt  time.Time // Last change of slowness.
 	slowJobs    int       // Consecutive jobs whose runs took far longer than estimated.
 	lastSlowJob slowJob
-	failedRuns  int // Consecutive failed runs.
+	probing     bool    // It was slow, and takes one run at a time until one ends in usual time.
+	failures    float64 // Failed runs, less those that are made up for by runs that succeeded since.
 	pausedUntil time.Time
 }
 
@@ -44,10 +50,11 @@
 // recordRun records a completed run. The ratio is its run time divided by the
 // expected one.
 func (h *health) recordRun(now time.Time, r *run, ratio float64) {
-	h.failedRuns = 0
+	h.failures *= failureDecay
 	if ratio < slowRatio {
 		h.slowJobs = 0
 		h.lastSlowJob = slowJob{}
+		h.probing = false
 	}
 	h.recordRatio(now, r, ratio)
 }
@@ -76,15 +83,17 @@
 func (h *health) decay(now time.Time) {
 	if h.slowness > slowThreshold && now.Sub(h.slownessAt) >= slownessHalfLife {
 		h.updateSlowness(now, 0.5, 1)
+		h.probing = true
 	}
 }
 
 // recordFailure pauses the target after a failed run. The pause doubles with
-// each consecutive failure, up to maxFailurePause.
+// each further failure that few runs have made up for, up to maxFailurePause, so
+// that a target which fails part of its runs attracts no work by ending them
+// early.
 func (h *health) recordFailure(now time.Time) {
-	pause := min(initialFailurePause<<min(h.failedRuns, 8), maxFailurePause)
-	h.failedRuns++
-	h.pause(now, pause)
+	h.pause(now, time.Duration(min(float64(initialFailurePause)*math.Exp2(h.failures), float64(maxFailurePause))))
+	h.failures++
 }
 
 func (h *health) pause(now time.Time, d time.Duration) {
