Holder: targets are rated by speed, and tasks placed by expected end

Cause: targets run at 0.6, 1 and 1.6 times the usual speed by nature. A target counted as usual until it was twice too slow, so that long tasks with little slack went to slow targets and were late, and the estimates mixed all speeds. Ruled out: faults; the detection of slow targets found none of these. Change: package rater learns the speed of each target apart from faults; the holder leaves out targets on which a task would be late, leaves the fast ones to long tasks while others wait, and reports run times as on a target of usual speed.

--- a/holder/home.go
+++ b/holder/home.go
@@ -37,7 +37,16 @@
 // jobTasks are the tasks of one job at this holder.
 type jobTasks struct {
 	tasks    map[medlargw.TaskID]*task
-	minRatio float64 // Least run time divided by estimate, of the completed tasks; zero if none.
+	minRatio float64 // Least ratio of the completed tasks; zero if none.
+	// The runs that were completed while the job has tasks here.
+	completed []completedRun
+}
+
+// completedRun is the ratio of run time to estimate of a run, as if its target
+// was of usual speed.
+type completedRun struct {
+	target *target
+	ratio  float64
 }
 
 func (m *home) add(w *task) {
@@ -129,7 +138,7 @@
 	if r != nil {
 		report.Target = r.target.info.Name
 		if !r.acked.IsZero() {
-			report.Elapsed = now.Sub(r.acked)
+			report.Elapsed = time.Duration(float64(now.Sub(r.acked)) / r.target.rater.Slowness())
 		}
 	}
 	h.forget(now, w)
--- a/holder/place.go
+++ b/holder/place.go
@@ -1,12 +1,17 @@
 package holder
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
 )
 
+// speedClassRatio is the ratio of the run times of two neighbouring classes of
+// speed.
+const speedClassRatio = 1.3
+
 // place starts the waiting tasks that fit, while the network link can take their
 // payloads. Tasks that can still end by their due time go first; late tasks get
 // the remaining resources.
@@ -36,11 +41,12 @@
 	}
 }
 
-// pickTarget returns the target for the task, or nil if there is none. Of the
-// targets that the task fits, those that are not slow go first, then the one
-// with the least free cores. Unless the task is late, a slow target where it
-// would end after its due time is left out.
+// pickTarget returns the target for the task, or nil if there is none. Unless the
+// task is late, a target that is slower than usual and where the task would end
+// after its due time is left out.
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
+	// While other tasks wait, the fast targets are left to those that need them.
+	slowFirst := !late && len(h.waiting) > 1
 	var best *target
 	for _, t := range h.sorted {
 		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, &h.settings) {
@@ -49,10 +55,10 @@
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
 			continue
 		}
-		if t.slowness >= slowThreshold && !late && now.Add(t.expectedRunTime(w)).After(w.due) {
+		if !late && speedClass(t.expectedSlowness()) > 0 && now.Add(t.expectedRunTime(w)).After(w.due) {
 			continue
 		}
-		if best == nil || h.preferred(t, best) {
+		if best == nil || preferred(t, best, slowFirst) {
 			best = t
 		}
 	}
@@ -61,18 +67,38 @@
 
 // expectedRunTime returns the expected run time of the task on the target.
 func (t *target) expectedRunTime(w *task) time.Duration {
-	return time.Duration(float64(w.offered.Estimate) * t.slowness)
+	return time.Duration(float64(w.offered.Estimate) * t.expectedSlowness())
+}
+
+// expectedSlowness returns the expected run time of a task on the target, divided
+// by that on a target of usual speed. It includes the recent slowness only where
+// that shows a fault.
+func (t *target) expectedSlowness() float64 {
+	if t.slowness >= slowThreshold {
+		return t.rater.Slowness() * t.slowness
+	}
+	return t.rater.Slowness()
 }
 
-// preferred reports whether target a is preferred to b. A target that is not
-// slow is preferred to a slow one, then the one with fewer free cores.
-func (h *Holder) preferred(a, b *target) bool {
+// preferred reports whether target a is preferred to b. A target without a fault
+// is preferred to a slow one, then the faster one, or the slower one with
+// slowFirst, then the one with fewer free cores.
+func preferred(a, b *target, slowFirst bool) bool {
 	if slowA, slowB := a.slowness >= slowThreshold, b.slowness >= slowThreshold; slowA != slowB {
 		return slowB
 	}
+	if classA, classB := speedClass(a.expectedSlowness()), speedClass(b.expectedSlowness()); classA != classB {
+		return (classA > classB) == slowFirst
+	}
 	return a.free.Cores < b.free.Cores
 }
 
+// speedClass returns the class of a slowness, zero for about the usual speed and
+// more for slower targets. Differences within a class may be errors of the rating.
+func speedClass(slowness float64) int {
+	return int(math.Round(math.Log(slowness) / math.Log(speedClassRatio)))
+}
+
 // startRun creates the start order of a run.
 func (h *Holder) startRun(now time.Time, t *target, w *task) {
 	r := &run{
--- a/holder/progress.go
+++ b/holder/progress.go
@@ -35,11 +35,30 @@
 		return
 	}
 	s := r.task.jobTasks
-	ratio := float64(now.Sub(r.acked)) / float64(estimate)
+	measured := float64(now.Sub(r.acked)) / float64(estimate)
+	ratio := measured / r.target.rater.Slowness()
 	if s.minRatio == 0 || ratio < s.minRatio {
 		s.minRatio = ratio
 	}
 	r.target.recordRun(now, r, ratio/max(s.baselineRatio(r), 1))
+	r.target.rater.Observe(measured, s.usualRatio(r.target))
+	s.completed = append(s.completed, completedRun{target: r.target, ratio: ratio})
+}
+
+// usualRatio returns the mean ratio of the job's runs that were completed on other
+// targets, as if those were of usual speed. It is zero when there are none.
+func (s *jobTasks) usualRatio(t *target) float64 {
+	sum, n := 0.0, 0
+	for _, c := range s.completed {
+		if c.target != t {
+			sum += c.ratio
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
 }
 
 // baselineRatio returns the least ratio of run time to estimate of the job's
@@ -73,7 +92,7 @@
 		return
 	}
 	total := expectedTotal(estimate, elapsed, percent)
-	r.ratio = float64(total) / float64(estimate)
+	r.ratio = float64(total) / (float64(estimate) * r.target.rater.Slowness())
 	baseline := r.task.jobTasks.baselineRatio(r)
 	ratio := r.ratio / max(baseline, 1) // The estimates of all tasks of the job may be too low.
 	if ratio < slowRatio && (baseline == 0 || ratio < jobSlowRatio) {
--- a/holder/report.go
+++ b/holder/report.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/rater"
 )
 
 // Delays before a renewal or a claim is sent again.
@@ -142,6 +143,7 @@
 	t.pendingEnds = nil
 	t.leaseEnd = report.Clock + h.settings.Longest
 	t.health = newHealth()
+	t.rater = rater.Rater{}
 }
 
 // handleEnds processes the ends in a report that are new.
--- a/holder/target.go
+++ b/holder/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/rater"
 )
 
 // leaseEndMargin is added to the end of a lease before it counts as over,
@@ -37,7 +38,7 @@
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why the run is stopped.
 	countedSlow  bool      // The run was recorded as slow in the target's health.
-	ratio        float64   // Projected run time divided by the estimate; zero is unknown.
+	ratio        float64   // Projected run time divided by the one expected on its target; zero is unknown.
 }
 
 // target is a target that this entry holds or is about to claim.
@@ -73,6 +74,7 @@
 	transferredTo medlargw.HostName          // Receiver of that transfer.
 
 	health
+	rater rater.Rater // Of its speed.
 }
 
 func newTarget(info medlargw.Target) *target {
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/rater"
 )
 
 // transferRetry is the pause after a transfer that failed.
@@ -30,7 +31,7 @@
 			return false
 		}
 	}
-	transferred := medlargw.TransferredTarget{Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.ackable()}
+	transferred := medlargw.TransferredTarget{Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.ackable(), Rating: t.rater.Rating()}
 	for _, r := range t.sortedRuns() {
 		if r.task == nil || r.stopping {
 			continue // The new holder stops the runs that it does not know.
@@ -139,6 +140,9 @@
 			h.addTarget(t)
 		}
 		h.logTransferReceived(t, transferred, tr.From.Host)
+		if known := t.rater.Rating(); known.Runs < transferred.Rating.Runs {
+			t.rater = rater.New(transferred.Rating)
+		}
 		if t.claimed && t.token < transferred.FenceToken {
 			h.stepDown(now, t) // Another entry claimed the target without this one's knowledge.
 		}
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -269,7 +269,10 @@
 	w := &wire.TransferRequest{From: encodeMember(&t.From)}
 	for i := range t.Targets {
 		moved := &t.Targets[i]
-		target := &wire.TransferredTarget{Name: string(moved.Name), Fence: moved.FenceToken, Seen: moved.AckedSequence}
+		target := &wire.TransferredTarget{
+			Name: string(moved.Name), Fence: moved.FenceToken, Seen: moved.AckedSequence,
+			Rating: &wire.Rating{Slow: moved.Rating.Slowness, Runs: moved.Rating.Runs},
+		}
 		if !moved.IncarnationStart.IsZero() {
 			target.BornMs = moved.IncarnationStart.UnixMilli()
 		}
@@ -289,7 +292,10 @@
 func decodeTransfer(w *wire.TransferRequest) medlargw.Transfer {
 	t := medlargw.Transfer{From: decodeMember(w.GetFrom())}
 	for _, m := range w.GetTargets() {
-		moved := medlargw.TransferredTarget{Name: medlargw.TargetName(m.GetName()), FenceToken: m.GetFence(), AckedSequence: m.GetSeen()}
+		moved := medlargw.TransferredTarget{
+			Name: medlargw.TargetName(m.GetName()), FenceToken: m.GetFence(), AckedSequence: m.GetSeen(),
+			Rating: medlargw.Rating{Slowness: m.GetRating().GetSlow(), Runs: m.GetRating().GetRuns()},
+		}
 		if m.GetBornMs() != 0 {
 			moved.IncarnationStart = time.UnixMilli(m.GetBornMs())
 		}
--- a/offer.go
+++ b/offer.go
@@ -115,7 +115,7 @@
 	ID      TaskID
 	Event   TaskEvent
 	Target  TargetName    // Where the task ran; empty if it was not started.
-	Elapsed time.Duration // Run time, if the run has ended.
+	Elapsed time.Duration // Run time, if the run has ended, as on a target of usual speed.
 	Reason  string        // Cause of the event, for logs.
 	// TakenOver means that the run was started by another holder, which its home
 	// believes to hold it. It is not sent to the home.
@@ -153,6 +153,7 @@
 	IncarnationStart time.Time // Start of the target's incarnation; zero is unknown.
 	FenceToken       uint64    // Of the former holder.
 	AckedSequence    uint64    // Up to which the former holder has acknowledged ends; the others are listed again.
+	Rating           Rating    // Of the target's speed.
 	Runs             []TransferredRun
 }
 
