--- a/holder/target.go
+++ b/holder/target.go
@@ -132,7 +132,7 @@
 // renews the lease too.
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && !t.info.Draining && !t.releasing && t.failedRenewals == 0 &&
-		!now.Before(t.pausedUntil) && !(t.probing && len(t.runs) > 0) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
+		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
 // updateClock records the arrival of an answer, and the target's clock in it.
