Evacuation of a zone: nothing starts there until it is taken back

Cause: operators of the platform ask in op/evacuate/ZONE that the targets of a zone get nothing more.

Change: the request is part of the host list and its version, so that it travels as the list does and an entry knows it before any target. Holders start nothing on targets of an evacuated zone and report none of their resources; runs end as they are; tasks that wait only for such targets go back to their homes at once. A job of a pool whose zones are all evacuated is refused at once, if nothing of it has started. A peer of an older build that leaves the field out does not take a known request back.

Ruled out: marking the targets as draining (a quarter of the list changes), a watch of its own (a call a second more, and later than the targets).

--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -14,6 +14,9 @@
 	Taken   time.Time       `json:"taken"`
 	Targets []targetWire    `json:"targets"`
 	Entries []entryHostWire `json:"entries"`
+
+	// Zones that get no new tasks. Null or missing is unknown.
+	Evacuated []string `json:"evacuated"`
 }
 
 type targetWire struct {
@@ -69,6 +72,12 @@
 			AdminAddr: e.Admin,
 		})
 	}
+	if wire.Evacuated != nil {
+		list.Evacuated = []medlargw.ZoneName{}
+	}
+	for _, zone := range wire.Evacuated {
+		list.Evacuated = append(list.Evacuated, medlargw.ZoneName(zone))
+	}
 	return list
 }
 
@@ -106,6 +115,12 @@
 			Admin: e.AdminAddr,
 		})
 	}
+	if list.Evacuated != nil {
+		wire.Evacuated = []string{}
+	}
+	for _, zone := range list.Evacuated {
+		wire.Evacuated = append(wire.Evacuated, string(zone))
+	}
 	return wire
 }
 
@@ -119,7 +134,7 @@
 
 // EncodeChanges encodes the changes of a host list as JSON.
 func EncodeChanges(c *medlargw.HostListChanges) ([]byte, error) {
-	list := medlargw.HostList{Version: c.Version, TakenAt: c.TakenAt, Targets: c.Targets, Entries: c.Entries}
+	list := medlargw.HostList{Version: c.Version, TakenAt: c.TakenAt, Targets: c.Targets, Entries: c.Entries, Evacuated: c.Evacuated}
 	wire := changesWire{hostListWire: encodeList(&list), Base: c.Base}
 	for _, name := range c.RemovedTargets {
 		wire.RemovedTargets = append(wire.RemovedTargets, string(name))
@@ -141,7 +156,10 @@
 		return medlargw.HostListChanges{}, fmt.Errorf("decode changes of the host list: %w", err)
 	}
 	list := decodeList(&wire.hostListWire)
-	c := medlargw.HostListChanges{Base: wire.Base, Version: list.Version, TakenAt: list.TakenAt, Targets: list.Targets, Entries: list.Entries}
+	c := medlargw.HostListChanges{
+		Base: wire.Base, Version: list.Version, TakenAt: list.TakenAt,
+		Targets: list.Targets, Entries: list.Entries, Evacuated: list.Evacuated,
+	}
 	for _, name := range wire.RemovedTargets {
 		c.RemovedTargets = append(c.RemovedTargets, medlargw.TargetName(name))
 	}
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,7 @@
 	fetching     atomic.Bool
 	mu           sync.Mutex // Held while a list or a change of the membership is applied.
 	differ       *differ.Differ
+	evacuated    []medlargw.ZoneName // As last known.
 
 	spawner *spawner.Spawner
 	done    chan struct{}
@@ -162,7 +164,7 @@
 func (a *Assigner) applyList(list *medlargw.HostList) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if list.Version <= a.HostsVersion() {
+	if list.Version <= a.HostsVersion() && !a.completes(list) {
 		return false
 	}
 	a.differ.Update(*list)
@@ -186,13 +188,39 @@
 	return true, nil
 }
 
+// completes reports whether the list has the version of the one in use, and
+// knows the evacuated zones, which that one lacks.
+func (a *Assigner) completes(list *medlargw.HostList) bool {
+	current := a.list.Load()
+	return current != nil && current.Version == list.Version && current.Evacuated == nil && list.Evacuated != nil
+}
+
 // useList replaces the list in use. The caller holds the lock.
 func (a *Assigner) useList(list *medlargw.HostList) {
 	a.list.Store(list)
+	if list.Evacuated != nil {
+		a.logEvacuations(list)
+		a.evacuated = list.Evacuated
+	}
 	a.listedAddrSetter.SetListedAddrs(addresses(list))
 	a.updateGroup(a.members.Members())
 }
 
+// logEvacuations logs the zones that are evacuated, or no longer, since the last
+// list.
+func (a *Assigner) logEvacuations(list *medlargw.HostList) {
+	for _, zone := range list.Evacuated {
+		if !slices.Contains(a.evacuated, zone) {
+			a.log.Info("zone evacuated", zap.String("zone", string(zone)), zap.Uint64("version", list.Version))
+		}
+	}
+	for _, zone := range a.evacuated {
+		if !slices.Contains(list.Evacuated, zone) {
+			a.log.Info("evacuation of a zone taken back", zap.String("zone", string(zone)), zap.Uint64("version", list.Version))
+		}
+	}
+}
+
 func addresses(list *medlargw.HostList) []netip.AddrPort {
 	var addrs []netip.AddrPort
 	for _, e := range list.Entries {
@@ -214,6 +242,7 @@
 func (a *Assigner) updateGroup(members []medlargw.Member) {
 	if list := a.list.Load(); list != nil {
 		g := newGroup(list, members)
+		g.Evacuated = a.evacuated
 		if a.HostsAge() < staleAfter {
 			g.ListedEntries = listedPeers(list)
 		}
--- a/assigner/changes_test.go
+++ b/assigner/changes_test.go
@@ -1,8 +1,10 @@
 package assigner
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,3 +83,63 @@
 		})
 	}
 }
+
+// TestEvacuatedZonesReachPeers sends a list to a peer that knows zone a as
+// evacuated. A list of an older build does not tell the evacuated zones: the peer
+// keeps those that it knows, until it gets that version from a build that does.
+func TestEvacuatedZonesReachPeers(t *testing.T) {
+	type zones = []medlargw.ZoneName
+	tests := []struct {
+		name     string
+		sent     zones
+		protocol int
+		older    bool // The sender is of an older build.
+		want     zones
+	}{
+		{"changes, evacuated", zones{"a", "b"}, medlargw.ProtocolChanges, false, zones{"a", "b"}},
+		{"changes, taken back", zones{}, medlargw.ProtocolChanges, false, zones{}},
+		{"whole list, evacuated", zones{"a", "b"}, 0, false, zones{"a", "b"}},
+		{"whole list, taken back", zones{}, 0, false, zones{}},
+		{"changes of an older build", nil, medlargw.ProtocolChanges, true, zones{"a"}},
+		{"whole list of an older build", nil, 0, true, zones{"a"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			after, before := listOf(9, 4, 1), listOf(7, 4, 0)
+			after.Evacuated, before.Evacuated = test.sent, zones{"a"}
+			after.History = medlargw.HostHistory{Since: 5, Targets: map[medlargw.TargetName]uint64{after.Targets[0].Name: 9}}
+			sender, receiver := newAssigner(after), newAssigner(before)
+			reply, err := sender.HandleFetch(t.Context(), medlargw.FetchRequest{Version: 7, Protocol: test.protocol})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if test.older {
+				reply.Body = bytes.Replace(reply.Body, []byte(`"evacuated":null,`), nil, 1)
+			}
+			if changed, err := receiver.applyReply(&reply); err != nil || !changed {
+				t.Fatalf("apply: got %v, %v, want a newer list", changed, err)
+			}
+			if got := receiver.lastGroup(t).Evacuated; !slices.Equal(got, test.want) {
+				t.Errorf("evacuated zones: got %v, want %v", got, test.want)
+			}
+			read := after
+			read.Evacuated = zones{"c"}
+			if got := receiver.applyList(&read); got != test.older {
+				t.Errorf("the same version read from the platform: got applied %v, want %v", got, test.older)
+			}
+			if got := receiver.lastGroup(t).Evacuated; test.older && !slices.Equal(got, read.Evacuated) {
+				t.Errorf("evacuated zones read from the platform: got %v, want %v", got, read.Evacuated)
+			}
+		})
+	}
+}
+
+// lastGroup returns the group that the dispatcher was last given.
+func (a *Assigner) lastGroup(t *testing.T) medlargw.Group {
+	t.Helper()
+	f, ok := a.groupSetter.(*fakes)
+	if !ok || len(f.groups) == 0 {
+		t.Fatal("got no group, want one")
+	}
+	return f.groups[len(f.groups)-1]
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -231,9 +232,14 @@
 		return // The event that is queued for the former group applies this one.
 	}
 	c.post(func(now time.Time) {
+		evacuated := c.group.Evacuated
 		c.group = *c.nextGroup.Swap(nil)
 		c.holder.SetGroup(now, c.group)
 		c.coord.SetGroup(now, c.group)
+		if !slices.Equal(evacuated, c.group.Evacuated) {
+			c.counters.evacuatedZones.Update(int64(len(c.group.Evacuated)))
+			c.publishResources(now)
+		}
 	})
 }
 
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -26,6 +26,9 @@
 
 	unansweredOffers metrics.Counter
 	unackedReports   metrics.Counter
+
+	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
+	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -39,6 +42,9 @@
 
 		unansweredOffers: metrics.GetOrRegisterCounter("peers.unanswered-offers", r),
 		unackedReports:   metrics.GetOrRegisterCounter("peers.unacknowledged-reports", r),
+
+		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
+		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
 }
 
@@ -61,4 +67,7 @@
 // countEvent counts a task event.
 func (c *counters) countEvent(e *medlargw.TaskReport) {
 	metrics.GetOrRegisterCounter("tasks."+e.Event.String(), c.registry).Inc(1)
+	if e.Reason == medlargw.ReasonEvacuated {
+		c.evacuatedTasks.Inc(1)
+	}
 }
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -26,6 +26,8 @@
 	downLinks map[[2]string]bool // One-way links that are down, by the names of both ends.
 	taskWork  map[string]medlargw.SimulatedTask
 
+	lastStart map[medlargw.ZoneName]time.Time // When a target of the zone last received a start order.
+
 	linkRate    float64 // Of each entry host and direction, in bytes per second; zero is unlimited.
 	isEntryHost map[string]bool
 	hostLinks   map[string]hostLinks
@@ -38,6 +40,7 @@
 		entries:   map[netip.AddrPort]*entry{},
 		downLinks: map[[2]string]bool{},
 		taskWork:  map[string]medlargw.SimulatedTask{},
+		lastStart: map[medlargw.ZoneName]time.Time{},
 
 		isEntryHost: map[string]bool{},
 		hostLinks:   map[string]hostLinks{},
@@ -125,6 +128,9 @@
 		return medlargw.OrderReply{}, err
 	}
 	reply := r.sim.targets.Start(t.Name, o)
+	r.sim.mu.Lock()
+	r.sim.lastStart[t.Zone] = time.Now()
+	r.sim.mu.Unlock()
 	return reply, r.respond(ctx, t.Name)
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,13 +40,15 @@
 	formerTasks map[medlargw.TaskID]*task
 	holders     map[medlargw.Incarnation]*holder
 	byDistance  []*holder // This entry first, then its zone, then the other zones.
-	estimator   medlargw.Estimator
-	nextJob     uint64
-	nextID      medlargw.TaskID
-	finished    []medlargw.FinishedJob
-	pacer       *pacer.Pacer // Of this entry's network link.
-	lastProbe   time.Time    // When holders were last asked for their free resources.
-	nextProbe   int          // Round-robin index of the next holder to ask.
+	// Pools all of whose targets are in evacuated zones.
+	evacuated map[medlargw.PoolName]bool
+	estimator medlargw.Estimator
+	nextJob   uint64
+	nextID    medlargw.TaskID
+	finished  []medlargw.FinishedJob
+	pacer     *pacer.Pacer // Of this entry's network link.
+	lastProbe time.Time    // When holders were last asked for their free resources.
+	nextProbe int          // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
@@ -127,6 +129,21 @@
 		}
 	}
 	c.sortHolders()
+	c.evacuated = evacuatedPools(&g)
+}
+
+// evacuatedPools returns the pools all of whose targets are in evacuated zones.
+func evacuatedPools(g *medlargw.Group) map[medlargw.PoolName]bool {
+	pools := map[medlargw.PoolName]bool{}
+	if len(g.Evacuated) == 0 {
+		return pools
+	}
+	for i := range g.Targets {
+		t := &g.Targets[i]
+		others, known := pools[t.Pool]
+		pools[t.Pool] = (others || !known) && slices.Contains(g.Evacuated, t.Zone)
+	}
+	return pools
 }
 
 // affinity returns the hash by which this entry orders equally suitable holders.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -119,6 +119,10 @@
 		c.abort(now, j, medlargw.CodeDeadline, "one task takes longer than the time until the deadline")
 		return
 	}
+	if c.evacuated[m.Pool] {
+		c.refuse(now, j, 0, "all zones of the targets are evacuated")
+		return
+	}
 	if wait, ok := c.expectedWait(now, j); ok && wait > 0 && (now.Add(wait).After(j.latestStart()) || c.congested(now, j)) {
 		c.refuse(now, j, wait, "no room in time")
 		return
@@ -174,7 +178,7 @@
 // shouldRefuse reports whether a job that has not started should be refused
 // now.
 func (c *Coordinator) shouldRefuse(now time.Time, j *job) bool {
-	if now.After(j.latestStart()) {
+	if now.After(j.latestStart()) || c.evacuated[j.job.Pool] {
 		return true
 	}
 	if now.Sub(j.job.Arrived) < max(minStartDecisionTime, time.Duration(startDecisionShare*float64(j.due.Sub(j.job.Arrived)))) {
--- a/differ/differ.go
+++ b/differ/differ.go
@@ -54,7 +54,7 @@
 	if base == 0 || base < d.history.Since || base > d.list.Version {
 		return medlargw.HostListChanges{}, false
 	}
-	c := medlargw.HostListChanges{Base: base, Version: d.list.Version, TakenAt: d.list.TakenAt}
+	c := medlargw.HostListChanges{Base: base, Version: d.list.Version, TakenAt: d.list.TakenAt, Evacuated: d.list.Evacuated}
 	targets := changedAfter(d.history.Targets, base)
 	for _, t := range d.list.Targets {
 		if targets[t.Name] {
@@ -117,6 +117,8 @@
 		Targets: slices.SortedFunc(maps.Values(targets), func(a, b medlargw.Target) int { return cmp.Compare(a.Name, b.Name) }),
 		Entries: slices.SortedFunc(maps.Values(entries), func(a, b medlargw.EntryHost) int { return cmp.Compare(a.Name, b.Name) }),
 		History: history,
+
+		Evacuated: c.Evacuated,
 	})
 	return d.list, nil
 }
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -7,6 +7,7 @@
 	"attempts":              "Attempts that ended, by kind and reason.",
 	"borrow":                "Calls for loans of slots, by outcome.",
 	"entry":                 "State of this entry: tasks, slots, members and ages in seconds where the name says so.",
+	"evacuations":           "Waiting tasks that were returned to their homes because the zone of their targets is evacuated.",
 	"jobs":                  "Jobs that ended, by outcome: complete, or the code of the refusal or failure.",
 	"limit-changes":         "Teams that reached their limit or fell below it again.",
 	"loans":                 "Slots that are lent and borrowed now.",
@@ -24,6 +25,7 @@
 	"targets":               "Targets by state.",
 	"tasks":                 "Events of tasks on targets under lease, by kind.",
 	"waiting":               "Tasks that wait, by the rank of their class.",
+	"zones":                 "Zones by state, as this entry knows them.",
 }
 
 // familyHelp returns the help line of a family, or nil for an unknown one.
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -27,6 +27,10 @@
 func (h *Holder) SetGroup(now time.Time, g medlargw.Group) {
 	h.group = g
 	h.lastAssigned = now
+	h.evacuated = map[medlargw.ZoneName]bool{}
+	for _, zone := range g.Evacuated {
+		h.evacuated[zone] = true
+	}
 	if h.firstAssigned.IsZero() {
 		h.firstAssigned = now
 	}
@@ -48,6 +52,24 @@
 			delete(h.owners, name)
 		}
 	}
+	h.applyEvacuations(now)
+}
+
+// applyEvacuations takes the targets of the evacuated zones out of use for new
+// runs, and puts the others back. What runs there goes on. Tasks that wait for
+// targets of evacuated zones alone are returned at once.
+func (h *Holder) applyEvacuations(now time.Time) {
+	changed := false
+	for _, t := range h.sorted {
+		if evacuated := h.evacuated[t.info.Zone]; evacuated != t.evacuated {
+			t.evacuated = evacuated
+			changed = true
+		}
+	}
+	if changed {
+		h.returnUnserved(now)
+		h.place(now)
+	}
 }
 
 // assignTarget claims or releases a target, given the candidates of the last
--- /dev/null
+++ b/holder/evacuation_test.go
@@ -0,0 +1,129 @@
+package holder_test
+
+import (
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// setGroup passes the holder its group with the evacuated zones and targets of
+// pool "pool" in the given zones.
+func (x *fixture) setGroup(evacuated []medlargw.ZoneName, targets ...medlargw.Target) medlargw.HolderActions {
+	x.t.Helper()
+	g := medlargw.Group{Entries: []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}}, Evacuated: evacuated}
+	for _, t := range targets {
+		t.Pool, t.Resources = "pool", medlargw.Resources{Cores: 32000, Memory: 1000}
+		g.Targets = append(g.Targets, t)
+	}
+	x.h.SetGroup(x.now, g)
+	return x.takeActions()
+}
+
+// offerQueued offers a task that may queue, and returns its state.
+func (x *fixture) offerQueued(id medlargw.TaskID) medlargw.OfferState {
+	reply := x.h.HandleOffer(x.now, 0, &medlargw.Offer{
+		From: medlargw.Member{Host: "home", Incarnation: 7},
+		Tasks: []medlargw.OfferedTask{{
+			ID: id, Run: medlargw.RunID{Task: string(rune('a' + id)), Attempt: 1}, Pool: "pool", MayQueue: true,
+			Resources: medlargw.Resources{Cores: 20000}, Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
+		}},
+	})
+	return reply.States[0].State
+}
+
+// TestEvacuation follows the only target of a holder through the evacuation of
+// its zone: a run goes on and its end is taken, what waits is returned at once,
+// nothing starts until the request is taken back.
+func TestEvacuation(t *testing.T) {
+	x := newFixture(t)
+	target := medlargw.Target{Name: "t", Zone: "z"}
+	x.offer(1, 20000)
+	if got := x.offerQueued(2); got != medlargw.OfferQueued {
+		t.Fatalf("second task: got state %v, want queued", got)
+	}
+	a := x.setGroup([]medlargw.ZoneName{"z"}, target)
+	if len(a.Starts)+len(a.Stops) != 0 || len(a.Reports) != 1 || a.Reports[0].ID != 2 ||
+		a.Reports[0].Event != medlargw.TaskReturned || a.Reports[0].Reason != medlargw.ReasonEvacuated {
+		t.Errorf("evacuation: got %+v, want one report that task 2 is returned", a)
+	}
+	if sum := x.h.FreeResources(x.now); len(sum.Pools) != 0 {
+		t.Errorf("free resources: got %+v, want none", sum.Pools)
+	}
+	if got := x.offerQueued(3); got != medlargw.OfferRefused {
+		t.Errorf("offer during the evacuation: got state %v, want refused", got)
+	}
+	x.now = x.now.Add(100 * time.Millisecond)
+	run := medlargw.RunID{Task: "b", Attempt: 1}
+	a = x.report(medlargw.RunReport{Clock: 1100 * time.Millisecond, IncarnationStart: start, Active: []medlargw.ActiveRun{{Run: run}}})
+	if len(a.Renewals) != 1 || a.Renewals[0].Renewal.LeaseEnd == 0 {
+		t.Errorf("renewals during the evacuation: got %v, want one that renews the lease", a.Renewals)
+	}
+	a = x.report(medlargw.RunReport{Clock: 1100 * time.Millisecond, IncarnationStart: start, Ended: []medlargw.RunEnd{
+		{Sequence: 1, Run: run, Kind: medlargw.RunSucceeded},
+	}})
+	if len(a.Starts) != 0 || len(a.Reports) != 1 || a.Reports[0].Event != medlargw.TaskSucceeded {
+		t.Errorf("end of the run: got %+v, want one report of its success", a)
+	}
+	a = x.setGroup(nil, target)
+	if len(a.Starts) != 0 {
+		t.Errorf("starts after the request is taken back: got %v, want none, as no task waits", a.Starts)
+	}
+	if got := x.offerQueued(4); got != medlargw.OfferStarted {
+		t.Errorf("offer after the request is taken back: got state %v, want started", got)
+	}
+}
+
+// TestEvacuationOfOneZone asserts that tasks go on waiting for the targets of
+// another zone, and that a target that is listed during the evacuation is not
+// used.
+func TestEvacuationOfOneZone(t *testing.T) {
+	x := newFixture(t)
+	targets := []medlargw.Target{{Name: "t", Zone: "z"}, {Name: "u", Zone: "other"}}
+	x.offer(1, 20000)
+	x.offerQueued(2)
+	x.now = x.now.Add(3 * time.Second) // The targets of zones without an entry are claimed late.
+	x.setGroup(nil, targets...)
+	x.offerQueued(3)
+	if a := x.setGroup([]medlargw.ZoneName{"z"}, targets...); len(a.Reports) != 0 {
+		t.Errorf("reports: got %v, want none", a.Reports)
+	}
+	targets = append(targets, medlargw.Target{Name: "v", Zone: "z"})
+	x.setGroup([]medlargw.ZoneName{"z"}, targets...)
+	x.now = x.now.Add(time.Second)
+	x.h.Tick(x.now)
+	for _, renewal := range x.h.TakeActions().Renewals {
+		report := medlargw.RunReport{Clock: time.Second, IncarnationStart: start}
+		x.h.RenewAnswered(x.now, x.now, &renewal, &report, nil)
+	}
+	for _, s := range x.h.TakeActions().Starts {
+		if s.Target.Zone != "other" {
+			t.Errorf("start in zone %s, want starts in zone other alone", s.Target.Zone)
+		}
+	}
+	sum := x.h.FreeResources(x.now)
+	if len(sum.Pools) != 1 || sum.Pools[0].TotalCores != 32000 {
+		t.Errorf("resources: got %+v, want those of the target of zone other", sum.Pools)
+	}
+}
+
+// TestTransferDuringEvacuation asserts that a target of an evacuated zone that
+// another entry transfers is not used.
+func TestTransferDuringEvacuation(t *testing.T) {
+	x := newFixture(t)
+	x.setGroup([]medlargw.ZoneName{"z"}, medlargw.Target{Name: "t", Zone: "z"}, medlargw.Target{Name: "v", Zone: "z"})
+	err := x.h.HandleTransfer(x.now, &medlargw.Transfer{
+		From: medlargw.Member{Host: "other"}, Targets: []medlargw.TransferredTarget{{Name: "v", IncarnationStart: start, FenceToken: 1}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.h.Tick(x.now)
+	for _, renewal := range x.h.TakeActions().Renewals {
+		report := medlargw.RunReport{Clock: time.Second, IncarnationStart: start}
+		x.h.RenewAnswered(x.now, x.now, &renewal, &report, nil)
+	}
+	if got := x.offerQueued(1); got != medlargw.OfferRefused {
+		t.Errorf("offer: got state %v, want refused", got)
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -44,8 +44,9 @@
 	homes             map[medlargw.Incarnation]*home
 	waiting           []*task
 	group             medlargw.Group
-	firstAssigned     time.Time // Zero before the first assignment.
-	postponedClaims   bool      // The first claims wait for transfers.
+	evacuated         map[medlargw.ZoneName]bool // Zones whose targets get no new tasks.
+	firstAssigned     time.Time                  // Zero before the first assignment.
+	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
 	pacer             *pacer.Pacer // Of this entry's network link.
@@ -124,6 +125,7 @@
 }
 
 func (h *Holder) addTarget(t *target) {
+	t.evacuated = h.evacuated[t.info.Zone]
 	h.targets[t.info.Name] = t
 	h.sorted = append(h.sorted, t)
 	slices.SortFunc(h.sorted, func(a, b *target) int { return cmp.Compare(a.info.Name, b.info.Name) })
--- a/holder/home.go
+++ b/holder/home.go
@@ -220,18 +220,44 @@
 	if len(h.waiting) == 0 {
 		return
 	}
-	served := map[medlargw.PoolName]bool{}
-	for _, t := range h.sorted {
-		if !t.releasing && !t.info.Draining && !t.delisted(now, h.settings.Unlisted) {
-			served[t.info.Pool] = true
+	served, evacuated := h.servedPools(now)
+	for _, w := range slices.Clone(h.waiting) {
+		if served[w.offered.Pool] {
+			continue
 		}
+		reason := "no targets left"
+		if evacuated[w.offered.Pool] {
+			reason = medlargw.ReasonEvacuated
+		}
+		h.dequeue(w)
+		h.endTask(now, w, medlargw.TaskReturned, nil, reason)
 	}
-	for _, w := range slices.Clone(h.waiting) {
-		if !served[w.offered.Pool] {
-			h.dequeue(w)
-			h.endTask(now, w, medlargw.TaskReturned, nil, "no targets left")
+}
+
+// isEvacuated reports whether this entry holds targets of a pool that it will
+// keep, all of them in evacuated zones.
+func (h *Holder) isEvacuated(now time.Time, pool medlargw.PoolName) bool {
+	if len(h.evacuated) == 0 {
+		return false
+	}
+	served, evacuated := h.servedPools(now)
+	return evacuated[pool] && !served[pool]
+}
+
+// servedPools returns the pools of which this entry holds a target that it will
+// keep, apart from those whose only such targets are in evacuated zones.
+func (h *Holder) servedPools(now time.Time) (served, evacuated map[medlargw.PoolName]bool) {
+	served, evacuated = map[medlargw.PoolName]bool{}, map[medlargw.PoolName]bool{}
+	for _, t := range h.sorted {
+		switch {
+		case t.releasing || t.info.Draining || t.delisted(now, h.settings.Unlisted):
+		case t.evacuated:
+			evacuated[t.info.Pool] = true
+		default:
+			served[t.info.Pool] = true
 		}
 	}
+	return served, evacuated
 }
 
 // dropExpired returns to their homes the waiting tasks that can no longer end
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -143,7 +143,7 @@
 		return h.endedState(m, o.ID)
 	case w.run != nil:
 		return medlargw.OfferStarted
-	case o.MayQueue || added == nil:
+	case added == nil || o.MayQueue && !h.isEvacuated(now, o.Pool):
 		return medlargw.OfferQueued
 	}
 	h.dequeue(w)
--- a/holder/target.go
+++ b/holder/target.go
@@ -64,6 +64,7 @@
 	failedRenewals int       // Consecutive renewals that were not answered.
 
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
+	evacuated     bool      // The operators evacuate its zone: it gets no new runs.
 	releasing     bool      // Another entry should hold the target.
 	transferring  bool      // The transfer is in flight.
 	nextTransfer  time.Time // No transfer is sent before.
@@ -129,7 +130,7 @@
 // usable reports whether new runs may be started on the target. A start order
 // renews the lease too.
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
-	return t.claimed && !t.info.Draining && !t.releasing && t.failedRenewals == 0 &&
+	return t.claimed && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
 		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
--- a/loan.go
+++ b/loan.go
@@ -11,6 +11,9 @@
 	Entries           []Peer   // Live and leaving ones, this entry included.
 	HasUnknownEntries bool     // The host list has entries of this zone that this entry has no state of yet.
 	ListedEntries     []Peer   // Entries in the host list; empty if the list is out of date.
+
+	// Zones whose targets get no new tasks, sorted.
+	Evacuated []ZoneName
 }
 
 // Peer is the address and the identity of one entry, for messages to it.
--- a/offer.go
+++ b/offer.go
@@ -109,6 +109,10 @@
 // Terminal reports whether the event is the last one of an offered task.
 func (e TaskEvent) Terminal() bool { return e != TaskStarted }
 
+// ReasonEvacuated is the reason of a TaskReturned event of a task that waited
+// for targets of evacuated zones alone.
+const ReasonEvacuated = "zone evacuated"
+
 // TaskReport is one event of one task.
 type TaskReport struct {
 	Home    Peer // Entry to send it to.
--- a/target.go
+++ b/target.go
@@ -35,6 +35,10 @@
 	Targets []Target
 	Entries []EntryHost
 	History HostHistory
+
+	// Zones whose targets get no new tasks until the operators take the request
+	// back, sorted. Nil is unknown: the list comes from a peer of an older build.
+	Evacuated []ZoneName
 }
 
 // HostHistory tells when the elements of a HostList changed. An element that
@@ -68,4 +72,5 @@
 	Entries        []EntryHost // Added or changed.
 	RemovedTargets []TargetName
 	RemovedEntries []HostName
+	Evacuated      []ZoneName // All evacuated zones, as in HostList.
 }
