--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -30,6 +30,8 @@
 	targetsOwned metrics.Gauge
 	targetsDue   metrics.GaugeFloat64
 	capacity     metrics.Gauge
+	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
+	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -47,6 +49,8 @@
 		targetsOwned: metrics.GetOrRegisterGauge("share.owned", r),
 		targetsDue:   metrics.GetOrRegisterGaugeFloat64("share.due", r),
 		capacity:     metrics.GetOrRegisterGauge("share.capacity", r),
+		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
+		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
 }
 
@@ -77,4 +81,7 @@
 // countEvent counts a task event.
 func (c *counters) countEvent(e *medlargw.TaskReport) {
 	metrics.GetOrRegisterCounter("tasks."+e.Event.String(), c.registry).Inc(1)
+	if e.Reason == medlargw.ReasonEvacuated {
+		c.evacuatedTasks.Inc(1)
+	}
 }
