--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -27,9 +27,9 @@
 	unansweredOffers metrics.Counter
 	unackedReports   metrics.Counter
 
-	targetsOwned metrics.Gauge
-	targetsDue   metrics.GaugeFloat64
-	capacity     metrics.Gauge
+	targetsOwned   metrics.Gauge
+	targetsDue     metrics.GaugeFloat64
+	capacity       metrics.Gauge
 	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
 	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
@@ -46,9 +46,9 @@
 		unansweredOffers: metrics.GetOrRegisterCounter("peers.unanswered-offers", r),
 		unackedReports:   metrics.GetOrRegisterCounter("peers.unacknowledged-reports", r),
 
-		targetsOwned: metrics.GetOrRegisterGauge("share.owned", r),
-		targetsDue:   metrics.GetOrRegisterGaugeFloat64("share.due", r),
-		capacity:     metrics.GetOrRegisterGauge("share.capacity", r),
+		targetsOwned:   metrics.GetOrRegisterGauge("share.owned", r),
+		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
+		capacity:       metrics.GetOrRegisterGauge("share.capacity", r),
 		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
 		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
