Holder: its own lag is no silence of a home

Cause: a holder without processor time reads the keepalives of homes late, and stops their runs after 0.5 s although the homes live. Ruled out: a longer silence before leases lapse. Homes count the run of a lost holder as ended 1.9 s after the last offer, which rests on it; so from 0.5 s on no lease is renewed and no task starts, as before. Change: the stop of the runs waits for this entry's own lag, at most 0.25 s, and not at all where the last message was read late too: the runs of a dead home end before its callers ask again at 1.3 s. Checked: go test -race ./holder. TestNoStartForSilentHome shows that nothing of a home starts that fell silent during a pause of this holder (true before as well).

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -51,7 +51,8 @@
 	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
-	pacer             *pacer.Pacer // Of this entry's network link.
+	lag               time.Duration // How late this entry acts.
+	pacer             *pacer.Pacer  // Of this entry's network link.
 	actions           medlargw.HolderActions
 }
 
@@ -93,6 +94,9 @@
 	return a
 }
 
+// SetLag sets how late this entry acts, which is no silence of the homes.
+func (h *Holder) SetLag(lag time.Duration) { h.lag = lag }
+
 // Tick handles the timeouts that have passed, and sends the renewals that are
 // due.
 func (h *Holder) Tick(now time.Time) {
--- a/holder/home.go
+++ b/holder/home.go
@@ -19,6 +19,7 @@
 type home struct {
 	peer      medlargw.Peer
 	lastHeard time.Time
+	heardLag  time.Duration // How late this entry acted at lastHeard.
 	tasks     map[medlargw.TaskID]*task
 	jobs      map[uint64]*jobTasks
 	ended     map[medlargw.TaskID]endedTask
@@ -158,12 +159,20 @@
 	w.home.ended[w.offered.ID] = endedTask{at: now, run: w.offered.Run, to: to}
 }
 
+// maxStopDelay bounds the time for which this entry's own lag delays the stop of
+// the runs of a silent home. They must end before the home's callers, who wait for
+// at least 1.3 s, submit their jobs again.
+const maxStopDelay = 250 * time.Millisecond
+
 // expireHomes stops the tasks of homes that were not heard from for
 // LeaseSettings.Silence, because their callers may submit the jobs again at
-// another entry.
+// another entry. While this entry lags, messages of the home may be there unread,
+// so the stop waits, unless the last message was read late too. From Silence on, no task of the home starts and no lease of
+// its runs is renewed in any case.
 func (h *Holder) expireHomes(now time.Time) {
 	for _, m := range h.sortedHomes() {
-		if now.Sub(m.lastHeard) > h.settings.Silence && len(m.tasks) > 0 {
+		delay := max(0, min(h.lag, maxStopDelay)-m.heardLag)
+		if now.Sub(m.lastHeard) > h.settings.Silence+delay && len(m.tasks) > 0 {
 			h.cancelAll(now, m, "home silent")
 		}
 		if now.Sub(m.prunedAt) > endedRetention/10 {
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -21,7 +21,7 @@
 	stale := clock > o.ValidUntil
 	m := h.ensureHome(now, medlargw.Peer{Host: o.From.Host, Zone: o.From.Zone, Addr: o.From.Addr, Incarnation: o.From.Incarnation})
 	if !stale {
-		m.lastHeard = now // A late message does not prove that the home is alive now.
+		m.lastHeard, m.heardLag = now, h.lag // A late message does not prove that the home is alive now.
 	}
 	for _, id := range o.Cancels {
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
