Arbiter: a slow holder is not lost

Cause: a holder that did not answer for 0.6 s counted as lost, and jobs without time for another run were given up at once, although it lived: it, or the entry that judged it, had no processor time. The verdict made itself true: nothing more was sent, so the holder stopped the runs. Change: package arbiter judges silence by the judge's own lag, the lag that the peer tells, and other signs of life (heartbeats, reports, heartbeats of others). A slow holder gets keepalives and no new tasks, and nothing is given up. A lost one that gives a new sign of life gets its tasks back. A job is given up 0.9 s after the last offer, when the holder must have begun to stop the runs, not at the verdict. The control loop reads the answers that wait in its queue before it judges, for at most a tick at a time, and gives calls as much more time as it is late, within bounds; so an order that was answered is not "not answered".

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -180,6 +180,9 @@
 		case due := <-ticker.C:
 			now := c.readClock()
 			c.recordLateness(now, time.Since(due))
+			c.drainEvents(now) // Answers that wait here are no silence.
+			c.coord.SetLag(c.Lag())
+			c.holder.SetLag(c.Lag())
 			c.holder.Tick(now)
 			c.updateLink(now)
 			c.coord.Tick(now)
@@ -199,7 +202,8 @@
 	return idleTick
 }
 
-// drainEvents processes the events that are already queued.
+// drainEvents processes the events that are already queued, for at most a tick:
+// keepalives must be sent in time.
 func (c *Conductor) drainEvents(now time.Time) {
 	for {
 		select {
@@ -207,6 +211,9 @@
 			at := c.clock.Now()
 			c.recordLateness(at, at.Sub(e.posted))
 			e.apply(now)
+			if at.Sub(now) > busyTick {
+				return
+			}
 		default:
 			return
 		}
@@ -280,6 +287,7 @@
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
 	c.post(func(now time.Time) {
 		c.holder.HandleHeartbeat(now, c.uptime(now), d.FreeResources.Clock)
+		c.coord.HandleHeartbeat(now, from.Incarnation, d.Lag, d.Heard)
 		c.coord.SetFreeResources(now, from.Incarnation, d.FreeResources)
 	})
 }
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -79,20 +79,33 @@
 }
 
 // send makes a call on another goroutine, and posts the event that it returns
-// to the control goroutine; nil posts nothing.
-func (c *Conductor) send(limit time.Duration, call func(ctx context.Context) event) {
+// to the control goroutine; nil posts nothing. A call that has not returned
+// within the limit is cancelled. If this process is late then, the answer may be
+// there unread: the call gets that much more time, but at most extra.
+func (c *Conductor) send(limit, extra time.Duration, call func(ctx context.Context) event) {
 	c.senders.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		ctx, cancel := context.WithCancel(c.ctx)
 		defer cancel()
+		due := time.Now().Add(limit)
+		timer := time.AfterFunc(limit, func() {
+			time.AfterFunc(min(max(c.Lag(), time.Since(due)), extra), cancel)
+		})
+		defer timer.Stop()
 		if e := call(ctx); e != nil {
 			c.post(e)
 		}
 	})
 }
 
+// peerLimit returns the timeout of a call to a peer. One that lags gets up to
+// twice the usual time.
+func (c *Conductor) peerLimit(to medlargw.Incarnation) time.Duration {
+	return c.settings.Call + min(c.coord.PeerLag(to), c.settings.Call)
+}
+
 func (c *Conductor) sendStart(cmd *medlargw.StartCommand) {
 	c.counters.starts.Inc(1)
-	c.send(c.settings.Order, func(ctx context.Context) event {
+	c.send(c.settings.Order, c.settings.Order, func(ctx context.Context) event {
 		reply, err := c.runner.StartRun(ctx, &cmd.Target, cmd.Order)
 		return func(now time.Time) { c.holder.StartAnswered(now, cmd, reply, err) }
 	})
@@ -101,7 +114,7 @@
 func (c *Conductor) sendStop(cmd *medlargw.StopCommand) {
 	c.counters.stops.Inc(1)
 	c.pacer.Add(c.lastWake, medlargw.OrderBytes)
-	c.send(c.settings.Order, func(ctx context.Context) event {
+	c.send(c.settings.Order, c.settings.Order, func(ctx context.Context) event {
 		reply, err := c.runner.StopRun(ctx, &cmd.Target, cmd.Order)
 		return func(now time.Time) { c.holder.StopAnswered(now, cmd, reply, err) }
 	})
@@ -110,7 +123,10 @@
 func (c *Conductor) sendRenewal(cmd *medlargw.RenewCommand) {
 	c.counters.renewals.Inc(1)
 	c.pacer.Add(c.lastWake, medlargw.OrderBytes)
-	c.send(c.settings.Order+cmd.Renewal.MaxWait, func(ctx context.Context) event {
+	limit := c.settings.Order + cmd.Renewal.MaxWait
+	// The next renewal must arrive before the lease ends.
+	extra := max(0, min(c.settings.Order, c.settings.Lease-c.settings.Order/2-limit))
+	c.send(limit, extra, func(ctx context.Context) event {
 		sent := c.clock.Now()
 		report, err := c.runner.Renew(ctx, &cmd.Target, cmd.Renewal)
 		return func(now time.Time) { c.holder.RenewAnswered(now, sent, cmd, &report, err) }
@@ -119,7 +135,7 @@
 
 func (c *Conductor) sendTransfer(t *medlargw.Transfer) {
 	c.log.Info("transferring targets", zap.String("to", string(t.To.Host)), zap.Int("targets", len(t.Targets)))
-	c.send(c.settings.Call, func(ctx context.Context) event {
+	c.send(c.settings.Call, c.settings.Call, func(ctx context.Context) event {
 		err := c.messenger.Transfer(ctx, t.To.Addr, *t)
 		return func(now time.Time) { c.holder.TransferAnswered(now, t, err) }
 	})
@@ -134,7 +150,7 @@
 		return
 	}
 	c.counters.offers.Inc(1)
-	c.send(c.settings.Call, func(ctx context.Context) event {
+	c.send(c.peerLimit(o.To.Incarnation), c.settings.Call, func(ctx context.Context) event {
 		reply, err := c.messenger.Offer(ctx, o.To.Addr, o.Offer)
 		if err != nil {
 			c.counters.unansweredOffers.Inc(1)
@@ -178,7 +194,7 @@
 func (c *Conductor) sendReport(to medlargw.Peer, r *medlargw.Report) {
 	c.counters.reports.Inc(1)
 	c.pacer.Add(c.lastWake, medlargw.OfferBytes+medlargw.OfferedTaskBytes*len(r.Tasks))
-	c.send(c.settings.Call, func(ctx context.Context) event {
+	c.send(c.peerLimit(to.Incarnation), c.settings.Call, func(ctx context.Context) event {
 		err := c.messenger.Report(ctx, to.Addr, *r)
 		if err == nil {
 			return func(now time.Time) { c.holder.ConfirmReports(now, r.Tasks) }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/arbiter"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -46,9 +47,11 @@
 	nextJob   uint64
 	nextID    medlargw.TaskID
 	finished  []medlargw.FinishedJob
-	pacer     *pacer.Pacer // Of this entry's network link.
-	lastProbe time.Time    // When holders were last asked for their free resources.
-	nextProbe int          // Round-robin index of the next holder to ask.
+	arbiter   *arbiter.Arbiter
+	lag       time.Duration // How late this entry acts.
+	pacer     *pacer.Pacer  // Of this entry's network link.
+	lastProbe time.Time     // When holders were last asked for their free resources.
+	nextProbe int           // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
@@ -62,6 +65,7 @@
 ) *Coordinator {
 	return &Coordinator{
 		pacer:       link,
+		arbiter:     arbiter.New(maxMissedKeepalives * settings.Keep),
 		log:         log.Named("coordinator"),
 		settings:    settings,
 		self:        self,
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -57,7 +57,11 @@
 	clockAt      time.Time     // When that answer arrived; zero if there was none.
 	lastAnswered time.Time     // When the latest answered offer was sent.
 	lastSent     time.Time     // When the latest offer was sent.
+	lastHeard    time.Time     // When it last gave any sign of life, directly or to another entry that told of it.
+	lag          time.Duration // How late it acts, by its last heartbeat.
+	slow         bool          // It is silent, but there is evidence that it lives.
 	lost         bool
+	lostAt       time.Time
 	failures     int                       // Consecutive messages that were not answered.
 	retryAt      time.Time                 // No message is sent to it before.
 	absentSince  time.Time                 // When it left the group; zero while it is a member.
@@ -80,7 +84,7 @@
 // acceptsOffers reports whether tasks may be offered to the holder. One that has
 // not answered gets no new tasks until it answers a message without any.
 func (h *holder) acceptsOffers() bool {
-	return !h.lost && h.absentSince.IsZero() && h.failures == 0
+	return !h.lost && !h.slow && h.absentSince.IsZero() && h.failures == 0
 }
 
 // recordFailure counts a message that was not answered, and schedules the next
@@ -113,7 +117,7 @@
 }
 
 func newHolder(now time.Time) *holder {
-	return &holder{lastAnswered: now, tasks: map[medlargw.TaskID]*task{}}
+	return &holder{lastAnswered: now, lastHeard: now, tasks: map[medlargw.TaskID]*task{}}
 }
 
 // attach assigns a task to the holder, and removes it from its former holder.
@@ -147,6 +151,7 @@
 // a lost holder once their runs must have ended.
 func (c *Coordinator) tickHolder(now time.Time, h *holder) {
 	if len(h.tasks) == 0 {
+		h.slow = false
 		if !h.lost {
 			h.lastAnswered = now
 		}
@@ -156,18 +161,48 @@
 		}
 		return
 	}
-	if !h.lost && now.Sub(h.lastAnswered) > maxMissedKeepalives*c.settings.Keep {
-		c.markLost(now, h)
-	}
+	c.judge(now, h)
 	if !h.lost {
 		return
 	}
 	for _, t := range h.sortedTasks() {
-		if !t.endedBy.IsZero() && !now.Before(t.endedBy) {
-			attempt := t.attempt
-			c.retry(now, t, "")
-			c.logEndedByTime(now, t, attempt, h)
+		c.tickLostTask(now, h, t)
+	}
+}
+
+// judge updates the verdict on a holder that has tasks. One that has counted as
+// lost is reachable again as soon as there is a new sign of life.
+func (c *Coordinator) judge(now time.Time, h *holder) {
+	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: c.lag, PeerLag: h.lag}
+	switch verdict := c.arbiter.Judge(e); {
+	case verdict == medlargw.PeerLost && !h.lost:
+		c.markLost(now, h, e)
+	case verdict == medlargw.PeerSlow && h.lost && h.lastHeard.After(h.lostAt):
+		h.slow = true
+		c.markReachable(h, "heard of")
+	case verdict == medlargw.PeerSlow && !h.lost && !h.slow:
+		h.slow = true
+		c.log.Info("holder slow", append(evidenceFields(h, e), zap.Int("tasks", len(h.tasks)))...)
+	case verdict == medlargw.PeerAlive:
+		h.slow = false
+	}
+}
+
+// tickLostTask ends the run of a task whose holder is lost, once it must have
+// ended. It gives up the job before that if its holder must have begun to stop the
+// run, so that no result comes any more, and there is no time for another run.
+func (c *Coordinator) tickLostTask(now time.Time, h *holder, t *task) {
+	j := t.job
+	switch {
+	case t.endedBy.IsZero():
+	case !j.job.Idempotent || t.endedBy.Add(j.estimate).After(j.job.Deadline):
+		if now.Sub(h.lastSent) > offerValidity+c.settings.Silence {
+			c.abort(now, j, medlargw.CodeAttemptLost, "the holder of its targets is lost")
 		}
+	case !now.Before(t.endedBy):
+		attempt := t.attempt
+		c.retry(now, t, "")
+		c.logEndedByTime(now, t, attempt, h)
 	}
 }
 
@@ -177,27 +212,57 @@
 	return offerValidity + c.settings.Silence + c.settings.Lease + c.settings.Stop + c.settings.Keep
 }
 
-// markLost marks a holder as lost. Its tasks end by themselves within
-// selfStopDelay of the last offer, but nobody can tell whether they have
-// succeeded. A job is aborted at once if it is not idempotent, or if its deadline
-// leaves no time to wait for that and to retry.
-func (c *Coordinator) markLost(now time.Time, h *holder) {
+// markLost marks a holder as lost. Nothing is sent to it until there is a sign of
+// life. Its tasks end by themselves within selfStopDelay of the last offer, but
+// nobody can tell whether they have succeeded.
+func (c *Coordinator) markLost(now time.Time, h *holder, e medlargw.PeerEvidence) {
 	h.lost = true
+	h.slow = false
+	h.lostAt = now
 	all := h.sortedTasks()
-	c.log.Info("holder lost", zap.String("holder", string(h.peer.Host)), zap.Duration("silent", now.Sub(h.lastAnswered)),
-		zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))
+	c.log.Info("holder lost", append(evidenceFields(h, e), zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))...)
 	for _, t := range all {
 		t.endedBy = h.lastSent.Add(c.selfStopDelay())
 		t.job.started = true // The holder may have received the offer.
 		if t.job.refusing {
 			t.job.refusing = false
 		}
-		if !t.job.job.Idempotent || t.endedBy.Add(t.job.estimate).After(t.job.job.Deadline) {
-			c.abort(now, t.job, medlargw.CodeAttemptLost, "the holder of its targets is lost")
+	}
+}
+
+// evidenceFields returns the log fields of the evidence on a holder.
+func evidenceFields(h *holder, e medlargw.PeerEvidence) []zap.Field {
+	return []zap.Field{
+		zap.String("holder", string(h.peer.Host)), zap.Duration("silent", e.Silence), zap.Duration("heard", e.Heard),
+		zap.Duration("lag", e.OwnLag), zap.Duration("peer_lag", e.PeerLag),
+	}
+}
+
+// SetLag sets how late this entry acts, which is no silence of the holders.
+func (c *Coordinator) SetLag(lag time.Duration) { c.lag = lag }
+
+// HandleHeartbeat records a heartbeat of a holder, which names the lag of its
+// sender and the other entries that the sender has heard.
+func (c *Coordinator) HandleHeartbeat(now time.Time, from medlargw.Incarnation, lag time.Duration, others []medlargw.Sighting) {
+	if h := c.holders[from]; h != nil {
+		h.lastHeard = now
+		h.lag = lag
+	}
+	for _, s := range others {
+		if h := c.holders[s.Incarnation]; h != nil && now.Add(-s.Age).After(h.lastHeard) {
+			h.lastHeard = now.Add(-s.Age)
 		}
 	}
 }
 
+// PeerLag returns how late a peer acts, by its last heartbeat.
+func (c *Coordinator) PeerLag(incarnation medlargw.Incarnation) time.Duration {
+	if h := c.holders[incarnation]; h != nil {
+		return h.lag
+	}
+	return 0
+}
+
 // sortedTasks returns the tasks of the holder in the order of their offers.
 func (h *holder) sortedTasks() []*task {
 	all := make([]*task, 0, len(h.tasks))
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -21,9 +21,10 @@
 		return
 	}
 	h.recordAnswer(sent)
+	h.lastHeard = now
 	h.updateClock(now, reply.Clock)
 	if h.lost {
-		c.markReachable(h)
+		c.markReachable(h, "answers")
 	}
 	c.SetFreeResources(now, o.To.Incarnation, reply.FreeResources)
 	for _, s := range reply.States {
@@ -36,9 +37,9 @@
 // markReachable restores a lost holder. It may have received this coordinator's
 // messages in time to continue its tasks, so their ends are no longer proven.
 // Recalls tell their states: those that have started go on.
-func (c *Coordinator) markReachable(h *holder) {
+func (c *Coordinator) markReachable(h *holder, reason string) {
 	h.lost = false
-	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)), zap.Int("tasks", len(h.tasks)))
+	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)), zap.String("reason", reason), zap.Int("tasks", len(h.tasks)))
 	for _, t := range h.sortedTasks() {
 		t.endedBy = time.Time{}
 		c.queryState(t)
@@ -136,6 +137,7 @@
 	if from == nil {
 		from = c.addReporter(now, &r.From)
 	}
+	from.lastHeard = now
 	for i := range r.Tasks {
 		e := &r.Tasks[i]
 		t := c.tasks[e.ID]
--- a/member.go
+++ b/member.go
@@ -98,6 +98,7 @@
 	Waiting       []ClassDemand   // By class.
 	FreeResources HolderResources // Of the targets that it holds under lease.
 	Lag           time.Duration   // How late it acts, for lack of processor time; zero while it is on time.
+	Heard         []Sighting      // Peers whose silence others may misjudge.
 }
 
 // ClassDemand is the number of tasks of a class that wait for a slot, and the
