Tracker: members that lag are not suspect

Cause: a member without processor time became suspect after 0.5 s, its targets changed owners and were transferred, when processors were short anyway. Change: suspicion is the verdict of package arbiter: less the own lag, more time for a member that tells its lag, and sightings in heartbeats (Digest.heard), at most eight, of members that lag, are late or are suspect to others. The gossip of a suspicion is taken over under the same rule. Heartbeats to or from a member that lags get more time to be answered. Each changed verdict is logged with its evidence. Checked: go test -race ./tracker ./messenger.

--- a/messenger/members.go
+++ b/messenger/members.go
@@ -27,6 +27,7 @@
 			Waiting:    encodeDemand(b.Digest.Waiting),
 			Room:       encodeHolderResources(&b.Digest.FreeResources),
 			LagUs:      b.Digest.Lag.Microseconds(),
+			Heard:      encodeSightings(b.Digest.Heard),
 		},
 		View: b.ViewHash,
 	}
@@ -47,6 +48,7 @@
 			Waiting:       decodeDemand(r.GetDigest().GetWaiting()),
 			FreeResources: decodeHolderResources(r.GetDigest().GetRoom()),
 			Lag:           max(0, microsToDuration(r.GetDigest().GetLagUs())),
+			Heard:         decodeSightings(r.GetDigest().GetHeard()),
 		},
 		ViewHash: r.GetView(),
 	}
@@ -56,6 +58,26 @@
 	return b
 }
 
+func encodeSightings(all []medlargw.Sighting) []*wire.Sighting {
+	var sightings []*wire.Sighting
+	for _, s := range all {
+		sightings = append(sightings, &wire.Sighting{Incarnation: uint64(s.Incarnation), AgeUs: s.Age.Microseconds()})
+	}
+	return sightings
+}
+
+// decodeSightings leaves out sightings in the future, which would make a lost
+// entry look alive.
+func decodeSightings(all []*wire.Sighting) []medlargw.Sighting {
+	var sightings []medlargw.Sighting
+	for _, s := range all {
+		if age := microsToDuration(s.GetAgeUs()); age >= 0 {
+			sightings = append(sightings, medlargw.Sighting{Incarnation: medlargw.Incarnation(s.GetIncarnation()), Age: age})
+		}
+	}
+	return sightings
+}
+
 func encodeMember(m *medlargw.Member) *wire.Member {
 	return &wire.Member{
 		Host:        string(m.Host),
--- a/tracker/exchange.go
+++ b/tracker/exchange.go
@@ -20,6 +20,7 @@
 func (t *Tracker) newHeartbeat(now time.Time, digest medlargw.Digest) medlargw.Heartbeat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	digest.Heard = t.view.sightings(now)
 	return medlargw.Heartbeat{
 		From:     t.view.self,
 		Digest:   digest,
@@ -30,7 +31,7 @@
 
 // sendHeartbeat sends one heartbeat and applies the reply.
 func (t *Tracker) sendHeartbeat(ctx context.Context, to netip.AddrPort, digest medlargw.Digest) {
-	ctx, cancel := context.WithTimeout(ctx, t.settings.Group.Beat)
+	ctx, cancel := context.WithTimeout(ctx, t.heartbeatTimeout(to))
 	defer cancel()
 	reply, err := t.messenger.Heartbeat(ctx, to, t.newHeartbeat(time.Now(), digest))
 	if err != nil {
@@ -45,6 +46,21 @@
 	}
 }
 
+// heartbeatTimeout returns how long to wait for the answer to a heartbeat: longer
+// if this entry or the peer lags, so that the answer still counts.
+func (t *Tracker) heartbeatTimeout(to netip.AddrPort) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lag := t.view.lag
+	for _, p := range t.view.peers {
+		if p.member.Addr == to && p.member.State != medlargw.MemberGone {
+			lag += p.digest.Lag
+		}
+	}
+	group := &t.settings.Group
+	return group.Beat + min(lag, max(0, group.Suspect-group.Beat))
+}
+
 // applyHeartbeat applies a peer's heartbeat and passes its digest to the
 // observers.
 func (t *Tracker) applyHeartbeat(b *medlargw.Heartbeat) {
@@ -55,6 +71,7 @@
 		if p := v.peers[b.From.Incarnation]; p != nil {
 			p.digest = b.Digest
 		}
+		v.applySightings(now, b.Digest.Heard)
 	})
 	for _, o := range t.heartbeatObservers {
 		o.HeartbeatReceived(b.From, b.Digest)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -205,8 +205,11 @@
 	now := time.Now()
 	digest := t.ownDigest(ctx)
 	var to []netip.AddrPort
+	var judgements []judgement
 	t.updateView(func(v *view) {
+		v.lag = digest.Lag
 		v.tick(now)
+		judgements = v.takeJudgements()
 		before := v.self.State
 		v.setSelf(func(m *medlargw.Member) { m.State = t.selfState(m.State) })
 		to = v.dueAddrs(now)
@@ -215,11 +218,21 @@
 		}
 		t.publishSnapshot() // The times of the last messages change without a new version.
 	})
+	t.logJudgements(judgements)
 	for _, addr := range to {
 		t.spawner.Go(func(ctx context.Context) { t.sendHeartbeat(ctx, addr, digest) })
 	}
 }
 
+func (t *Tracker) logJudgements(all []judgement) {
+	for i := range all {
+		j := &all[i]
+		t.log.Info("member judged", zap.String("member", string(j.member.Host)), zap.Stringer("verdict", j.verdict),
+			zap.Duration("silent", j.evidence.Silence), zap.Duration("heard", j.evidence.Heard),
+			zap.Duration("lag", j.evidence.OwnLag), zap.Duration("peer_lag", j.evidence.PeerLag))
+	}
+}
+
 // selfState returns this entry's next state: a joining entry becomes live once
 // it has a configuration.
 func (t *Tracker) selfState(state medlargw.MemberState) medlargw.MemberState {
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/arbiter"
 )
 
 // Bounds of the view.
@@ -18,6 +19,7 @@
 	maxRoundRemote    = 12  // Heartbeats from one zone to the entries of others in one round, by all its entries.
 	maxChangedMembers = 8   // Changed members that one heartbeat carries.
 	maxPeers          = 512 // Incarnations of other entries that are stored.
+	maxSightings      = 8   // Sightings that one heartbeat carries.
 	missedHeartbeats  = 3   // Least number of lost heartbeats that makes a peer suspect.
 )
 
@@ -27,7 +29,10 @@
 	member            medlargw.Member // LastHeard also counts what other entries told of it.
 	lastDirectMessage time.Time       // Last message from the peer itself; zero if there was none.
 	lastSent          time.Time       // Last heartbeat sent to it.
-	stateChangedAt    time.Time       // Last change of its state.
+	lastSighting      time.Time       // Last message from it to another entry that told of it.
+	lastDoubted       time.Time       // When another entry last told that it is suspect.
+	verdict           medlargw.PeerVerdict
+	stateChangedAt    time.Time // Last change of its state.
 }
 
 // view is the membership state machine of one entry. It does no I/O and takes
@@ -41,6 +46,8 @@
 	lastRemote    time.Time        // Last heartbeat to an entry of another zone.
 	nextProbe     int              // Position in probeAddrs, modulo its length, of the next address.
 	lastTick      time.Time
+	lag           time.Duration // How late this entry acts.
+	judgements    []judgement
 	version       uint64 // Rises when a member is added, is removed or changes its state, and with each change of this entry's own member.
 }
 
@@ -165,6 +172,12 @@
 	}
 	ended := m.State == medlargw.MemberLeaving || m.State == medlargw.MemberGone
 	silent := now.Sub(p.lastDirectMessage) > v.settings.Suspect
+	if m.Zone == v.self.Zone {
+		silent = silent && v.judge(now, p) == medlargw.PeerLost
+	}
+	if m.State == medlargw.MemberSuspect {
+		p.lastDoubted = now
+	}
 	switch {
 	case m.State == p.member.State:
 		if from.Zone == m.Zone && m.Zone != v.self.Zone && !ended {
@@ -240,22 +253,90 @@
 	}
 	v.lastTick = now
 	for incarnation, p := range v.peers {
-		silence := now.Sub(p.member.LastHeard)
-		suspect := v.suspectTimeout(p.member.Zone)
+		silence := now.Sub(later(p.member.LastHeard, p.lastSighting))
+		verdict := v.judge(now, p)
+		v.recordVerdict(now, p, verdict)
 		switch {
 		case p.member.State == medlargw.MemberGone:
 			if silence > v.goneRetention {
 				delete(v.peers, incarnation)
 				v.version++
 			}
-		case silence > suspect+v.settings.Gone-v.settings.Suspect:
+		case verdict != medlargw.PeerLost:
+		case silence-v.lag > v.suspectTimeout(p.member.Zone)+v.settings.Gone-v.settings.Suspect:
 			v.setState(now, p, medlargw.MemberGone)
-		case silence > suspect && p.member.State != medlargw.MemberLeaving:
+		case p.member.State != medlargw.MemberLeaving:
 			v.setState(now, p, medlargw.MemberSuspect)
 		}
 	}
 }
 
+// judge returns the verdict on a peer. Its silence counts from the last message
+// that came directly, or from its zone if that is another one.
+func (v *view) judge(now time.Time, p *peer) medlargw.PeerVerdict {
+	return arbiter.New(v.suspectTimeout(p.member.Zone)).Judge(v.evidence(now, p))
+}
+
+func (v *view) evidence(now time.Time, p *peer) medlargw.PeerEvidence {
+	silence := now.Sub(p.member.LastHeard)
+	return medlargw.PeerEvidence{
+		Silence: silence,
+		Heard:   min(silence, now.Sub(p.lastSighting)),
+		OwnLag:  v.lag,
+		PeerLag: p.digest.Lag,
+	}
+}
+
+// judgement is a verdict on a peer that differs from the one before.
+type judgement struct {
+	member   medlargw.Member
+	verdict  medlargw.PeerVerdict
+	evidence medlargw.PeerEvidence
+}
+
+// recordVerdict keeps a verdict that has changed, for the log.
+func (v *view) recordVerdict(now time.Time, p *peer, verdict medlargw.PeerVerdict) {
+	if verdict != p.verdict && p.member.State != medlargw.MemberGone {
+		v.judgements = append(v.judgements, judgement{p.member, verdict, v.evidence(now, p)})
+	}
+	p.verdict = verdict
+}
+
+// takeJudgements returns the verdicts that have changed and clears them.
+func (v *view) takeJudgements() []judgement {
+	all := v.judgements
+	v.judgements = nil
+	return all
+}
+
+// applySightings records when another entry has heard the peers of this one.
+func (v *view) applySightings(now time.Time, all []medlargw.Sighting) {
+	for _, s := range all {
+		if p := v.peers[s.Incarnation]; p != nil {
+			p.lastSighting = later(p.lastSighting, now.Add(-s.Age))
+		}
+	}
+}
+
+// sightings returns the peers of the zone that this entry has heard and that
+// others may not hear: those that lag, those that others have told to be suspect,
+// and those whose last heartbeat was late here.
+func (v *view) sightings(now time.Time) []medlargw.Sighting {
+	limit := v.suspectTimeout(v.self.Zone)
+	var all []medlargw.Sighting
+	for _, p := range v.sortedPeers() {
+		age := now.Sub(p.lastDirectMessage)
+		doubtful := p.digest.Lag > 0 || now.Sub(p.lastDoubted) < 2*limit || age > limit/2
+		if p.member.Zone != v.self.Zone || age > limit || !doubtful {
+			continue
+		}
+		if all = append(all, medlargw.Sighting{Incarnation: p.member.Incarnation, Age: age}); len(all) == maxSightings {
+			break
+		}
+	}
+	return all
+}
+
 // heartbeatPeriod returns the time between two exchanges with one peer of the
 // zone. It grows with the size of the zone, which bounds the cost for one entry.
 // One of the two peers starts an exchange.
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -189,3 +189,75 @@
 		})
 	}
 }
+
+// TestSlowMemberIsNotSuspect answers the load of a burst on hosts without processor
+// time: a member that is late, or is judged late, became suspect, and its targets
+// changed hands. A member that has died is suspect after 3 s and gone after 10 s as
+// before.
+func TestSlowMemberIsNotSuspect(t *testing.T) {
+	const live, suspect, gone = medlargw.MemberLive, medlargw.MemberSuspect, medlargw.MemberGone
+	const ms = time.Millisecond
+	tests := []struct {
+		name     string
+		ownLag   time.Duration
+		peerLag  time.Duration
+		sighting func(at time.Duration) time.Duration // When another member has heard it; negative is never.
+		at       time.Duration
+		want     medlargw.MemberState
+	}{
+		{"silent", 0, 0, nil, 3500 * ms, suspect},
+		{"silent for long", 0, 0, nil, 10500 * ms, gone},
+		{"this entry lags", time.Second, 0, nil, 3500 * ms, live},
+		{"silent for longer than this entry lags", time.Second, 0, nil, 4500 * ms, suspect},
+		{"the member lags", 0, time.Second, nil, 3500 * ms, live},
+		{"silent for longer than the member lags", 0, time.Second, nil, 4500 * ms, suspect},
+		{"both lag", time.Second, time.Second, nil, 4500 * ms, live},
+		{"another member hears it", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, 11500 * ms, live},
+		{"another member heard its last message too", 0, 0, func(time.Duration) time.Duration { return 0 }, 3500 * ms, suspect},
+		{"another member hears it while this one is cut off", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, 12500 * ms, suspect},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView(member("a", 1, 1, live), testSettings(), time.Minute)
+			from := member("b", 2, 1, live)
+			v.applyMessage(start, &from, nil)
+			v.peers[2].digest.Lag = tt.peerLag
+			for at := time.Duration(0); at <= tt.at; at += 500 * ms {
+				now := start.Add(at)
+				v.lag = tt.ownLag
+				if tt.sighting != nil {
+					v.applySightings(now, []medlargw.Sighting{{Incarnation: 2, Age: at - tt.sighting(at)}})
+				}
+				v.tick(now)
+			}
+			if got := v.peers[2].member.State; got != tt.want {
+				t.Errorf("state after %v: got %s, want %s", tt.at, got, tt.want)
+			}
+		})
+	}
+}
+
+// TestSightings checks that heartbeats tell only of members whose silence others
+// may misjudge, and not more of them than fit.
+func TestSightings(t *testing.T) {
+	v := newView(member("a", 1, 1, medlargw.MemberLive), testSettings(), time.Minute)
+	for i := range 20 {
+		m := member(fmt.Sprintf("h%02d", i), medlargw.Incarnation(2+i), 1, medlargw.MemberLive)
+		v.applyMessage(start, &m, nil)
+	}
+	if got := v.sightings(start); len(got) != 0 {
+		t.Errorf("sightings of members on time: got %v, want none", got)
+	}
+	doubter, doubted := member("h00", 2, 1, medlargw.MemberLive), member("h01", 3, 1, medlargw.MemberSuspect)
+	v.applyMessage(start.Add(time.Second), &doubter, []medlargw.Member{doubted})
+	got, want := v.sightings(start.Add(time.Second)), medlargw.Sighting{Incarnation: 3, Age: time.Second}
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("sightings of a member that another one suspects: got %v, want %v", got, want)
+	}
+	for _, p := range v.peers {
+		p.digest.Lag = time.Second
+	}
+	if got, want := len(v.sightings(start.Add(time.Second))), maxSightings; got != want {
+		t.Errorf("sightings of members that lag: got %d, want %d", got, want)
+	}
+}
