Conductor: pauses of home, holder and link lose no runs

Cause: after a pause of a holder the renewal of a lease may be handled before the keepalive that waits beside it; the home counts as silent then, the lease is left alone, and a poll of up to three times LeaseSettings.Poll lets it end. Change: while the home of a run is silent, the target is polled at the usual interval, so that the next renewal comes in time once the home is heard.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -120,7 +120,7 @@
 		for _, from := range all {
 			for _, to := range all {
 				if from != to && !cl.sim.linkDown(from.host, to.host) {
-					to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{FreeResources: from.conductor.FreeResources()})
+					to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{FreeResources: from.conductor.FreeResources(), Lag: from.conductor.Lag()})
 				}
 			}
 		}
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -12,6 +12,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/coordinator"
 	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/gauger"
 	"medlargw.example/medlargw/holder"
 	"medlargw.example/medlargw/pacer"
 )
@@ -54,6 +55,7 @@
 	groupKey  string
 	resources medlargw.HolderResources
 	lastWake  time.Time
+	gauger    *gauger.Gauger
 
 	heard       []heardEntry // In the order of first hearing.
 	listLag     time.Duration
@@ -67,7 +69,7 @@
 	w.lastIncarnation++
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 7000)
 	e := &searchEntry{
-		w: w, host: host, settings: leaseSettings(), startedAt: w.now, lastWake: w.now,
+		w: w, host: host, settings: leaseSettings(), startedAt: w.now, lastWake: w.now, gauger: gauger.New(),
 		peer: medlargw.Peer{Host: medlargw.HostName(host), Zone: medlargw.ZoneName(zone), Addr: addr, Incarnation: w.lastIncarnation},
 		// The list of targets is read each second.
 		listLag: w.upTo(time.Second),
@@ -129,6 +131,7 @@
 
 func (e *searchEntry) readClock() time.Time {
 	now := e.w.now
+	e.gauger.Record(now, now.Sub(e.lastWake)-searchIdleTick)
 	if now.Sub(e.lastWake) > searchStall {
 		e.coord.AbortAll(now, "the entry stood still")
 		e.holder.Tick(now)
@@ -154,6 +157,8 @@
 }
 
 func (e *searchEntry) timeouts(now time.Time) {
+	e.coord.SetLag(e.gauger.Lag(now))
+	e.holder.SetLag(e.gauger.Lag(now))
 	e.holder.Tick(now)
 	e.coord.Tick(now)
 }
--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -32,6 +32,13 @@
 func (e *searchEntry) gossip() {
 	resources, peer, heard := e.resources, e.peer, slices.Clone(e.heard)
 	resources.Clock = e.uptime(e.w.now)
+	lag := e.gauger.Lag(e.w.now)
+	var sightings []medlargw.Sighting
+	for _, k := range heard {
+		if e.w.indirect && !k.at.IsZero() {
+			sightings = append(sightings, medlargw.Sighting{Incarnation: k.peer.Incarnation, Age: e.w.now.Sub(k.at)})
+		}
+	}
 	for _, other := range e.w.entries {
 		if other.host == e.host {
 			continue
@@ -53,6 +60,7 @@
 					}
 				}
 				receiver.holder.HandleHeartbeat(now, receiver.uptime(now), resources.Clock)
+				receiver.coord.HandleHeartbeat(now, peer.Incarnation, lag, sightings)
 				receiver.coord.SetFreeResources(now, peer.Incarnation, resources)
 			})
 			receiver.updateGroup()
--- a/holder/home.go
+++ b/holder/home.go
@@ -50,6 +50,12 @@
 	ratio  float64
 }
 
+// silent reports whether the home was not heard from for LeaseSettings.Silence. No
+// lease of its runs is renewed then, and none of its tasks starts.
+func (m *home) silent(now time.Time, s *medlargw.LeaseSettings) bool {
+	return now.Sub(m.lastHeard) > s.Silence
+}
+
 func (m *home) add(w *task) {
 	m.tasks[w.offered.ID] = w
 	s := m.jobs[w.offered.Job]
--- a/holder/place.go
+++ b/holder/place.go
@@ -27,7 +27,7 @@
 			if now.After(w.latestStart()) != late {
 				continue
 			}
-			if now.Sub(w.home.lastHeard) > h.settings.Silence {
+			if w.home.silent(now, &h.settings) {
 				continue // The tasks of its home are about to be cancelled.
 			}
 			if h.pacer.Busy(now) {
--- a/holder/report.go
+++ b/holder/report.go
@@ -54,8 +54,8 @@
 func (h *Holder) pollWait(now time.Time, t *target) time.Duration {
 	wait := maxPollFactor * h.settings.Poll
 	for _, r := range t.runs {
-		if r.task == nil || r.stopping {
-			return h.settings.Poll
+		if r.task == nil || r.stopping || r.task.home.silent(now, &h.settings) {
+			return h.settings.Poll // The lease is not renewed, or may be soon: its home may be read late.
 		}
 		overdue := r.sent.Add(time.Duration(overdueRatio * float64(r.task.offered.Estimate)))
 		wait = min(wait, overdue.Sub(now))
--- a/holder/target.go
+++ b/holder/target.go
@@ -168,7 +168,7 @@
 // job again soon. If the stop is lost, the other runs on the target end too.
 func (t *target) mustLapse(now time.Time, s *medlargw.LeaseSettings) bool {
 	for _, r := range t.runs {
-		if r.abandoned && r.stopAnswered.IsZero() || r.task != nil && now.Sub(r.task.home.lastHeard) > s.Silence {
+		if r.abandoned && r.stopAnswered.IsZero() || r.task != nil && r.task.home.silent(now, s) {
 			return true
 		}
 	}
