Holder: renewals become rarer while an end waits for its home's confirmation

Cause: a target answers a renewal at once while an end in its report is not acknowledged. A home without processor time confirms late, so each target with such an end was renewed every 20 ms, which costs both entries processor time just then. Ruled out: acknowledging before the home knows the end (it may be lost). Change: the wait doubles from 20 to 80 ms with each renewal that brings no other end. A confirmation still renews at once; leases of 800 ms are renewed well in time.

--- a/holder/ends.go
+++ b/holder/ends.go
@@ -10,8 +10,10 @@
 const (
 	// confirmWait is the longest time for which the renewal of a lease waits until
 	// the homes have confirmed the ends in the last report. While an end is not
-	// acknowledged, the target answers a renewal at once.
-	confirmWait = 20 * time.Millisecond
+	// acknowledged, the target answers a renewal at once. The wait doubles up to
+	// maxConfirmWait with each renewal that has brought no other end.
+	confirmWait    = 20 * time.Millisecond
+	maxConfirmWait = 80 * time.Millisecond
 	// unknownEndWait is the time after the claim of a target for which the ends of
 	// runs that this holder does not know are not acknowledged. A transfer may still
 	// name their homes.
@@ -92,11 +94,16 @@
 // for the confirmation of their homes, the renewal is delayed.
 func (h *Holder) scheduleRenewal(now time.Time, t *target) {
 	if t.ackable() == t.lastEnd {
+		t.confirmWait = 0
 		h.renewNow(now, t)
 		return
 	}
+	if t.awaitedEnd != t.lastEnd {
+		t.awaitedEnd, t.confirmWait = t.lastEnd, 0
+	}
+	t.confirmWait = min(max(confirmWait, 2*t.confirmWait), maxConfirmWait)
 	t.awaitsConfirm = true
-	t.nextRenew = now.Add(confirmWait)
+	t.nextRenew = now.Add(t.confirmWait)
 }
 
 func (h *Holder) renewNow(now time.Time, t *target) {
--- a/holder/ends_test.go
+++ b/holder/ends_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// TestRenewalsWhileAnEndIsNotConfirmed counts the renewals of one target for 400 ms
+// in which a home without processor time does not confirm an end. The target
+// answers each at once, so that their number is what they cost.
+func TestRenewalsWhileAnEndIsNotConfirmed(t *testing.T) {
+	x := newFixture(t)
+	run := x.startRun(1)
+	x.report(succeeded(run))
+	got := 0
+	for end := x.now.Add(400 * time.Millisecond); x.now.Before(end); x.now = x.now.Add(10 * time.Millisecond) {
+		x.h.Tick(x.now)
+		renewals := x.h.TakeActions().Renewals
+		for i := range renewals {
+			got++
+			report := succeeded(run)
+			x.h.RenewAnswered(x.now, x.now, &renewals[i], &report, nil)
+		}
+	}
+	if want := 6; got > want {
+		t.Errorf("renewals: got %d, want at most %d", got, want)
+	}
+}
+
 // TestEndsDuringTransferAreNotAcked guards against a new run of a task that has
 // succeeded: the former holder acknowledges an end while the transfer is in
 // flight, and the new holder finds the run neither active nor ended.
--- a/holder/target.go
+++ b/holder/target.go
@@ -58,6 +58,8 @@
 
 	renewing       bool
 	awaitsConfirm  bool // The next renewal waits until homes have confirmed ends.
+	confirmWait    time.Duration
+	awaitedEnd     uint64 // Sequence number of the last end when that wait began.
 	nextRenew      time.Time
 	claimedAt      time.Time // When the claim was answered.
 	lastAnswer     time.Time // Arrival of the last answer.
