--- /dev/null
+++ b/gatekeeper/gatekeeper.go
@@ -0,0 +1,155 @@
+// Package gatekeeper decides which requests an entry without enough processor time
+// takes in: those of the most urgent ranks, as many as it can serve. The decision
+// needs only the rank, which the route tells, so that a refused request costs no
+// decoding.
+//
+// The intake is limited while goroutines wait so long for a processor that callers
+// lose more than their objective allows. The limit falls by a share with each
+// measurement above that, and rises again with each one below, as in the overload
+// control of WeChat (Zhou et al., "Overload Control for Scaling WeChat Microservices",
+// SoCC 2018).
+package gatekeeper
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// waits is the number of times that the goroutines of a job wait for a processor
+	// one after the other: for the request, its body, the submission, the order to the
+	// target and its answer, the report of the end and the response.
+	waits = 8
+	// minCut and maxCut bound the factor by which the limit falls with each
+	// measurement of an overload, and riseShare is the share of the arrivals by which
+	// it rises with each other one.
+	minCut    = 0.9
+	maxCut    = 0.25
+	riseShare = 0.07
+	// rateWeight is the weight of the last measurement in the arrival rates.
+	rateWeight = 0.4
+	// minRetryAfter is the least delay that a refused caller is told to wait.
+	minRetryAfter = time.Second
+)
+
+// rankState is the intake of one rank.
+type rankState struct {
+	arrived int     // Requests since the last measurement.
+	rate    float64 // Requests per second.
+	share   float64 // Of the requests to admit while the intake is limited.
+	credit  float64 // A request is admitted for each whole one.
+}
+
+// Gatekeeper holds the limit on the intake of one entry. It is safe for concurrent
+// use.
+type Gatekeeper struct {
+	mu           sync.Mutex
+	ranks        []rankState
+	grace        time.Duration // The least of the services whose requests have arrived; zero if none declares one.
+	measured     time.Time     // Of the last measurement; zero before the first.
+	limited      bool
+	limitedSince time.Time
+	limit        float64 // Requests per second.
+}
+
+// New returns a gatekeeper that admits all requests.
+func New() *Gatekeeper { return &Gatekeeper{} }
+
+// Admit reports whether a request is taken in, or else after what time its caller
+// may return. The grace is the part of the objective that doesn't depend on the run
+// time (medlargw.Service.Grace).
+func (g *Gatekeeper) Admit(now time.Time, rank int, grace time.Duration) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if rank < 0 {
+		rank = 0
+	}
+	for len(g.ranks) <= rank {
+		g.ranks = append(g.ranks, rankState{share: 1})
+	}
+	if grace > 0 && (g.grace == 0 || grace < g.grace) {
+		g.grace = grace
+	}
+	r := &g.ranks[rank]
+	r.arrived++
+	if !g.limited {
+		return 0, true
+	}
+	r.credit += r.share
+	if r.credit >= 1 {
+		r.credit--
+		return 0, true
+	}
+	// An overload that has lasted for a while is likely to last as long again.
+	return max(minRetryAfter, now.Sub(g.limitedSince)), false
+}
+
+// Measure records how long goroutines have waited for a processor since the last
+// call, as a median, and adjusts the limit. It is to be called several times per
+// second. It reports whether the intake is limited.
+func (g *Gatekeeper) Measure(now time.Time, wait time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	elapsed := now.Sub(g.measured).Seconds()
+	first := g.measured.IsZero()
+	g.measured = now
+	if first || elapsed <= 0 {
+		return g.limited
+	}
+	total := g.updateRates(elapsed)
+	switch {
+	case g.grace > 0 && wait*waits > g.grace:
+		cut := float64(g.grace) / float64(wait*waits)
+		if !g.limited {
+			g.limited, g.limitedSince, g.limit = true, now, total
+		}
+		g.limit = max(g.limit*min(max(cut, maxCut), minCut), g.firstRate())
+	case g.limited:
+		g.limit += total * riseShare
+		g.limited = g.limit < total
+	}
+	g.updateShares()
+	return g.limited
+}
+
+// updateRates updates the arrival rates of the ranks and returns their sum.
+func (g *Gatekeeper) updateRates(elapsed float64) float64 {
+	total := 0.0
+	for i := range g.ranks {
+		r := &g.ranks[i]
+		now := float64(r.arrived) / elapsed
+		if r.rate == 0 {
+			r.rate = now
+		}
+		r.rate += rateWeight * (now - r.rate)
+		r.arrived = 0
+		total += r.rate
+	}
+	return total
+}
+
+// firstRate returns the arrival rate of the most urgent rank that has requests.
+// The limit never refuses them: if they alone are too many, no rank gives way.
+func (g *Gatekeeper) firstRate() float64 {
+	for i := range g.ranks {
+		if g.ranks[i].rate > 0 {
+			return g.ranks[i].rate
+		}
+	}
+	return 0
+}
+
+// updateShares divides the limit among the ranks, the most urgent first.
+func (g *Gatekeeper) updateShares() {
+	left := g.limit
+	for i := range g.ranks {
+		r := &g.ranks[i]
+		switch {
+		case !g.limited || r.rate <= left:
+			r.share = 1
+		default:
+			r.share = max(left, 0) / r.rate
+		}
+		left -= r.rate
+	}
+}
--- /dev/null
+++ b/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,168 @@
+package gatekeeper_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw/gatekeeper"
+)
+
+const (
+	cost       = 10 * time.Millisecond       // Processor time of a job that is taken in.
+	refusal    = 300 * time.Microsecond      // That of one that is refused.
+	grace      = 60 * time.Millisecond       // Of all services.
+	objective  = 150 * time.Millisecond      // Response time that callers expect.
+	steps      = 8                           // Waits for the processor in which a job spends its whole wait.
+	interval   = 100 * time.Millisecond      // Between measurements.
+	jobsPerSec = float64(time.Second / cost) // What the processor can serve.
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// phase is a time of a load.
+type phase struct {
+	span  time.Duration
+	share float64 // Of the entry's processor that all jobs would take.
+}
+
+// result counts the jobs of one rank.
+type result struct{ asked, inTime, refused int }
+
+func (r result) share() float64 { return float64(r.inTime) / float64(max(r.asked, 1)) }
+
+// median returns the median of the waits, which it sorts.
+func median(waits []time.Duration) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[len(waits)/2]
+}
+
+// serve sends the load to an entry with one processor, which works in the order of
+// arrival, and returns the results by phase and rank. Of ten jobs, two have rank 0,
+// seven rank 1 and one rank 2.
+func serve(g *gatekeeper.Gatekeeper, phases []phase, gated bool) [][3]result {
+	results := make([][3]result, len(phases))
+	now, measured, free := start, start, start // The processor has work until free.
+	n := 0
+	var waits []time.Duration // Since the last measurement.
+	for p, phase := range phases {
+		gap := time.Duration(float64(cost) / phase.share)
+		for end := now.Add(phase.span); now.Before(end); now = now.Add(gap) {
+			for ; !measured.After(now); measured = measured.Add(interval) {
+				g.Measure(measured, median(waits)/steps)
+				waits = waits[:0]
+			}
+			rank := []int{1, 0, 1, 1, 2, 1, 1, 0, 1, 1}[n%10]
+			n++
+			r := &results[p][rank]
+			r.asked++
+			begin := now
+			if free.After(now) {
+				begin = free
+			}
+			waits = append(waits, begin.Sub(now))
+			if _, ok := g.Admit(now, rank, grace); !ok && gated {
+				r.refused++
+				free = begin.Add(refusal)
+				continue
+			}
+			free = begin.Add(cost)
+			if free.Sub(now) <= objective {
+				r.inTime++
+			}
+		}
+	}
+	return results
+}
+
+// TestCallersBeyondTheProcessor answers callers of three ranks who ask for 2.5 times
+// the processor of an entry for three seconds: the most urgent rank is served, and
+// two seconds later the entry serves as before. Without the gatekeeper, all ranks
+// wait in one queue and none is served in time.
+func TestCallersBeyondTheProcessor(t *testing.T) {
+	phases := []phase{{2 * time.Second, 0.6}, {3 * time.Second, 2.5}, {2 * time.Second, 0.6}, {2 * time.Second, 0.6}}
+	tests := []struct {
+		name  string
+		gated bool
+		first float64 // Least share of rank 0 served in time in the burst.
+	}{
+		{"gated", true, 0.85},
+		{"not gated", false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := serve(gatekeeper.New(), phases, test.gated)
+			for p := range got {
+				t.Logf("phase %d: %+v", p, got[p])
+			}
+			calm, burst, after := got[0], got[1], got[3]
+			for rank := range calm {
+				if calm[rank].refused > 0 || calm[rank].share() < 1 {
+					t.Errorf("rank %d before the burst: got %+v, want all served", rank, calm[rank])
+				}
+				if test.gated && (after[rank].refused > 0 || after[rank].share() < 1) {
+					t.Errorf("rank %d two seconds after the burst: got %+v, want all served", rank, after[rank])
+				}
+			}
+			if burst[0].share() < test.first {
+				t.Errorf("rank 0 in the burst: got %.2f in time, want at least %.2f", burst[0].share(), test.first)
+			}
+			if test.gated && (burst[0].share() < burst[1].share() || burst[1].share() < burst[2].share()) {
+				t.Errorf("shares in time by rank: got %.2f, %.2f, %.2f, want them in the order of rank", burst[0].share(), burst[1].share(), burst[2].share())
+			}
+			if !test.gated && burst[0].share() > 0.2 {
+				t.Errorf("rank 0 in the burst without a gate: got %.2f in time, want at most 0.2: the load is too small", burst[0].share())
+			}
+		})
+	}
+}
+
+// TestAdmit checks which requests are admitted after measurements.
+func TestAdmit(t *testing.T) {
+	const busy = 10 * time.Millisecond // A third above what callers allow.
+	tests := []struct {
+		name  string
+		waits []time.Duration // The measurements; between them, ten requests of each rank arrive.
+		grace time.Duration
+		ranks []int
+		want  []bool // Whether any request of the rank is refused after the last measurement.
+	}{
+		{"on time", []time.Duration{0, time.Millisecond, 0, 7 * time.Millisecond}, grace, []int{0, 1}, []bool{false, false}},
+		{"one measurement", []time.Duration{0, busy}, grace, []int{0, 1}, []bool{false, true}},
+		{"the lowest rank first", []time.Duration{0, busy}, grace, []int{0, 1, 2}, []bool{false, false, true}},
+		{"never the first rank", []time.Duration{0, busy, busy, busy, busy, busy, busy, busy, busy, busy}, grace, []int{0, 1}, []bool{false, true}},
+		{"a single rank", []time.Duration{0, busy, busy, busy}, grace, []int{2}, []bool{false}},
+		{"negative rank", []time.Duration{0, busy, busy}, grace, []int{-1}, []bool{false}},
+		{"on time again", []time.Duration{0, busy, busy, 0, 0, 0, 0, 0, 0, 0, 0}, grace, []int{0, 1}, []bool{false, false}},
+		{"no objective declared", []time.Duration{0, busy, busy}, 0, []int{0, 1}, []bool{false, false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := gatekeeper.New()
+			now := start
+			refused := make([]bool, len(test.ranks))
+			for _, wait := range test.waits {
+				g.Measure(now, wait)
+				clear(refused)
+				for range 10 {
+					for i, rank := range test.ranks {
+						retry, ok := g.Admit(now, rank, test.grace)
+						refused[i] = refused[i] || !ok
+						if !ok && retry < time.Second {
+							t.Errorf("rank %d may return after: got %v, want at least 1 s", rank, retry)
+						}
+					}
+				}
+				now = now.Add(interval)
+			}
+			for i, want := range test.want {
+				if refused[i] != want {
+					t.Errorf("rank %d refused: got %v, want %v", test.ranks[i], refused[i], want)
+				}
+			}
+		})
+	}
+}
