Sampler: the test of the median needs no scheduler

Change: the median is a function of two readings, tested by a table that is stricter; the runtime is only asked whether it still has the metric.

--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -33,21 +33,24 @@
 	if len(s.counts) != len(h.Counts) {
 		s.counts = make([]uint64, len(h.Counts))
 	}
+	m := median(h, s.counts)
+	copy(s.counts, h.Counts)
+	return m
+}
+
+// median returns the median of a histogram of seconds less the counts of before.
+func median(h *metrics.Float64Histogram, before []uint64) time.Duration {
 	var total uint64
 	for i, n := range h.Counts {
-		total += n - s.counts[i]
+		total += n - before[i]
 	}
 	var seen uint64
-	median := time.Duration(0)
 	for i, n := range h.Counts {
-		before := seen
-		seen += n - s.counts[i]
-		if total > 0 && before <= total/2 && seen > total/2 {
-			median = lowerBound(h.Buckets[i])
+		if seen += n - before[i]; 2*seen > total {
+			return lowerBound(h.Buckets[i])
 		}
 	}
-	copy(s.counts, h.Counts)
-	return median
+	return 0
 }
 
 // lowerBound returns the lower bound of a bucket; that of the first one is minus
--- a/sampler/sampler_test.go
+++ b/sampler/sampler_test.go
@@ -1,34 +1,44 @@
-package sampler_test
+package sampler
 
 import (
-	"runtime"
+	"math"
+	"runtime/metrics"
 	"testing"
 	"time"
-
-	"github.com/sourcegraph/conc"
-
-	"medlargw.example/medlargw/sampler"
 )
 
-// TestMedian compares the waits of goroutines that have a processor with those of
-// many that share one: each runs for 2 ms while the others wait.
+// TestMedian checks the median of the waits that were recorded between two readings
+// of a histogram.
 func TestMedian(t *testing.T) {
-	s := sampler.New()
-	s.Median()
-	for range 50 {
-		time.Sleep(time.Millisecond)
+	buckets := []float64{math.Inf(-1), 0.001, 0.01, 0.1, math.Inf(1)}
+	tests := []struct {
+		name   string
+		before []uint64
+		counts []uint64
+		want   time.Duration
+	}{
+		{"none", []uint64{5, 5, 5, 5}, []uint64{5, 5, 5, 5}, 0},
+		{"all short", []uint64{0, 0, 0, 0}, []uint64{9, 0, 0, 0}, 0},
+		{"a few long", []uint64{0, 0, 0, 0}, []uint64{5, 0, 4, 0}, 0},
+		{"most long", []uint64{100, 0, 0, 0}, []uint64{104, 0, 5, 0}, 10 * time.Millisecond},
+		{"in between", []uint64{1, 1, 1, 1}, []uint64{2, 4, 2, 1}, time.Millisecond},
+		{"longest", []uint64{0, 0, 0, 0}, []uint64{0, 0, 0, 1}, 100 * time.Millisecond},
 	}
-	idle := s.Median()
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	var wg conc.WaitGroup
-	for range 50 {
-		wg.Go(func() {
-			for begin := time.Now(); time.Since(begin) < 2*time.Millisecond; { //nolint:revive // Keeps the processor.
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := &metrics.Float64Histogram{Counts: test.counts, Buckets: buckets}
+			if got := median(h, test.before); got != test.want {
+				t.Errorf("median: got %v, want %v", got, test.want)
 			}
 		})
 	}
-	wg.Wait()
-	if busy, want := s.Median(), 10*time.Millisecond; busy < want || idle >= busy {
-		t.Errorf("median wait: got %v idle and %v busy, want at least %v busy and less idle", idle, busy, want)
+}
+
+// TestRuntimeHasTheMetric guards against a runtime that no longer has the metric.
+func TestRuntimeHasTheMetric(t *testing.T) {
+	s := New()
+	s.Median()
+	if got := s.samples[0].Value.Kind(); got != metrics.KindFloat64Histogram {
+		t.Errorf("kind of %s: got %v, want a histogram", latencies, got)
 	}
 }
