--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -181,8 +181,6 @@
 			now := c.readClock()
 			c.recordLateness(now, time.Since(due))
 			c.drainEvents(now) // Answers that wait here are no silence.
-			c.coord.SetLag(c.Lag())
-			c.holder.SetLag(c.Lag())
 			c.holder.Tick(now)
 			c.updateLink(now)
 			c.coord.Tick(now)
@@ -304,7 +302,10 @@
 // event.
 func (c *Conductor) recordLateness(now time.Time, late time.Duration) {
 	c.gauger.Record(now, late)
-	c.lag.Store(int64(c.gauger.Lag(now)))
+	lag := c.gauger.Lag(now)
+	c.lag.Store(int64(lag))
+	c.coord.SetLag(lag)
+	c.holder.SetLag(lag)
 }
 
 // Lag returns how late the control goroutine was in about the last second; zero
