--- a/tracker/view.go
+++ b/tracker/view.go
@@ -171,10 +171,6 @@
 		v.version++
 	}
 	ended := m.State == medlargw.MemberLeaving || m.State == medlargw.MemberGone
-	silent := now.Sub(p.lastDirectMessage) > v.settings.Suspect
-	if m.Zone == v.self.Zone {
-		silent = silent && v.judge(now, p) == medlargw.PeerLost
-	}
 	if m.State == medlargw.MemberSuspect {
 		p.lastDoubted = now
 	}
@@ -187,11 +183,21 @@
 		if !ended {
 			v.addProbeAddr(p.member.Addr)
 		}
-	case from.Zone == m.Zone && silent && m.State >= medlargw.MemberSuspect:
+	case from.Zone == m.Zone && m.State >= medlargw.MemberSuspect && v.isSilent(now, p):
 		v.setState(now, p, m.State)
 	}
 }
 
+// isSilent reports whether nothing but the end of the member explains that this
+// entry has had no message from it for GroupSettings.Suspect. Only members of this
+// entry's zone have a lag that explains it.
+func (v *view) isSilent(now time.Time, p *peer) bool {
+	if now.Sub(p.lastDirectMessage) <= v.settings.Suspect {
+		return false
+	}
+	return p.member.Zone != v.self.Zone || v.judge(now, p) == medlargw.PeerLost
+}
+
 // confirmZone treats a heartbeat with the same view hash as a sign of life from
 // all live members of the sender's zone, if that is another zone.
 func (v *view) confirmZone(now time.Time, b *medlargw.Heartbeat) {
