Targets that come back cold get the tasks that bear it

Cause: ColdRemainingMs and RemainingMs of the platform's list were not read; a zone whose targets come back together looked like any other until its runs had shown it.

Package selector chooses the target of a task: warm before cold before slow, cold only if the task ends in time there at 1.5 times its estimate. Cold targets count in the totals, not as free.

Ruled out: counting cold targets as draining (their room is lost when a zone comes back), a time on the target's own clock (nobody knows it when the item is read).

--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -31,6 +31,10 @@
 	Room         int64          `json:"room,omitempty"` // Memory in MiB.
 	Accelerators int64          `json:"accelerators,omitempty"`
 	StartMs      int64          `json:"born,omitempty"` // Start of the incarnation, in milliseconds since 1970.
+
+	// Milliseconds from the sending of the list, as the clocks of hosts differ.
+	ColdMs   int64 `json:"cold,omitempty"`   // For which it is slow after its start.
+	LeavesMs int64 `json:"leaves,omitempty"` // Until it ends while it drains, at least.
 }
 
 type entryHostWire struct {
@@ -51,6 +55,7 @@
 
 func decodeList(wire *hostListWire) medlargw.HostList {
 	list := medlargw.HostList{Version: wire.Version, TakenAt: wire.Taken}
+	now := time.Now()
 	for _, t := range wire.Targets {
 		list.Targets = append(list.Targets, medlargw.Target{
 			Name:             medlargw.TargetName(t.Name),
@@ -62,6 +67,8 @@
 			Pool:             medlargw.PoolName(t.Pool),
 			Resources:        medlargw.Resources{Cores: t.MilliCores, Memory: t.Room, Accelerators: t.Accelerators},
 			IncarnationStart: decodeStartTime(t.StartMs),
+			ColdUntil:        decodeTimeLeft(now, t.ColdMs),
+			LeavesAt:         decodeTimeLeft(now, t.LeavesMs),
 		})
 	}
 	for _, e := range wire.Entries {
@@ -92,6 +99,7 @@
 
 func encodeList(list *medlargw.HostList) hostListWire {
 	wire := hostListWire{Version: list.Version, Taken: list.TakenAt}
+	now := time.Now()
 	for _, t := range list.Targets {
 		wire.Targets = append(wire.Targets, targetWire{
 			Name:         string(t.Name),
@@ -105,6 +113,8 @@
 			Room:         t.Resources.Memory,
 			Accelerators: t.Resources.Accelerators,
 			StartMs:      encodeStartTime(t.IncarnationStart),
+			ColdMs:       encodeTimeLeft(now, t.ColdUntil),
+			LeavesMs:     encodeTimeLeft(now, t.LeavesAt),
 		})
 	}
 	for _, e := range list.Entries {
@@ -184,3 +194,21 @@
 	}
 	return t.UnixMilli()
 }
+
+// decodeTimeLeft returns the time in so many milliseconds, or the zero time for
+// none or less.
+func decodeTimeLeft(now time.Time, ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// encodeTimeLeft returns the milliseconds until a time, at least one, or zero
+// for the zero time.
+func encodeTimeLeft(now, t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(t.Sub(now).Milliseconds(), 1)
+}
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -142,12 +142,17 @@
 	return a.applyChanges(&changes)
 }
 
-// encodedList is one version of the list in the form that is sent to peers.
+// encodedList is one version of the list in the form that is sent to peers. It
+// holds times that count from its encoding.
 type encodedList struct {
 	version uint64
+	at      time.Time
 	body    []byte
 }
 
+// maxEncodedAge is the time for which an encoded list is used again.
+const maxEncodedAge = time.Second
+
 // HandleFetch returns what has changed in the list to a peer that has an older
 // one, or the whole list if the changes are not known.
 func (a *Assigner) HandleFetch(_ context.Context, r medlargw.FetchRequest) (medlargw.FetchReply, error) {
@@ -161,14 +166,14 @@
 			return medlargw.FetchReply{Version: changes.Version, Base: changes.Base, Body: body}, err
 		}
 	}
-	if e := a.encoded.Load(); e != nil && e.version == list.Version {
+	if e := a.encoded.Load(); e != nil && e.version == list.Version && time.Since(e.at) < maxEncodedAge {
 		return medlargw.FetchReply{Version: e.version, Body: e.body}, nil
 	}
 	body, err := accessor.EncodeHosts(list)
 	if err != nil {
 		return medlargw.FetchReply{}, err
 	}
-	a.encoded.Store(&encodedList{version: list.Version, body: body})
+	a.encoded.Store(&encodedList{version: list.Version, at: time.Now(), body: body})
 	return medlargw.FetchReply{Version: list.Version, Body: body}, nil
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -228,6 +228,7 @@
 
 // SetGroup replaces the group of entries that hold targets, and their targets.
 func (c *Conductor) SetGroup(g medlargw.Group) {
+	g.Targets = c.onOwnClock(g.Targets)
 	if c.nextGroup.Swap(&g) != nil {
 		return // The event that is queued for the former group applies this one.
 	}
@@ -243,6 +244,27 @@
 	})
 }
 
+// onOwnClock returns the targets with their times on the clock that was passed
+// to New.
+func (c *Conductor) onOwnClock(targets []medlargw.Target) []medlargw.Target {
+	timed := func(t medlargw.Target) bool { return !t.ColdUntil.IsZero() || !t.LeavesAt.IsZero() }
+	if !slices.ContainsFunc(targets, timed) {
+		return targets
+	}
+	now, own := time.Now(), c.clock.Now()
+	targets = slices.Clone(targets)
+	for i := range targets {
+		t := &targets[i]
+		if !t.ColdUntil.IsZero() {
+			t.ColdUntil = own.Add(t.ColdUntil.Sub(now))
+		}
+		if !t.LeavesAt.IsZero() {
+			t.LeavesAt = own.Add(t.LeavesAt.Sub(now))
+		}
+	}
+	return targets
+}
+
 // HeartbeatReceived records the free resources in a peer's heartbeat.
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
 	c.post(func(now time.Time) {
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 )
@@ -77,6 +78,9 @@
 func (h *Holder) assignTarget(now time.Time, info *medlargw.Target, before *candidates) {
 	t := h.targets[info.Name]
 	if t != nil {
+		if !t.isCold(now) && now.Before(info.ColdUntil) {
+			h.log.Info("target is cold", zap.String("target", string(info.Name)), zap.Duration("left", info.ColdUntil.Sub(now)))
+		}
 		t.update(*info)
 	}
 	if t == nil && info.Zone != h.self.Zone && len(h.candidates.byZone[info.Zone]) > 0 {
--- a/holder/evacuation_test.go
+++ b/holder/evacuation_test.go
@@ -127,3 +127,44 @@
 		t.Errorf("offer: got state %v, want refused", got)
 	}
 }
+
+// TestColdTarget asserts that a target that is cold after its start reports no
+// free resources, and gets a task only if the task can still end in time there.
+func TestColdTarget(t *testing.T) {
+	tests := []struct {
+		name      string
+		cold      time.Duration
+		objective time.Duration // Of a task of 100 ms.
+		started   bool
+		free      int // Targets with free resources, if the task is not started.
+	}{
+		{"warm", 0, 120 * time.Millisecond, true, 1},
+		{"cold, no slack", time.Second, 120 * time.Millisecond, false, 0},
+		{"cold, enough slack", time.Second, 200 * time.Millisecond, true, 0},
+		{"warm again", -time.Second, 120 * time.Millisecond, true, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			target := medlargw.Target{Name: "t", Zone: "z"}
+			if test.cold != 0 {
+				target.ColdUntil = x.now.Add(test.cold)
+			}
+			x.setGroup(nil, target)
+			sum := x.h.FreeResources(x.now)
+			if got := len(sum.Pools[0].Free); got != test.free || sum.Pools[0].TotalCores != 32000 {
+				t.Errorf("resources: got %+v, want 32000 cores, free on %d targets", sum.Pools[0], test.free)
+			}
+			reply := x.h.HandleOffer(x.now, 0, &medlargw.Offer{
+				From: medlargw.Member{Host: "home", Incarnation: 7},
+				Tasks: []medlargw.OfferedTask{{
+					ID: 1, Run: medlargw.RunID{Task: "a", Attempt: 1}, Pool: "pool", MayQueue: true, Resources: medlargw.Resources{Cores: 1000},
+					Estimate: 100 * time.Millisecond, TimeToObjective: test.objective, TimeToDeadline: time.Second,
+				}},
+			})
+			if got := reply.States[0].State == medlargw.OfferStarted; got != test.started {
+				t.Errorf("started: got %v, want %v", got, test.started)
+			}
+		})
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -166,7 +166,7 @@
 		p := pool(t.info.Pool)
 		p.TotalCores += t.info.Resources.Cores
 		switch {
-		case t.slowness >= slowThreshold:
+		case t.slowness >= slowThreshold || t.isCold(now):
 		case busy:
 			p.NextEnd = h.pacer.Delay(now)
 		default:
--- a/holder/place.go
+++ b/holder/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/selector"
 )
 
 // place starts the waiting tasks that fit, while the network link can take their
@@ -36,12 +37,10 @@
 	}
 }
 
-// pickTarget returns the target for the task, or nil if there is none. Of the
-// targets that the task fits, those that are not slow go first, then the one
-// with the least free cores. Unless the task is late, a slow target where it
-// would end after its due time is left out.
+// pickTarget returns the target for the task, or nil if there is none.
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
 	var best *target
+	s := selector.New(w.offered.Estimate, w.due.Sub(now), late)
 	for _, t := range h.sorted {
 		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, &h.settings) {
 			continue
@@ -49,10 +48,7 @@
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
 			continue
 		}
-		if t.slowness >= slowThreshold && !late && now.Add(t.expectedRunTime(w)).After(w.due) {
-			continue
-		}
-		if best == nil || h.preferred(t, best) {
+		if s.Consider(t.free.Cores, t.slowness, t.slowness >= slowThreshold, t.isCold(now)) {
 			best = t
 		}
 	}
@@ -64,15 +60,6 @@
 	return time.Duration(float64(w.offered.Estimate) * t.slowness)
 }
 
-// preferred reports whether target a is preferred to b. A target that is not
-// slow is preferred to a slow one, then the one with fewer free cores.
-func (h *Holder) preferred(a, b *target) bool {
-	if slowA, slowB := a.slowness >= slowThreshold, b.slowness >= slowThreshold; slowA != slowB {
-		return slowB
-	}
-	return a.free.Cores < b.free.Cores
-}
-
 // startRun creates the start order of a run.
 func (h *Holder) startRun(now time.Time, t *target, w *task) {
 	r := &run{
--- a/holder/target.go
+++ b/holder/target.go
@@ -134,6 +134,9 @@
 		!now.Before(t.pausedUntil) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
+// isCold reports whether the target is expected to be slow after its start.
+func (t *target) isCold(now time.Time) bool { return now.Before(t.info.ColdUntil) }
+
 // updateClock records the arrival of an answer, and the target's clock in it.
 func (t *target) updateClock(now time.Time, clock time.Duration) {
 	t.lastAnswer = now
--- a/target.go
+++ b/target.go
@@ -18,6 +18,10 @@
 	Pool             PoolName
 	Resources        Resources // All its resources, free or not.
 	IncarnationStart time.Time // Start of its incarnation; zero is unknown.
+
+	// Estimates on the clock of this process, which may be off by some seconds.
+	ColdUntil time.Time // When it is no longer slow after its start; zero or past: it is not.
+	LeavesAt  time.Time // When it ends while it is draining, at the earliest; zero is unknown.
 }
 
 // EntryHost is one entry host in the platform's host list.
