Evacuation of a zone: medlargw evacuate, where the product has its own store

Cause: only installations on the operators' platform could ask for it.

Change: the request is part of the configuration's head, swapped by 'medlargw evacuate ZONE [--back]' under the operators' key; publishes keep it. The dispatcher passes targets of an evacuated zone to lender and placer as draining ones. 'medlargw status', GET /admin/v1/config and the metric zones.evacuated show it.

--- a/admin.go
+++ b/admin.go
@@ -18,7 +18,8 @@
 	Teams        int
 	Services     int
 	Classes      []Class
-	Members      []Member // As this entry sees them.
+	Evacuated    []ZoneName // Zones whose targets get no new tasks.
+	Members      []Member   // As this entry sees them.
 	Dispatch     DispatchStatus
 }
 
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -85,6 +85,7 @@
 	Classes:    []medlargw.Class{{Name: "urgent", Objective: medlargw.Objective{SuccessRatio: 0.99, ResponseTime: time.Second}}},
 	Services:   []medlargw.Service{{Name: "slip", Team: "desk", Class: "urgent"}},
 	Teams:      []medlargw.Team{{Name: "desk", Weight: 1}},
+	Evacuated:  []medlargw.ZoneName{"buffalo"},
 }
 
 // newAdministrator returns an administrator of fake components, and the
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -49,6 +49,7 @@
 		s.Generation = cfg.Generation
 		s.ConfiguredAt = a.inForce.Load().at
 		s.Classes = cfg.Classes
+		s.Evacuated = cfg.Evacuated
 		s.Teams = len(cfg.Teams)
 		s.Services = len(cfg.Services)
 	}
@@ -150,6 +151,7 @@
 	a.setGauge("entry.free", s.Dispatch.Free)
 	a.setGauge("entry.generation", int(s.Generation))
 	a.setGauge("entry.members", len(s.Members))
+	a.setGauge("zones.evacuated", len(s.Evacuated))
 	return nil
 }
 
--- a/builder/group_test.go
+++ b/builder/group_test.go
@@ -1,11 +1,13 @@
 package builder_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/publisher"
 )
 
 // Seed and times of the fleet tests.
@@ -40,6 +42,8 @@
 		{"store slow", 2, 2, slowStore, 0},
 		{"target leaves", 2, 2, markTargetDraining(false), 0},
 		{"target leaves, seen by one entry", 2, 2, markTargetDraining(true), 0},
+		{"zone evacuated", 2, 2, evacuateZone(false), 0},
+		{"zone evacuated, then the store away and an entry of the zone replaced", 2, 2, evacuateZone(true), 0},
 		{"all entries of a zone replaced", 2, 3, replaceEntries, 0},
 		{"a rack of targets goes", 1, 2, loseRack, 30},
 	}
@@ -175,6 +179,43 @@
 	}
 }
 
+// evacuateZone evacuates a zone and takes the request back. If storeAway is set,
+// an entry of the zone is replaced during an outage of the store.
+func evacuateZone(storeAway bool) func(f *fleet) {
+	return func(f *fleet) {
+		f.setEvacuated("zone-0", true, drainingGrace)
+		wait(10 * time.Second)
+		if storeAway {
+			f.store.SetFaults(medlargw.StoreFaults{Outage: true})
+			nodes, _ := f.zoneNodes("zone-0")
+			replacement := f.addEntry("zone-0")
+			nodes[1].kill()
+			wait(5 * time.Second)
+			replacement.start()
+			wait(5 * time.Second)
+			replacement.startLoad()
+		}
+		wait(20 * time.Second)
+		f.store.SetFaults(medlargw.StoreFaults{})
+		f.publishHosts()
+		f.setEvacuated("zone-0", false, time.Hour)
+	}
+}
+
+// setEvacuated evacuates a zone or takes that back, and sets the start deadlines
+// of its targets.
+func (f *fleet) setEvacuated(zone medlargw.ZoneName, evacuated bool, deadline time.Duration) {
+	var err error
+	if f.generation, err = publisher.New(f.store).Evacuate(context.Background(), zone, evacuated); err != nil {
+		f.t.Fatalf("evacuate: %v", err)
+	}
+	for i := range f.hosts.Targets {
+		if t := &f.hosts.Targets[i]; t.Zone == zone {
+			f.targetPool.setStartDeadline(t.Name, deadline)
+		}
+	}
+}
+
 func replaceEntries(f *fleet) {
 	old, _ := f.zoneNodes("zone-0")
 	for _, n := range old {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(os.Stdout) // For results; errors are written to standard error.
-	root.AddCommand(serveCommand(), checkCommand(), publishCommand(), statusCommand(), reportCommand(), explainCommand(), targetCommand(), logCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), publishCommand(), evacuateCommand(), statusCommand(), reportCommand(), explainCommand(), targetCommand(), logCommand(), versionCommand())
 	return &Commander{root: root}
 }
 
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -121,6 +121,24 @@
 	want(t, "generation 1 in force on 2 of 2 entries", false, out, err)
 	out, err = run(t, "status", "--admin", admin.String(), "--key", testAdminKey)
 	want(t, `(?s)2 entries answered, 0 did not.*detroit-1 .*detroit-2 .*generation 1 on 2 of 2`, false, out, err)
+	out, err = run(t, "evacuate", "detroit", "--store", addr, "--key", operatorsKey)
+	want(t, "no target in zone detroit", true, out, err)
+	store.SetHosts(medlargw.HostList{
+		Version: 2, Entries: []medlargw.EntryHost{{Name: "detroit-1", AdminAddr: admin}},
+		Targets: []medlargw.Target{{Name: "t", Zone: "detroit", Addr: closedAddr(t), Slots: 1}},
+	})
+	out, err = run(t, "evacuate", "detroit", "--store", addr, "--key", "wrong")
+	want(t, "the key may not evacuate zones", true, out, err)
+	out, err = run(t, "evacuate", "detroit", "--store", addr, "--key", operatorsKey, "--admin-key", testAdminKey, "--wait")
+	want(t, "(?s)zone detroit is evacuated from generation 2 on.*generation 2 in force on 2 of 2 entries", false, out, err)
+	out, err = run(t, "status", "--admin", admin.String(), "--key", testAdminKey)
+	want(t, `(?s)EVACUATED  1 zone\n +detroit +on 2 of 2`, false, out, err)
+	for range 2 {
+		out, err = run(t, "evacuate", "detroit", "--back", "--store", addr, "--key", operatorsKey, "--admin-key", testAdminKey, "--wait")
+		want(t, "zone detroit is in use from generation 3 on", false, out, err)
+	}
+	out, err = run(t, "publish", "../examples", "--store", addr, "--key", operatorsKey, "--admin-key", testAdminKey, "--wait")
+	want(t, "nothing to change: generation 3 is in force", false, out, err)
 	out, err = run(t, "log", "warn", "--admin", admin.String(), "--key", testAdminKey)
 	want(t, `(?s)detroit-1 .*: done.*detroit-2 .*: done`, false, out, err)
 	out, err = run(t, "target", "aside", "misspelt", "--admin", admin.String(), "--key", testAdminKey)
@@ -140,7 +158,7 @@
 	}
 	out, err = run(t, "publish", "../examples", "--store", addr, "--key", operatorsKey, "--admin", both,
 		"--admin-key", testAdminKey, "--wait=1ms")
-	want(t, `(?s)generation 1 in force on 1 of 2 entries.*did not answer.*not in force on all`, true, out, err)
+	want(t, `(?s)generation 3 in force on 1 of 2 entries.*did not answer.*not in force on all`, true, out, err)
 }
 
 // closedAddr returns an address without a listener.
--- a/config.go
+++ b/config.go
@@ -9,6 +9,7 @@
 	Services   []Service
 	Teams      []Team
 	Routes     []Route
+	Evacuated  []ZoneName // Zones whose targets get no new tasks, sorted.
 }
 
 // Class is a priority class.
--- a/converter/converter.go
+++ b/converter/converter.go
@@ -32,6 +32,7 @@
 	Teams      []teamVersionWire `json:"teams"`
 	Publishes  []string          `json:"publishes"`
 	Retired    []retiredWire     `json:"retired,omitempty"`
+	Evacuated  []string          `json:"evacuated,omitempty"`
 }
 
 type retiredWire struct {
@@ -114,6 +115,9 @@
 	for _, r := range h.Retired {
 		wire.Retired = append(wire.Retired, retiredWire{teamVersionWire: versionToWire(r.Version), At: r.RetiredAt})
 	}
+	for _, zone := range h.Evacuated {
+		wire.Evacuated = append(wire.Evacuated, string(zone))
+	}
 	return marshal("head", wire)
 }
 
@@ -138,6 +142,9 @@
 	for _, r := range wire.Retired {
 		h.Retired = append(h.Retired, medlargw.RetiredVersion{Version: r.toVersion(), RetiredAt: r.At})
 	}
+	for _, zone := range wire.Evacuated {
+		h.Evacuated = append(h.Evacuated, medlargw.ZoneName(zone))
+	}
 	return h, nil
 }
 
--- a/describer/decode.go
+++ b/describer/decode.go
@@ -25,6 +25,7 @@
 		Teams:        wire.Config.Teams,
 		Services:     wire.Config.Services,
 		Classes:      mapSlice(wire.Config.Classes, classFromWire),
+		Evacuated:    mapSlice(wire.Config.Evacuated, func(zone *string) medlargw.ZoneName { return medlargw.ZoneName(*zone) }),
 		Members:      mapSlice(wire.Members, memberFromWire),
 		Dispatch: medlargw.DispatchStatus{
 			Jobs:    wire.Jobs,
--- a/describer/describer.go
+++ b/describer/describer.go
@@ -41,6 +41,7 @@
 	Teams      int         `json:"teams"`
 	Services   int         `json:"services"`
 	Classes    []classWire `json:"classes"`
+	Evacuated  []string    `json:"evacuated,omitempty"` // Zones.
 }
 
 type classWire struct {
@@ -155,6 +156,7 @@
 			Teams:      s.Teams,
 			Services:   s.Services,
 			Classes:    mapSlice(s.Classes, classToWire),
+			Evacuated:  zonesToWire(s.Evacuated),
 		},
 		Members: mapSlice(s.Members, memberToWire),
 		Jobs:    s.Dispatch.Jobs,
@@ -167,6 +169,14 @@
 	}
 }
 
+func zonesToWire(zones []medlargw.ZoneName) []string {
+	var wire []string // Nil if there are none, which is omitted.
+	for _, zone := range zones {
+		wire = append(wire, string(zone))
+	}
+	return wire
+}
+
 func classToWire(c *medlargw.Class) classWire {
 	wire := classWire{Name: string(c.Name), Rank: c.Rank, Floor: c.MinShare, Answered: c.Objective.SuccessRatio}
 	if c.Objective.ResponseTime > 0 {
--- a/dispatcher/lending.go
+++ b/dispatcher/lending.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/registrar"
@@ -31,8 +33,10 @@
 	rankByAttempt map[medlargw.AttemptID]int // Of the attempts that have not ended.
 	runningByRank []int                      // Number of those attempts.
 	waiters       map[medlargw.HostName][]borrowWaiter
-	lastTick      time.Time // Time of the last run of the lender.
-	due           bool      // The lender must run regardless of the time.
+	group         medlargw.Group      // As last received.
+	evacuated     []medlargw.ZoneName // Zones that the configuration evacuates.
+	lastTick      time.Time           // Time of the last run of the lender.
+	due           bool                // The lender must run regardless of the time.
 	nextTick      time.Time
 }
 
@@ -229,11 +233,50 @@
 }
 
 func (m groupMessage) apply(d *Dispatcher, now time.Time) {
-	d.lending.lender.SetGroup(now, &m.group)
+	d.lending.group = m.group
 	d.decider.SetExpectedSlots(m.expectedSlots(d.lending.zone))
+	d.applyGroup(now)
+}
+
+// applyGroup passes the group to the lender, with the targets of evacuated zones
+// as draining.
+func (d *Dispatcher) applyGroup(now time.Time) {
+	l := d.lending
+	g := l.group
+	if zones := slices.Concat(g.Evacuated, l.evacuated); len(zones) > 0 {
+		g.Targets = slices.Clone(g.Targets)
+		for i := range g.Targets {
+			if t := &g.Targets[i]; slices.Contains(zones, t.Zone) {
+				t.Draining, t.Evacuated = true, true
+			}
+		}
+	}
+	l.lender.SetGroup(now, &g)
 	d.runLender(now)
 }
 
+// setEvacuated puts the zones that a configuration evacuates into force.
+func (d *Dispatcher) setEvacuated(now time.Time, cfg *medlargw.Config) {
+	before := d.lending.evacuated
+	if slices.Equal(before, cfg.Evacuated) {
+		return
+	}
+	for _, zone := range cfg.Evacuated {
+		if !slices.Contains(before, zone) {
+			d.log.Info("zone evacuated", zap.String("zone", string(zone)), zap.Uint64("generation", cfg.Generation))
+		}
+	}
+	for _, zone := range before {
+		if !slices.Contains(cfg.Evacuated, zone) {
+			d.log.Info("evacuation of a zone taken back", zap.String("zone", string(zone)), zap.Uint64("generation", cfg.Generation))
+		}
+	}
+	d.lending.evacuated = cfg.Evacuated
+	if len(d.lending.group.Entries) > 0 {
+		d.applyGroup(now)
+	}
+}
+
 // expectedSlots returns the number of slots that an entry of the zone can
 // expect when all entries of the zone are busy.
 func (m groupMessage) expectedSlots(zone medlargw.ZoneName) int {
--- a/dispatcher/loop.go
+++ b/dispatcher/loop.go
@@ -128,6 +128,7 @@
 	if d.lending != nil {
 		// The shares precede the limits, so that no team starts with its whole limit.
 		d.lending.configure(now, m.cfg)
+		d.setEvacuated(now, m.cfg)
 		d.runLender(now)
 	}
 	d.decider.Configure(now, m.cfg)
--- a/placer/target.go
+++ b/placer/target.go
@@ -159,6 +159,8 @@
 	switch {
 	case t.setAside:
 		s.State, s.Reason, s.Since = medlargw.TargetSetAside, "set aside by an operator", t.setAsideSince
+	case t.allocation.Target.Evacuated:
+		s.State, s.Reason = medlargw.TargetDraining, "its zone is evacuated"
 	case t.allocation.Target.Draining:
 		s.State, s.Reason = medlargw.TargetDraining, "the host list says so"
 	case t.wasDraining:
--- a/presenter/presenter.go
+++ b/presenter/presenter.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -31,6 +32,7 @@
 		pluralize(len(responses)-len(missing), "entry", "entries"), len(missing))
 	writeEntries(t, responses, now)
 	writeConfig(t, responses)
+	writeEvacuated(t, responses)
 	writeTargets(t, responses, now)
 	writeQueues(t, responses)
 	writeLimits(t, responses)
@@ -140,6 +142,28 @@
 	}
 }
 
+// writeEvacuated writes the evacuated zones, and how many entries know of each.
+func writeEvacuated(w io.Writer, responses []medlargw.EntryResponse) {
+	answered := 0
+	known := map[medlargw.ZoneName]int{}
+	for i := range responses {
+		if responses[i].Err != nil {
+			continue
+		}
+		answered++
+		for _, zone := range responses[i].Status.Evacuated {
+			known[zone]++
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nEVACUATED  %s\n", pluralize(len(known), "zone", "zones"))
+	for _, zone := range slices.Sorted(maps.Keys(known)) {
+		fmt.Fprintf(w, "  %s\ton %d of %d\n", zone, known[zone], answered)
+	}
+}
+
 // targetRow is the status of a target at one entry.
 type targetRow struct {
 	host   medlargw.HostName
--- a/publisher/write.go
+++ b/publisher/write.go
@@ -108,6 +108,7 @@
 		Generation: s.head.Generation + 1,
 		PublishIDs: append(slices.Clone(s.head.PublishIDs), p.publishID),
 		Retired:    slices.Clone(s.head.Retired),
+		Evacuated:  s.head.Evacuated,
 	}
 	if used := max(p.UsedGeneration, p.highestGeneration); head.Generation <= used {
 		// Each ID in the list stands for one of consecutive generations, so the
--- a/submission.go
+++ b/submission.go
@@ -32,6 +32,7 @@
 	Teams      []TeamVersion
 	PublishIDs []string // IDs of the last publishes, one per generation, the newest last.
 	Retired    []RetiredVersion
+	Evacuated  []ZoneName // Zones whose targets get no new tasks, sorted.
 }
 
 // TeamVersion identifies one version of a team's declarations.
--- a/target.go
+++ b/target.go
@@ -14,6 +14,10 @@
 	Memory   int64 // Memory of the largest task that it can run, in bytes; zero is unlimited.
 	Draining bool  // Whether the platform drains it: it gets no new tasks.
 
+	// Evacuated is set by the dispatcher, together with Draining, while the
+	// target's zone is evacuated. It is not sent to peers.
+	Evacuated bool
+
 	// Only of targets that run tasks under a lease.
 	Pool             PoolName
 	Resources        Resources // All its resources, free or not.
--- a/watcher/apply.go
+++ b/watcher/apply.go
@@ -83,7 +83,7 @@
 
 // mergeConfig merges the declarations of all teams into one configuration.
 func mergeConfig(head *medlargw.ConfigHead, teams map[medlargw.TeamVersion]teamValue) *medlargw.Config {
-	cfg := &medlargw.Config{Generation: head.Generation}
+	cfg := &medlargw.Config{Generation: head.Generation, Evacuated: head.Evacuated}
 	for _, v := range head.Teams {
 		t := teams[v].decoded
 		cfg.Teams = append(cfg.Teams, t.Team)
