--- a/holder/assign.go
+++ b/holder/assign.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
 )
@@ -111,6 +113,9 @@
 func (h *Holder) assignTarget(now time.Time, info *medlargw.Target, formerZones *apportioner.Apportioner) {
 	t := h.targets[info.Name]
 	if t != nil {
+		if !t.isCold(now) && now.Before(info.ColdUntil) {
+			h.log.Info("target is cold", zap.String("target", string(info.Name)), zap.Duration("left", info.ColdUntil.Sub(now)))
+		}
 		t.update(*info)
 	}
 	if t == nil && info.Zone != h.self.Zone && len(h.candidates.byZone[info.Zone]) > 0 {
--- a/holder/place.go
+++ b/holder/place.go
@@ -1,17 +1,13 @@
 package holder
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/selector"
 )
 
-// speedClassRatio is the ratio of the run times of two neighbouring classes of
-// speed.
-const speedClassRatio = 1.3
-
 // place starts the waiting tasks that fit, while the network link can take their
 // payloads. Tasks that can still end by their due time go first; late tasks get
 // the remaining resources.
@@ -41,13 +37,11 @@
 	}
 }
 
-// pickTarget returns the target for the task, or nil if there is none. Unless the
-// task is late, a target that is slower than usual and where the task would end
-// after its due time is left out.
+// pickTarget returns the target for the task, or nil if there is none.
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
-	// While other tasks wait, the fast targets are left to those that need them.
-	slowFirst := !late && len(h.waiting) > 1
 	var best *target
+	contended := len(h.waiting) > 1
+	s := selector.New(w.offered.Estimate, w.due.Sub(now), late, contended)
 	for _, t := range h.sorted {
 		if t.info.Pool != w.offered.Pool || !t.free.Covers(w.offered.Resources) || !t.usable(now, &h.settings) {
 			continue
@@ -55,10 +49,7 @@
 		if slices.Contains(w.offered.Avoid, t.info.Name) {
 			continue
 		}
-		if !late && speedClass(t.expectedSlowness()) > 0 && now.Add(t.expectedRunTime(w)).After(w.due) {
-			continue
-		}
-		if best == nil || preferred(t, best, slowFirst) {
+		if s.Consider(t.free.Cores, t.expectedSlowness(), t.slowness >= slowThreshold, t.isCold(now)) {
 			best = t
 		}
 	}
@@ -80,25 +71,6 @@
 	return t.rater.Slowness()
 }
 
-// preferred reports whether target a is preferred to b. A target without a fault
-// is preferred to a slow one, then the faster one, or the slower one with
-// slowFirst, then the one with fewer free cores.
-func preferred(a, b *target, slowFirst bool) bool {
-	if slowA, slowB := a.slowness >= slowThreshold, b.slowness >= slowThreshold; slowA != slowB {
-		return slowB
-	}
-	if classA, classB := speedClass(a.expectedSlowness()), speedClass(b.expectedSlowness()); classA != classB {
-		return (classA > classB) == slowFirst
-	}
-	return a.free.Cores < b.free.Cores
-}
-
-// speedClass returns the class of a slowness, zero for about the usual speed and
-// more for slower targets. Differences within a class may be errors of the rating.
-func speedClass(slowness float64) int {
-	return int(math.Round(math.Log(slowness) / math.Log(speedClassRatio)))
-}
-
 // startRun creates the start order of a run.
 func (h *Holder) startRun(now time.Time, t *target, w *task) {
 	r := &run{
--- a/target.go
+++ b/target.go
@@ -14,10 +14,18 @@
 	Memory   int64 // Memory of the largest task that it can run, in bytes; zero is unlimited.
 	Draining bool  // Whether the platform drains it: it gets no new tasks.
 
+	// Evacuated is set by the dispatcher, together with Draining, while the
+	// target's zone is evacuated. It is not sent to peers.
+	Evacuated bool
+
 	// Only of targets that run tasks under a lease.
 	Pool             PoolName
 	Resources        Resources // All its resources, free or not.
 	IncarnationStart time.Time // Start of its incarnation; zero is unknown.
+
+	// Estimates on the clock of this process, which may be off by some seconds.
+	ColdUntil time.Time // When it is no longer slow after its start; zero or past: it is not.
+	LeavesAt  time.Time // When it ends while it is draining, at the earliest; zero is unknown.
 }
 
 // EntryHost is one entry host in the platform's host list.
