Conductor: an entry without processor time hands its jobs to a peer

Cause: the load balancer gives each entry of a zone the same share of callers, so that a host of 0.144 core is home of as many jobs as one of 0.8.

Ruled out: a message about each step of the job, and a job that is given up when one answer is lost; a lost answer is asked for again, and the job runs nowhere else after a message that may have arrived.

Change: package relayer decides by the lag of the control loop, with hysteresis, and chooses the better of two random peers by capacity and lag; the rpc Relay carries the job and, every 150 ms, the question for its end. The peer ends the job of a sender that is silent, as a holder does with the tasks of a silent home. The setting capacity.relay turns it off.

The effect under load is not measured yet.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -55,9 +55,15 @@
 	peer      medlargw.Peer
 	conductor *conductor.Conductor
 	clock     *freezableClock
+	metrics   metrics.Registry
 	stopped   bool
 }
 
+// counter returns the value of a counter of the entry.
+func (e *entry) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, e.metrics).Count()
+}
+
 // cluster is a group of entries with conductors, in virtual time.
 type cluster struct {
 	sim        *simulation
@@ -66,6 +72,7 @@
 	logs       logs           // Nil to log nothing.
 	outcomes   map[string]int // Outcomes by code; "" is complete.
 	pending    int            // Jobs without an outcome.
+	relay      time.Duration  // Setting of the entries; zero hands no job over.
 }
 
 // runCluster runs a test on a cluster with the given hosts and with five
@@ -81,9 +88,15 @@
 // runClusterOnLinks runs a test on a cluster whose hosts have links of the given
 // rate in bytes per second; zero is unlimited.
 func runClusterOnLinks(t *testing.T, seed uint64, hosts []string, rate float64, l logs, test func(cl *cluster)) {
+	runClusterWith(t, seed, hosts, func(cl *cluster) { cl.sim.linkRate, cl.logs = rate, l }, test)
+}
+
+// runClusterWith runs a test on a cluster that prepare changes before the entries
+// start.
+func runClusterWith(t *testing.T, seed uint64, hosts []string, prepare, test func(cl *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		cl := &cluster{sim: newSimulation(t, seed), logs: l, outcomes: map[string]int{}}
-		cl.sim.linkRate = rate
+		cl := &cluster{sim: newSimulation(t, seed), outcomes: map[string]int{}}
+		prepare(cl)
 		for i, host := range hosts {
 			for j := range 5 {
 				cl.sim.addTarget(fmt.Sprintf("%s-t%d", host, j), zoneOf(host), 32000+16000*int64((i+j)%3/2))
@@ -120,7 +133,9 @@
 		for _, from := range all {
 			for _, to := range all {
 				if from != to && !cl.sim.linkDown(from.host, to.host) {
-					to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{FreeResources: from.conductor.FreeResources()})
+					to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{
+						FreeResources: from.conductor.FreeResources(), Lag: from.conductor.Lag(),
+					})
 				}
 			}
 		}
@@ -143,16 +158,18 @@
 		Listen: medlargw.ListenSettings{Peers: addr}, Lease: leaseSettings(),
 	}
 	settings.Lease.Link = int64(cl.sim.linkRate)
+	settings.Capacity.Relay = cl.relay
 	incarnation := medlargw.Incarnation(number)
 	clock := &freezableClock{}
 	reg := registrar.New(zap.NewNop())
 	reg.Add(&fakeMessenger{sim: cl.sim, host: host})
-	c := conductor.New(cl.logs.logger(host), reg, &settings, incarnation, clock, &fakeRunner{sim: cl.sim, host: host}, metrics.NewRegistry())
+	registry := metrics.NewRegistry()
+	c := conductor.New(cl.logs.logger(host), reg, &settings, incarnation, clock, &fakeRunner{sim: cl.sim, host: host}, registry)
 	if err := c.Start(context.Background()); err != nil {
 		cl.sim.t.Fatal(err)
 	}
-	e := &entry{host: host, conductor: c, clock: clock, peer: medlargw.Peer{
-		Host: settings.Host, Zone: settings.Zone, Addr: addr, Incarnation: incarnation,
+	e := &entry{host: host, conductor: c, clock: clock, metrics: registry, peer: medlargw.Peer{
+		Host: settings.Host, Zone: settings.Zone, Addr: addr, Incarnation: incarnation, Capacity: 480,
 	}}
 	cl.sim.mu.Lock()
 	defer cl.sim.mu.Unlock()
@@ -244,6 +261,10 @@
 }
 
 func (cl *cluster) submitOnce(e *entry, key string, tasks int, work time.Duration, cores int64) medlargw.Outcome {
+	return e.conductor.Submit(context.Background(), cl.newJob(key, tasks, work, cores))
+}
+
+func (cl *cluster) newJob(key string, tasks int, work time.Duration, cores int64) *medlargw.Job {
 	job := &medlargw.Job{
 		Idempotent: true, RequestID: key, Service: medlargw.ServiceName(fmt.Sprintf("of-%d", tasks)), Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Grace: 60 * time.Millisecond,
 		Resources: medlargw.Resources{Cores: cores, Memory: 64}, EstimatedRuntime: work,
@@ -256,7 +277,7 @@
 		job.Tasks = append(job.Tasks, medlargw.Task{ID: id})
 	}
 	cl.sim.mu.Unlock()
-	return e.conductor.Submit(context.Background(), job)
+	return job
 }
 
 // alive returns the entries that are running.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -56,6 +56,7 @@
 	self      medlargw.Member
 	startedAt time.Time
 	counters  counters
+	relays    *relays
 
 	// Used by the control goroutine only.
 	coord    *coordinator.Coordinator
@@ -91,6 +92,7 @@
 	_ medlargw.HeartbeatObserver = (*Conductor)(nil)
 	_ medlargw.ResourceReporter  = (*Conductor)(nil)
 	_ medlargw.LagReporter       = (*Conductor)(nil)
+	_ medlargw.RelayHandler      = (*Conductor)(nil)
 )
 
 // New returns a conductor that has not started. It sends orders to targets
@@ -117,6 +119,7 @@
 		self:      self,
 		startedAt: clock.Now(),
 		counters:  newCounters(registry),
+		relays:    newRelays(settings, self),
 		coord:     coordinator.New(log, settings.Lease, self, estimator.New(), link),
 		holder:    holder.New(log, settings.Lease, self, link),
 		waiters:   map[*medlargw.Job]chan<- medlargw.Outcome{},
@@ -140,6 +143,7 @@
 		return err
 	}
 	c.messenger = m
+	c.relays.findMessenger(c.registry)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.control.Go(c.run)
 	return nil
@@ -253,6 +257,7 @@
 		c.holder.SetGroup(now, c.group)
 		c.coord.SetGroup(now, c.group)
 		c.recordShare(c.holder.Share())
+		c.relays.setGroup(&c.group, c.leaving())
 	})
 }
 
@@ -272,6 +277,7 @@
 
 // HeartbeatReceived records the free resources in a peer's heartbeat.
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
+	c.relays.setLag(c.clock.Now(), from.Incarnation, d.Lag)
 	c.post(func(now time.Time) {
 		c.holder.HandleHeartbeat(now, c.uptime(now), d.FreeResources.Clock)
 		c.coord.SetFreeResources(now, from.Incarnation, d.FreeResources)
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -74,6 +74,11 @@
 	metrics.GetOrRegisterCounter("jobs."+name, c.registry).Inc(1)
 }
 
+// countRelay counts a job that is handed to a peer, or one of a peer.
+func (c *counters) countRelay(what string) {
+	metrics.GetOrRegisterCounter("relays."+what, c.registry).Inc(1)
+}
+
 // countEvent counts a task event.
 func (c *counters) countEvent(e *medlargw.TaskReport) {
 	metrics.GetOrRegisterCounter("tasks."+e.Event.String(), c.registry).Inc(1)
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -202,6 +202,19 @@
 	return errors.Join(e.conductor.HandleTransfer(ctx, m), f.respond(ctx, e))
 }
 
+// Relay fails at once if the peer's process is gone: its host refuses connections.
+func (f *fakeMessenger) Relay(ctx context.Context, to netip.AddrPort, m medlargw.Relay) (medlargw.RelayReply, error) {
+	if f.sim.entry(to) == nil {
+		return medlargw.RelayReply{}, medlargw.ErrNotSent
+	}
+	e, err := f.deliver(ctx, to, headerBytes)
+	if err != nil {
+		return medlargw.RelayReply{}, err
+	}
+	reply, err := e.conductor.HandleRelay(ctx, m)
+	return reply, errors.Join(err, f.respond(ctx, e))
+}
+
 // Name and the methods below implement the component "messenger".
 func (*fakeMessenger) Name() string                { return "messenger" }
 func (*fakeMessenger) Start(context.Context) error { return nil }
--- /dev/null
+++ b/conductor/relay.go
@@ -0,0 +1,258 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/relayer"
+)
+
+const (
+	// relayWait is the longest time that a peer waits for the end of a relayed job
+	// before it answers. With LeaseSettings.Silence it leaves the sender the time
+	// that a home has for its offers to holders.
+	relayWait = 150 * time.Millisecond
+	// relayRetention is how long the end of a relayed job is kept, for a sender
+	// that did not get the answer, and how long an unknown ID is not accepted.
+	relayRetention = 5 * time.Second
+	// relayMargin is the time that the last answer of a relayed job takes.
+	relayMargin = 10 * time.Millisecond
+)
+
+// relays holds the jobs that this entry hands to peers, and those of peers.
+type relays struct {
+	messenger medlargw.RelayMessenger // Nil if the messenger sends no relays.
+
+	mu         sync.Mutex
+	relayer    *relayer.Relayer
+	nextNumber uint64
+	leaving    bool // This entry is in a planned stop and takes no jobs of peers.
+	received   map[medlargw.RelayID]*receivedJob
+}
+
+// receivedJob is a job of a peer.
+type receivedJob struct {
+	cancel  context.CancelFunc
+	silence *time.Timer   // Ends the job when the peer is silent.
+	ended   chan struct{} // Closed when the outcome is known; nil if the ID is not accepted.
+	outcome medlargw.Outcome
+}
+
+func newRelays(settings *medlargw.Settings, self medlargw.Member) *relays {
+	return &relays{
+		relayer:  relayer.New(self, settings.Capacity.Relay, rand.Int64N),
+		received: map[medlargw.RelayID]*receivedJob{},
+	}
+}
+
+// findMessenger finds the messenger. Without one that sends relays, none is sent.
+func (r *relays) findMessenger(reg *registrar.Registrar) {
+	r.messenger, _ = registrar.Find[medlargw.RelayMessenger](reg, "messenger")
+}
+
+func (r *relays) setGroup(g *medlargw.Group, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+	r.relayer.SetGroup(g)
+}
+
+func (r *relays) setLag(now time.Time, peer medlargw.Incarnation, lag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relayer.SetLag(now, peer, lag)
+}
+
+// choose returns the peer to hand a job to, the number of the relay, and whether to
+// hand it over.
+func (r *relays) choose(now time.Time, lag time.Duration) (medlargw.Peer, uint64, bool) {
+	if r.messenger == nil {
+		return medlargw.Peer{}, 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	to, ok := r.relayer.Choose(now, lag)
+	r.nextNumber++
+	return to, r.nextNumber, ok
+}
+
+func (r *relays) pause(now time.Time, peer medlargw.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relayer.Pause(now, peer)
+}
+
+// relay hands a job to a peer if this entry is late and the peer is not. It returns
+// false if the job was not handed over, and is proven not to run at the peer.
+//
+// After a message that may have arrived, the job is not run here: the peer is asked
+// for its end, and if it does not answer, the end is unknown.
+func (c *Conductor) relay(ctx context.Context, job *medlargw.Job) (medlargw.Outcome, bool) {
+	arrived := c.clock.Now()
+	to, number, ok := c.relays.choose(arrived, c.Lag())
+	if !ok {
+		return medlargw.Outcome{}, false
+	}
+	r := medlargw.Relay{
+		ID: medlargw.RelayID{From: c.self.Incarnation, Number: number}, Host: c.self.Host, Job: job,
+		Age: arrived.Sub(job.Arrived), TimeToDeadline: job.Deadline.Sub(arrived) - relayMargin, Wait: relayWait,
+	}
+	c.counters.countRelay("sent")
+	answered := arrived
+	for {
+		reply, err := c.sendRelay(ctx, to.Addr, r)
+		now := c.clock.Now()
+		first := r.Job != nil
+		r.Job = nil
+		switch {
+		case first && (errors.Is(err, medlargw.ErrNotSent) || err == nil && reply.State == medlargw.RelayRefused):
+			c.relays.pause(now, to.Incarnation)
+			c.counters.countRelay("refused")
+			return medlargw.Outcome{}, false
+		case err == nil && reply.State == medlargw.RelayEnded:
+			return reply.Outcome, true
+		case err == nil && reply.State == medlargw.RelayRunning:
+			answered = now
+		case err == nil: // The peer has lost the job, or has not got it and takes it no more.
+			return c.unknownRelay(now, job, &to, "the peer does not know the job"), true
+		default:
+			c.relays.pause(now, to.Incarnation)
+		}
+		switch {
+		case ctx.Err() != nil:
+			c.cancelRelay(to.Addr, r)
+			return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}, true
+		case c.ctx.Err() != nil:
+			return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}, true
+		case now.Sub(answered) > relayWait+c.settings.Silence:
+			c.cancelRelay(to.Addr, r)
+			return c.unknownRelay(now, job, &to, "the peer does not answer"), true
+		}
+	}
+}
+
+// sendRelay sends one message about a relayed job. After an error it waits, so that
+// a peer that refuses connections is not asked without a pause.
+func (c *Conductor) sendRelay(ctx context.Context, to netip.AddrPort, r medlargw.Relay) (medlargw.RelayReply, error) {
+	call, cancel := context.WithTimeout(ctx, r.Wait+c.settings.Call)
+	defer cancel()
+	reply, err := c.relays.messenger.Relay(call, to, r)
+	if err != nil && r.Job == nil {
+		select {
+		case <-time.After(c.settings.Keep):
+		case <-ctx.Done():
+		case <-c.ctx.Done():
+		}
+	}
+	return reply, err
+}
+
+// cancelRelay has a peer end a job whose outcome is no longer wanted.
+func (c *Conductor) cancelRelay(to netip.AddrPort, r medlargw.Relay) {
+	r.Cancel = true
+	c.send(c.settings.Call, func(ctx context.Context) event {
+		_, _ = c.relays.messenger.Relay(ctx, to, r)
+		return nil
+	})
+}
+
+// unknownRelay returns the outcome of a job that may have run at a peer.
+func (c *Conductor) unknownRelay(now time.Time, job *medlargw.Job, to *medlargw.Peer, reason string) medlargw.Outcome {
+	c.counters.countRelay("unknown")
+	c.log.Info("outcome of a relayed job is unknown", zap.String("job", job.RequestID), zap.String("to", string(to.Host)),
+		zap.String("reason", reason), zap.Duration("age", now.Sub(job.Arrived)))
+	o := medlargw.RefusedOutcome(job, medlargw.CodeAttemptLost, "the entry that runs the job is lost: "+reason, 0)
+	for i := range o.Tasks {
+		o.Tasks[i].Execution = medlargw.ExecutionUnknown
+	}
+	return o
+}
+
+// HandleRelay takes a job of a peer, or answers with its state. The job ends when
+// the peer is silent for LeaseSettings.Silence, like the tasks of a silent home.
+func (c *Conductor) HandleRelay(ctx context.Context, r medlargw.Relay) (medlargw.RelayReply, error) {
+	j := c.receivedJob(&r)
+	switch {
+	case j == nil:
+		c.counters.countRelay("rejected")
+		return medlargw.RelayReply{State: medlargw.RelayRefused}, nil
+	case j.ended == nil:
+		return medlargw.RelayReply{State: medlargw.RelayUnknown}, nil
+	case r.Cancel:
+		j.cancel()
+	}
+	timer := time.NewTimer(min(r.Wait, relayWait))
+	defer timer.Stop()
+	select {
+	case <-j.ended:
+		return medlargw.RelayReply{State: medlargw.RelayEnded, Outcome: j.outcome}, nil
+	case <-timer.C:
+		return medlargw.RelayReply{State: medlargw.RelayRunning}, nil
+	case <-ctx.Done():
+		return medlargw.RelayReply{}, ctx.Err()
+	case <-c.ctx.Done():
+		return medlargw.RelayReply{}, errStopped
+	}
+}
+
+// receivedJob returns the job of a relay, and starts it if the relay is the first
+// one and this entry is on time. It returns nil if this entry does not take the job.
+// An ID that is asked for and not known is not accepted later: its first message may
+// still be under way.
+func (c *Conductor) receivedJob(r *medlargw.Relay) *receivedJob {
+	c.relays.mu.Lock()
+	defer c.relays.mu.Unlock()
+	if j := c.relays.received[r.ID]; j != nil {
+		if j.silence != nil {
+			j.silence.Reset(c.settings.Silence)
+		}
+		return j
+	}
+	if r.Job != nil && (!c.Ready() || c.relays.leaving || !c.relays.relayer.Accepts(c.Lag())) {
+		return nil
+	}
+	j := &receivedJob{}
+	c.relays.received[r.ID] = j
+	if r.Job == nil {
+		c.forgetRelay(r.ID)
+		return j
+	}
+	c.counters.countRelay("received")
+	now := c.clock.Now()
+	job := *r.Job
+	job.Arrived, job.Deadline = now.Add(-r.Age), now.Add(r.TimeToDeadline)
+	id, from := r.ID, r.Host
+	j.ended = make(chan struct{})
+	ctx, cancel := context.WithCancel(c.ctx)
+	j.cancel = cancel
+	j.silence = time.AfterFunc(c.settings.Silence, func() {
+		c.log.Info("relayed job ended, its sender is silent", zap.String("job", job.RequestID), zap.String("from", string(from)))
+		cancel()
+	})
+	c.senders.Go(func() {
+		defer cancel()
+		o := c.coordinate(ctx, &job)
+		j.silence.Stop()
+		j.outcome = o
+		close(j.ended)
+		c.forgetRelay(id)
+	})
+	return j
+}
+
+// forgetRelay forgets an ID after a while.
+func (c *Conductor) forgetRelay(id medlargw.RelayID) {
+	time.AfterFunc(relayRetention, func() {
+		c.relays.mu.Lock()
+		defer c.relays.mu.Unlock()
+		delete(c.relays.received, id)
+	})
+}
--- a/conductor/submit.go
+++ b/conductor/submit.go
@@ -10,6 +10,14 @@
 // Submit runs one job and returns its outcome. Job.Arrived and Job.Deadline are
 // times of the clock that was passed to New.
 func (c *Conductor) Submit(ctx context.Context, job *medlargw.Job) medlargw.Outcome {
+	if o, relayed := c.relay(ctx, job); relayed {
+		return o
+	}
+	return c.coordinate(ctx, job)
+}
+
+// coordinate runs a job as its home.
+func (c *Conductor) coordinate(ctx context.Context, job *medlargw.Job) medlargw.Outcome {
 	outcome := make(chan medlargw.Outcome, 1)
 	stopping := medlargw.RefusedOutcome(job, medlargw.CodeStopping, "the entry is stopping", 0)
 	if !c.post(func(now time.Time) {
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -19,6 +19,7 @@
 	"peer-calls":            "Calls to other entries, by kind.",
 	"peers":                 "Messages to other entries on tasks, by kind.",
 	"peer-requests":         "Requests exchanged with other entries, by direction.",
+	"relays":                "Jobs handed to peers for lack of processor time (sent, refused, unknown) and jobs of peers (received, rejected).",
 	"response_milliseconds": "Response time of complete jobs in milliseconds, by class; the sample favours the last minutes.",
 	"share":                 "Share of this entry in the targets of its zone: owned, due by its capacity, and the capacity in thousandths of a core; zero is not stated.",
 	"slots":                 "Slots of targets that outlived their job.",
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -18,6 +18,7 @@
 	borrow    medlargw.BorrowHandler
 	forward   medlargw.ForwardHandler
 	offers    medlargw.OfferHandler
+	relays    medlargw.RelayHandler
 	fetch     map[medlargw.FetchKind]medlargw.FetchHandler
 }
 
@@ -27,6 +28,7 @@
 		borrow:    findHandler[medlargw.BorrowHandler](reg, "dispatcher"),
 		forward:   findHandler[medlargw.ForwardHandler](reg, "keeper"),
 		offers:    findHandler[medlargw.OfferHandler](reg, "dispatcher"),
+		relays:    findHandler[medlargw.RelayHandler](reg, "dispatcher"),
 		fetch: map[medlargw.FetchKind]medlargw.FetchHandler{
 			medlargw.FetchConfig:  findHandler[medlargw.FetchHandler](reg, "watcher"),
 			medlargw.FetchHosts:   findHandler[medlargw.FetchHandler](reg, "assigner"),
--- a/settings.go
+++ b/settings.go
@@ -83,6 +83,9 @@
 	Shares Shares
 	Cores  float64 // Processor of the host, in cores of one speed for all hosts; zero is not stated.
 	Memory int64   // Memory of the process, in MiB; zero is unlimited.
+	// Relay is the lag of the control loop from which jobs are handed to peers of the
+	// zone; zero hands none over and takes none.
+	Relay time.Duration
 }
 
 // The most cores, and the most memory in MiB, that settings may give.
@@ -97,6 +100,10 @@
 // Shares is what the shares of the entries in the targets under lease depend on.
 type Shares string
 
+// DefaultRelay is the usual value of CapacitySettings.Relay. It is below the
+// shortest objectives, and above the pauses of a small host that keeps up.
+const DefaultRelay = 50 * time.Millisecond
+
 // The values of Shares.
 const (
 	SharesByCapacity Shares = "capacity"
