Conductor: log lines of jobs that are handed to peers

Cause: the log of an entry did not tell that another one coordinated a job, nor how often that happens. One line for each job that is handed over or refused.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -106,6 +106,8 @@
 		Age: arrived.Sub(job.Arrived), TimeToDeadline: job.Deadline.Sub(arrived) - relayMargin, Wait: relayWait,
 	}
 	c.counters.countRelay("sent")
+	c.log.Info("job handed to a peer", zap.String("job", job.RequestID), zap.String("to", string(to.Host)),
+		zap.Duration("lag", c.Lag()), zap.Duration("age", r.Age))
 	answered := arrived
 	for {
 		reply, err := c.sendRelay(ctx, to.Addr, r)
@@ -116,6 +118,7 @@
 		case first && (errors.Is(err, medlargw.ErrNotSent) || err == nil && reply.State == medlargw.RelayRefused):
 			c.relays.pause(now, to.Incarnation)
 			c.counters.countRelay("refused")
+			c.log.Info("job refused by a peer", zap.String("job", job.RequestID), zap.String("to", string(to.Host)), zap.Error(err))
 			return medlargw.Outcome{}, false
 		case err == nil && reply.State == medlargw.RelayEnded:
 			return reply.Outcome, true
