--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	self      medlargw.Member
 	startedAt time.Time
 	counters  counters
+	relays    *relays
 
 	// Used by the control goroutine only.
 	coord    *coordinator.Coordinator
@@ -92,6 +93,7 @@
 	_ medlargw.HeartbeatObserver = (*Conductor)(nil)
 	_ medlargw.ResourceReporter  = (*Conductor)(nil)
 	_ medlargw.LagReporter       = (*Conductor)(nil)
+	_ medlargw.RelayHandler      = (*Conductor)(nil)
 )
 
 // New returns a conductor that has not started. It sends orders to targets
@@ -118,6 +120,7 @@
 		self:      self,
 		startedAt: clock.Now(),
 		counters:  newCounters(registry),
+		relays:    newRelays(settings, self),
 		coord:     coordinator.New(log, settings.Lease, self, estimator.New(), link),
 		holder:    holder.New(log, settings.Lease, self, link),
 		waiters:   map[*medlargw.Job]chan<- medlargw.Outcome{},
@@ -141,6 +144,7 @@
 		return err
 	}
 	c.messenger = m
+	c.relays.findMessenger(c.registry)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.control.Go(c.run)
 	return nil
@@ -265,6 +269,7 @@
 			c.counters.evacuatedZones.Update(int64(len(c.group.Evacuated)))
 			c.publishResources(now)
 		}
+		c.relays.setGroup(&c.group, c.leaving())
 	})
 }
 
@@ -305,6 +310,7 @@
 
 // HeartbeatReceived records the free resources in a peer's heartbeat.
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
+	c.relays.handleHeartbeat(c.clock.Now(), from.Incarnation, d.Lag, d.FreeResources.Clock)
 	c.post(func(now time.Time) {
 		c.holder.HandleHeartbeat(now, c.uptime(now), d.FreeResources.Clock)
 		c.coord.HandleHeartbeat(now, from.Incarnation, d.Lag, d.Heard)
