Holder: runs on cold targets do not count for their speed

Cause: joining cold targets with learned speeds let each run on a cold target into its rating, which lasts for some hundred runs after it is warm.

Change: a run that was ordered while its target was cold is left out of the rating, and of the comparison with the job's other runs.

--- a/holder/evacuation_test.go
+++ b/holder/evacuation_test.go
@@ -168,3 +168,44 @@
 		})
 	}
 }
+
+// TestColdRunIsNotRated asserts that a run on a cold target does not count for the
+// speed of the target by nature.
+func TestColdRunIsNotRated(t *testing.T) {
+	tests := []struct {
+		name string
+		cold time.Duration
+		want bool
+	}{
+		{"warm", 0, true},
+		{"cold", time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			target := medlargw.Target{Name: "t", Zone: "z", ColdUntil: x.now.Add(test.cold)}
+			x.setGroup(nil, target)
+			if got := x.offerQueued(1); got != medlargw.OfferStarted {
+				t.Fatalf("offer: got state %v, want started", got)
+			}
+			order := x.takeActions().Starts[0]
+			x.h.StartAnswered(x.now, &order, medlargw.OrderReply{Clock: time.Second}, nil)
+			x.now = x.now.Add(150 * time.Millisecond)
+			x.report(medlargw.RunReport{Clock: 1150 * time.Millisecond, IncarnationStart: start, Ended: []medlargw.RunEnd{
+				{Sequence: 1, Run: order.Order.Run, Kind: medlargw.RunSucceeded},
+			}})
+			target.Pool, target.Resources = "pool", medlargw.Resources{Cores: 32000, Memory: 1000}
+			x.h.SetGroup(x.now, medlargw.Group{
+				Entries: []medlargw.Peer{{Host: "next", Zone: "z", Incarnation: 5}}, Targets: []medlargw.Target{target},
+			})
+			x.h.Tick(x.now)
+			transfers := x.takeActions().Transfers
+			if len(transfers) != 1 {
+				t.Fatalf("transfers: got %d, want 1", len(transfers))
+			}
+			if got := transfers[0].Targets[0].Rating.Runs > 0; got != test.want {
+				t.Errorf("run counted in the rating: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/holder/place.go
+++ b/holder/place.go
@@ -79,6 +79,7 @@
 		task:      w,
 		target:    t,
 		sent:      now,
+		cold:      t.isCold(now),
 		leaseEnd:  t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease,
 	}
 	w.run = r
--- a/holder/progress.go
+++ b/holder/progress.go
@@ -41,6 +41,9 @@
 		s.minRatio = ratio
 	}
 	r.target.recordRun(now, r, ratio/max(s.baselineRatio(r), 1))
+	if r.cold {
+		return // It says nothing of the target's speed by nature.
+	}
 	r.target.rater.Observe(measured, s.usualRatio(r.target))
 	s.completed = append(s.completed, completedRun{target: r.target, ratio: ratio})
 }
--- a/holder/target.go
+++ b/holder/target.go
@@ -32,6 +32,7 @@
 	leaseEnd  time.Duration // End of the lease in its start order, on the target's clock.
 
 	transferred  bool // A transfer that may have arrived names the run.
+	cold         bool // The target was cold when the run was ordered.
 	stopping     bool
 	abandoned    bool // Its job was given up, and may be submitted again before the run has ended.
 	stopSent     time.Time
