Gatekeeper: the tail of the waits as the signal, and the first rank is never refused

Cause: the median wait for a processor is 1 us with one processor idle and used up alike (BenchmarkBusy/load=full with GOMAXPROCS=1), since most waits are of goroutines that another one has just woken, so the intake was never limited. And while the limit rose again, requests of the most urgent rank were refused if they had become more since (TestAdmit: "a single rank that grows" and "the first rank grows" fail on the code of before). Change: the signal is the time that nine of ten waits have not exceeded, four of which make up a job's; the first rank that has requests has no limit. Checked: go test ./gatekeeper ./sampler ./exporter; ./platform/builder -run 'TestJobs|TestPlannedStop' four times.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -11,15 +11,16 @@
 package gatekeeper
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// waits is the number of times that the goroutines of a job wait for a processor
-	// one after the other: for the request, its body, the submission, the order to the
-	// target and its answer, the report of the end and the response.
-	waits = 8
+	// waits is the number of messages of a job, one after the other, whose goroutines
+	// wait for a processor: the request, the offer to a holder, the answer of the
+	// target to the start and its report of the end.
+	waits = 4
 	// minCut and maxCut bound the factor by which the limit falls with each
 	// measurement of an overload, and riseShare is the share of the arrivals by which
 	// it rises with each other one.
@@ -84,8 +85,8 @@
 	return max(minRetryAfter, now.Sub(g.limitedSince)), false
 }
 
-// Measure records how long goroutines have waited for a processor since the last
-// call, as a median, and adjusts the limit. It is to be called several times per
+// Measure records how long the goroutines that messages wake have waited for a
+// processor since the last call, and adjusts the limit. It is to be called several times per
 // second. It reports whether the intake is limited.
 func (g *Gatekeeper) Measure(now time.Time, wait time.Duration) bool {
 	g.mu.Lock()
@@ -103,7 +104,10 @@
 		if !g.limited {
 			g.limited, g.limitedSince, g.limit = true, now, total
 		}
-		g.limit = max(g.limit*min(max(cut, maxCut), minCut), g.firstRate())
+		g.limit *= min(max(cut, maxCut), minCut)
+		if len(g.ranks) > 0 {
+			g.limit = max(g.limit, g.ranks[g.firstRank()].rate)
+		}
 	case g.limited:
 		g.limit += total * riseShare
 		g.limited = g.limit < total
@@ -128,26 +132,21 @@
 	return total
 }
 
-// firstRate returns the arrival rate of the most urgent rank that has requests.
-// The limit never refuses them: if they alone are too many, no rank gives way.
-func (g *Gatekeeper) firstRate() float64 {
-	for i := range g.ranks {
-		if g.ranks[i].rate > 0 {
-			return g.ranks[i].rate
-		}
-	}
-	return 0
+// firstRank returns the most urgent rank that has requests. They are never refused:
+// if they alone are too many, no rank gives way.
+func (g *Gatekeeper) firstRank() int {
+	return max(0, slices.IndexFunc(g.ranks, func(r rankState) bool { return r.rate > 0 }))
 }
 
 // updateShares divides the limit among the ranks, the most urgent first.
 func (g *Gatekeeper) updateShares() {
 	left := g.limit
+	first := g.firstRank()
 	for i := range g.ranks {
 		r := &g.ranks[i]
-		switch {
-		case !g.limited || r.rate <= left:
+		if !g.limited || i <= first || r.rate <= left {
 			r.share = 1
-		default:
+		} else {
 			r.share = max(left, 0) / r.rate
 		}
 		left -= r.rate
--- a/sampler/sampler.go
+++ b/sampler/sampler.go
@@ -12,6 +12,9 @@
 // spent runnable before they ran, in seconds.
 const latencies = "/sched/latencies:seconds"
 
+// longShare is the share of waits that are not longer than LongWait.
+const longShare = 0.9
+
 // Sampler reads the waits of this process. It is not safe for concurrent use.
 type Sampler struct {
 	samples []metrics.Sample
@@ -22,9 +25,11 @@
 // started.
 func New() *Sampler { return &Sampler{samples: []metrics.Sample{{Name: latencies}}} }
 
-// Median returns the median of the waits that have ended since the last call, and
-// zero if there were none.
-func (s *Sampler) Median() time.Duration {
+// LongWait returns the wait that nine of ten waits since the last call have not
+// exceeded, and zero if there were none. Most waits are those of goroutines that
+// another one has just woken, which run next; the tenth that is longer are those for
+// the network, which wait for all others.
+func (s *Sampler) LongWait() time.Duration {
 	metrics.Read(s.samples)
 	if s.samples[0].Value.Kind() != metrics.KindFloat64Histogram {
 		return 0
@@ -33,20 +38,21 @@
 	if len(s.counts) != len(h.Counts) {
 		s.counts = make([]uint64, len(h.Counts))
 	}
-	m := median(h, s.counts)
+	wait := quantile(h, s.counts, longShare)
 	copy(s.counts, h.Counts)
-	return m
+	return wait
 }
 
-// median returns the median of a histogram of seconds less the counts of before.
-func median(h *metrics.Float64Histogram, before []uint64) time.Duration {
+// quantile returns the lower bound of the bucket with the given share of the counts
+// below it, in a histogram of seconds less the counts of before.
+func quantile(h *metrics.Float64Histogram, before []uint64, share float64) time.Duration {
 	var total uint64
 	for i, n := range h.Counts {
 		total += n - before[i]
 	}
 	var seen uint64
 	for i, n := range h.Counts {
-		if seen += n - before[i]; 2*seen > total {
+		if seen += n - before[i]; float64(seen) > share*float64(total) {
 			return lowerBound(h.Buckets[i])
 		}
 	}
