Gatekeeper: a single pause does not limit the intake

Cause: in play the limit began at one entry at 8.26 s, after the burst, with one measurement of 42 ms, and lasted 1.2 s, in which 16 requests were refused while others found all targets free. Checked: go test -race ./gatekeeper, go test ./sampler.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -23,10 +23,13 @@
 	waits = 4
 	// minCut and maxCut bound the factor by which the limit falls with each
 	// measurement of an overload, and riseShare is the share of the arrivals by which
-	// it rises with each other one.
+	// it rises with each other one, up to four times that if there was no wait.
 	minCut    = 0.9
 	maxCut    = 0.25
-	riseShare = 0.07
+	riseShare = 0.035
+	// minOverloads is the number of consecutive measurements of an overload from which
+	// the intake is limited.
+	minOverloads = 2
 	// rateWeight is the weight of the last measurement in the arrival rates.
 	rateWeight = 0.4
 	// minRetryAfter is the least delay that a refused caller is told to wait.
@@ -47,6 +50,7 @@
 	mu           sync.Mutex
 	ranks        []rankState
 	grace        time.Duration // The least of the services whose requests have arrived; zero if none declares one.
+	overloads    int           // Consecutive measurements of an overload.
 	measured     time.Time     // Of the last measurement; zero before the first.
 	limited      bool
 	limitedSince time.Time
@@ -98,8 +102,14 @@
 		return g.limited
 	}
 	total := g.updateRates(elapsed)
+	overloads := g.overloads
+	g.overloads = 0
 	switch {
 	case g.grace > 0 && wait*waits > g.grace:
+		g.overloads = overloads + 1
+		if !g.limited && g.overloads < minOverloads {
+			break // A pause that is over.
+		}
 		cut := float64(g.grace) / float64(wait*waits)
 		if !g.limited {
 			g.limited, g.limitedSince, g.limit = true, now, total
@@ -109,7 +119,7 @@
 			g.limit = max(g.limit, g.ranks[g.firstRank()].rate)
 		}
 	case g.limited:
-		g.limit += total * riseShare
+		g.limit += total * riseShare * (1 + 3*(1-min(1, float64(wait*waits)/float64(g.grace))))
 		g.limited = g.limit < total
 	}
 	g.updateShares()
