--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -42,17 +42,16 @@
 	holders     map[medlargw.Incarnation]*holder
 	byDistance  []*holder // This entry first, then its zone, then the other zones.
 	// Pools all of whose targets are in evacuated zones.
-	evacuated  map[medlargw.PoolName]bool
-	estimator  medlargw.Estimator
-	nextJob    uint64
-	nextID     medlargw.TaskID
-	finished   []medlargw.FinishedJob
-	arbiter    *arbiter.Arbiter
-	lag        time.Duration // How late this entry acts.
-	pacer      *pacer.Pacer  // Of this entry's network link.
-	lastProbe  time.Time     // When holders were last asked for their free resources.
-	idleProbes int           // Rounds of probes since one has found free resources, up to maxIdleProbes.
-	nextProbe  int           // Round-robin index of the next holder to ask.
+	evacuated map[medlargw.PoolName]bool
+	estimator medlargw.Estimator
+	nextJob   uint64
+	nextID    medlargw.TaskID
+	finished  []medlargw.FinishedJob
+	arbiter   *arbiter.Arbiter
+	lag       time.Duration // How late this entry acts.
+	pacer     *pacer.Pacer  // Of this entry's network link.
+	lastProbe time.Time     // When holders were last asked for their free resources.
+	nextProbe int           // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -22,9 +22,6 @@
 	// the group, and maxZoneProbes that of this entry's zone among them.
 	maxProbes     = 5
 	maxZoneProbes = 3
-	// maxIdleProbes is the number of times that the interval doubles while probes find
-	// no free resources.
-	maxIdleProbes = 2
 	// probeShare is the largest share of the network link that probes and their
 	// answers take. On a slow link it makes probes rarer than probeInterval.
 	probeShare = 0.05
--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -15,7 +15,6 @@
 		return nil
 	}
 	c.lastProbe = now
-	c.idleProbes = min(c.idleProbes+1, maxIdleProbes)
 	var near, remote []*holder
 	for _, h := range c.byDistance {
 		switch {
@@ -32,13 +31,12 @@
 	return all
 }
 
-// probePause returns the time between two rounds of probes. It doubles while they
-// find no free resources: at full load, the reports of a home's own tasks tell of
-// most. While the control loop lags, an answer waits as long as that for its turn,
-// and more frequent probes would only add to the lag.
+// probePause returns the time between two rounds of probes. While the control loop
+// lags, an answer waits as long as that for its turn, and more frequent probes would
+// only add to the lag.
 func (c *Coordinator) probePause() time.Duration {
 	transfer := c.pacer.Duration(2 * maxProbes * medlargw.OfferBytes)
-	return max(probeInterval<<c.idleProbes, time.Duration(float64(transfer)/probeShare), c.lag)
+	return max(probeInterval, time.Duration(float64(transfer)/probeShare), c.lag)
 }
 
 // addProbes adds the next holders of a list, at most n, in rotation.
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -77,7 +77,6 @@
 	}
 	if best != nil {
 		*free = free.Sub(j.job.Resources)
-		c.idleProbes = 0
 		j.lastHolder = best
 	}
 	return best
@@ -229,7 +228,6 @@
 				reserved[r] = *r
 				*r = r.Sub(t.job.job.Resources) // Reserved until the task is returned.
 				t.recall()
-				c.idleProbes = 0
 				t.refusals = 0
 				t.rebalanced = true
 				break
