--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -188,6 +188,7 @@
 			c.holder.Tick(now)
 			c.updateLink(now)
 			c.coord.Tick(now)
+			c.counters.countVerdicts(c.coord.TakeVerdicts())
 			c.flush(now)
 		case <-c.ctx.Done():
 			c.failWaiters()
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -26,6 +26,9 @@
 
 	unansweredOffers metrics.Counter
 	unackedReports   metrics.Counter
+	slowHolders      metrics.Counter
+	lostHolders      metrics.Counter
+	revisedHolders   metrics.Counter
 
 	targetsOwned   metrics.Gauge
 	targetsDue     metrics.GaugeFloat64
@@ -45,6 +48,9 @@
 
 		unansweredOffers: metrics.GetOrRegisterCounter("peers.unanswered-offers", r),
 		unackedReports:   metrics.GetOrRegisterCounter("peers.unacknowledged-reports", r),
+		slowHolders:      metrics.GetOrRegisterCounter("peers.slow-holders", r),
+		lostHolders:      metrics.GetOrRegisterCounter("peers.lost-holders", r),
+		revisedHolders:   metrics.GetOrRegisterCounter("peers.revised-holders", r),
 
 		targetsOwned:   metrics.GetOrRegisterGauge("share.owned", r),
 		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
@@ -54,6 +60,13 @@
 	}
 }
 
+// countVerdicts counts changed verdicts on holders.
+func (c *counters) countVerdicts(v medlargw.VerdictCounts) {
+	c.slowHolders.Inc(int64(v.Slow))
+	c.lostHolders.Inc(int64(v.Lost))
+	c.revisedHolders.Inc(int64(v.Revised))
+}
+
 // setShare records the targets that this entry owns in its zone, those that are
 // due to it, and its capacity in thousandths of a core.
 func (c *counters) setShare(s *medlargw.TargetShare) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,11 +48,12 @@
 	nextID     medlargw.TaskID
 	finished   []medlargw.FinishedJob
 	arbiter    *arbiter.Arbiter
-	lag        time.Duration // How late this entry acts.
-	pacer      *pacer.Pacer  // Of this entry's network link.
-	lastProbe  time.Time     // When holders were last asked for their free resources.
-	idleProbes int           // Rounds of probes since one has found free resources, up to maxIdleProbes.
-	nextProbe  int           // Round-robin index of the next holder to ask.
+	verdicts   medlargw.VerdictCounts // Since TakeVerdicts.
+	lag        time.Duration          // How late this entry acts.
+	pacer      *pacer.Pacer           // Of this entry's network link.
+	lastProbe  time.Time              // When holders were last asked for their free resources.
+	idleProbes int                    // Rounds of probes since one has found free resources, up to maxIdleProbes.
+	nextProbe  int                    // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -185,6 +185,7 @@
 		c.markReachable(h, "heard of")
 	case verdict == medlargw.PeerSlow && !h.lost && !h.slow:
 		h.slow = true
+		c.verdicts.Slow++
 		c.log.Info("holder slow", append(evidenceFields(h, e), zap.Int("tasks", len(h.tasks)))...)
 	case verdict == medlargw.PeerAlive:
 		h.slow = false
@@ -222,6 +223,7 @@
 	h.lost = true
 	h.slow = false
 	h.lostAt = now
+	c.verdicts.Lost++
 	all := h.sortedTasks()
 	c.log.Info("holder lost", append(evidenceFields(h, e), zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))...)
 	for _, t := range all {
@@ -241,6 +243,13 @@
 	}
 }
 
+// TakeVerdicts returns the counts of changed verdicts on holders and clears them.
+func (c *Coordinator) TakeVerdicts() medlargw.VerdictCounts {
+	counts := c.verdicts
+	c.verdicts = medlargw.VerdictCounts{}
+	return counts
+}
+
 // SetLag sets how late this entry acts, which is no silence of the holders.
 func (c *Coordinator) SetLag(lag time.Duration) { c.lag = lag }
 
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -39,6 +39,7 @@
 // Recalls tell their states: those that have started go on.
 func (c *Coordinator) markReachable(h *holder, reason string) {
 	h.lost = false
+	c.verdicts.Revised++
 	c.log.Info("holder answers again", zap.String("holder", string(h.peer.Host)), zap.String("reason", reason), zap.Int("tasks", len(h.tasks)))
 	for _, t := range h.sortedTasks() {
 		t.endedBy = time.Time{}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -192,10 +192,10 @@
 // entry has had no message from it for GroupSettings.Suspect. Only members of this
 // entry's zone have a lag that explains it.
 func (v *view) isSilent(now time.Time, p *peer) bool {
-	if now.Sub(p.lastDirectMessage) <= v.settings.Suspect {
-		return false
+	if p.member.Zone != v.self.Zone {
+		return now.Sub(p.lastDirectMessage) > v.settings.Suspect
 	}
-	return p.member.Zone != v.self.Zone || v.judge(now, p) == medlargw.PeerLost
+	return arbiter.New(v.settings.Suspect).Judge(v.evidence(now, p)) == medlargw.PeerLost
 }
 
 // confirmZone treats a heartbeat with the same view hash as a sign of life from
--- a/verdict.go
+++ b/verdict.go
@@ -24,6 +24,13 @@
 // String returns the name used in logs.
 func (v PeerVerdict) String() string { return [...]string{"alive", "slow", "lost"}[v] }
 
+// VerdictCounts counts changes of verdicts on peers.
+type VerdictCounts struct {
+	Slow    int
+	Lost    int
+	Revised int // Peers that had counted as lost and live.
+}
+
 // Sighting tells that the sender of a heartbeat has heard another entry.
 type Sighting struct {
 	Incarnation Incarnation   // Of the other entry.
