Settings: lease.lag bounds the lag that excuses silence

Cause: the verdicts by lag and sightings had no switch. Change: lease.lag, 1 s by default, bounds each lag that counts; 0 judges by silence alone.

--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -88,7 +88,7 @@
 		defer cancel()
 		due := time.Now().Add(limit)
 		timer := time.AfterFunc(limit, func() {
-			time.AfterFunc(min(max(c.Lag(), time.Since(due)), extra), cancel)
+			time.AfterFunc(min(max(c.Lag(), time.Since(due)), c.settings.Lag, extra), cancel)
 		})
 		defer timer.Stop()
 		if e := call(ctx); e != nil {
--- a/conductor/send_test.go
+++ b/conductor/send_test.go
@@ -22,18 +22,20 @@
 func TestLateProcessWaitsForAnswers(t *testing.T) {
 	const ms = time.Millisecond
 	tests := []struct {
-		name string
-		lag  time.Duration
-		want time.Duration // When the call is cancelled.
+		name   string
+		lag    time.Duration
+		excuse time.Duration // LeaseSettings.Lag.
+		want   time.Duration // When the call is cancelled.
 	}{
-		{"on time", 0, 200 * ms},
-		{"late", 120 * ms, 320 * ms},
-		{"late for long", 2 * time.Second, 400 * ms},
+		{"on time", 0, time.Second, 200 * ms},
+		{"late", 120 * ms, time.Second, 320 * ms},
+		{"late for long", 2 * time.Second, time.Second, 400 * ms},
+		{"late, without excuse", 120 * ms, 0, 200 * ms},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := New(zap.NewNop(), nil, &medlargw.Settings{}, 1, virtualClock{}, nil, metrics.NewRegistry())
+				c := New(zap.NewNop(), nil, &medlargw.Settings{Lease: medlargw.LeaseSettings{Lag: tt.excuse}}, 1, virtualClock{}, nil, metrics.NewRegistry())
 				c.ctx = t.Context()
 				c.lag.Store(int64(tt.lag))
 				begin := time.Now()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -33,6 +33,7 @@
 func newLoggedFixture(t *testing.T, log *zap.Logger) *fixture {
 	settings := medlargw.LeaseSettings{
 		Lease: 800 * time.Millisecond, Stop: 50 * time.Millisecond, Keep: 120 * time.Millisecond, Silence: 500 * time.Millisecond,
+		Lag: time.Second,
 	}
 	self := medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}
 	h := &fixture{t: t, now: start, c: coordinator.New(log, settings, self, estimator.New(), pacer.New(0))}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -176,7 +176,7 @@
 // judge updates the verdict on a holder that has tasks. One that has counted as
 // lost is reachable again as soon as there is a new sign of life.
 func (c *Coordinator) judge(now time.Time, h *holder) {
-	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: c.lag, PeerLag: h.lag}
+	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: min(c.lag, c.settings.Lag), PeerLag: c.PeerLag(h.peer.Incarnation)}
 	switch verdict := c.arbiter.Judge(e); {
 	case verdict == medlargw.PeerLost && !h.lost:
 		c.markLost(now, h, e)
@@ -256,6 +256,9 @@
 // HandleHeartbeat records a heartbeat of a holder, which names the lag of its
 // sender and the other entries that the sender has heard.
 func (c *Coordinator) HandleHeartbeat(now time.Time, from medlargw.Incarnation, lag time.Duration, others []medlargw.Sighting) {
+	if c.settings.Lag == 0 {
+		return
+	}
 	if h := c.holders[from]; h != nil {
 		h.lastHeard = now
 		h.lag = lag
@@ -267,10 +270,10 @@
 	}
 }
 
-// PeerLag returns how late a peer acts, by its last heartbeat.
+// PeerLag returns the lag of a peer that excuses its silence, by its last heartbeat.
 func (c *Coordinator) PeerLag(incarnation medlargw.Incarnation) time.Duration {
 	if h := c.holders[incarnation]; h != nil {
-		return h.lag
+		return min(h.lag, c.settings.Lag)
 	}
 	return 0
 }
--- a/holder/home.go
+++ b/holder/home.go
@@ -177,7 +177,7 @@
 // its runs is renewed in any case.
 func (h *Holder) expireHomes(now time.Time) {
 	for _, m := range h.sortedHomes() {
-		delay := max(0, min(h.lag, maxStopDelay)-m.heardLag)
+		delay := max(0, min(h.lag, h.settings.Lag, maxStopDelay)-m.heardLag)
 		if now.Sub(m.lastHeard) > h.settings.Silence+delay && len(m.tasks) > 0 {
 			h.cancelAll(now, m, "home silent")
 		}
--- a/lease.go
+++ b/lease.go
@@ -18,6 +18,7 @@
 	Silence  time.Duration // Time without an offer of a home after which a holder stops the home's tasks.
 	Unlisted time.Duration // How long a target that answers is used without being in the host list.
 	Link     int64         // Rate of the host's network link in each direction, in bytes per second; zero is unlimited.
+	Lag      time.Duration // Longest lag, of this entry or of a peer, that excuses silence; zero judges by silence alone.
 	Refused  time.Duration // Pause before a target is claimed again that was lost to a higher fencing token.
 }
 
@@ -50,6 +51,8 @@
 		// After an outage of the platform it takes 2 s until all live targets are
 		// listed again; the rest is a margin.
 		Unlisted: 2500 * time.Millisecond,
-		Refused:  2 * time.Second,
+		// After a longer pause all jobs are given up in any case.
+		Lag:     time.Second,
+		Refused: 2 * time.Second,
 	}
 }
--- a/tracker/exchange.go
+++ b/tracker/exchange.go
@@ -58,7 +58,7 @@
 		}
 	}
 	group := &t.settings.Group
-	return group.Beat + min(lag, max(0, group.Suspect-group.Beat))
+	return group.Beat + min(lag, t.settings.Lease.Lag, max(0, group.Suspect-group.Beat))
 }
 
 // applyHeartbeat applies a peer's heartbeat and passes its digest to the
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -87,6 +87,7 @@
 	}
 	self := medlargw.Member{Host: settings.Host, Zone: settings.Zone, Incarnation: incarnation, Capacity: apportioner.Capacity(&settings)}
 	t.view = newView(self, settings.Group, settings.Intake.Ticket)
+	t.view.maxLag = settings.Lease.Lag
 	t.publishSnapshot()
 	return t
 }
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -47,6 +47,7 @@
 	nextProbe     int              // Position in probeAddrs, modulo its length, of the next address.
 	lastTick      time.Time
 	lag           time.Duration // How late this entry acts.
+	maxLag        time.Duration // LeaseSettings.Lag.
 	judgements    []judgement
 	version       uint64 // Rises when a member is added, is removed or changes its state, and with each change of this entry's own member.
 }
@@ -269,7 +270,7 @@
 				v.version++
 			}
 		case verdict != medlargw.PeerLost:
-		case silence-v.lag > v.suspectTimeout(p.member.Zone)+v.settings.Gone-v.settings.Suspect:
+		case silence-min(v.lag, v.maxLag) > v.suspectTimeout(p.member.Zone)+v.settings.Gone-v.settings.Suspect:
 			v.setState(now, p, medlargw.MemberGone)
 		case p.member.State != medlargw.MemberLeaving:
 			v.setState(now, p, medlargw.MemberSuspect)
@@ -288,8 +289,8 @@
 	return medlargw.PeerEvidence{
 		Silence: silence,
 		Heard:   min(silence, now.Sub(p.lastSighting)),
-		OwnLag:  v.lag,
-		PeerLag: p.digest.Lag,
+		OwnLag:  min(v.lag, v.maxLag),
+		PeerLag: min(p.digest.Lag, v.maxLag),
 	}
 }
 
@@ -317,6 +318,9 @@
 
 // applySightings records when another entry has heard the peers of this one.
 func (v *view) applySightings(now time.Time, all []medlargw.Sighting) {
+	if v.maxLag == 0 {
+		return
+	}
 	for _, s := range all {
 		if p := v.peers[s.Incarnation]; p != nil {
 			p.lastSighting = later(p.lastSighting, now.Add(-s.Age))
--- a/tracker/view_test.go
+++ b/tracker/view_test.go
@@ -202,23 +202,26 @@
 		ownLag   time.Duration
 		peerLag  time.Duration
 		sighting func(at time.Duration) time.Duration // When another member has heard it; negative is never.
+		maxLag   time.Duration                        // LeaseSettings.Lag.
 		at       time.Duration
 		want     medlargw.MemberState
 	}{
-		{"silent", 0, 0, nil, 3500 * ms, suspect},
-		{"silent for long", 0, 0, nil, 10500 * ms, gone},
-		{"this entry lags", time.Second, 0, nil, 3500 * ms, live},
-		{"silent for longer than this entry lags", time.Second, 0, nil, 4500 * ms, suspect},
-		{"the member lags", 0, time.Second, nil, 3500 * ms, live},
-		{"silent for longer than the member lags", 0, time.Second, nil, 4500 * ms, suspect},
-		{"both lag", time.Second, time.Second, nil, 4500 * ms, live},
-		{"another member hears it", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, 11500 * ms, live},
-		{"another member heard its last message too", 0, 0, func(time.Duration) time.Duration { return 0 }, 3500 * ms, suspect},
-		{"another member hears it while this one is cut off", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, 12500 * ms, suspect},
+		{"silent", 0, 0, nil, time.Second, 3500 * ms, suspect},
+		{"silent for long", 0, 0, nil, time.Second, 10500 * ms, gone},
+		{"this entry lags", time.Second, 0, nil, time.Second, 3500 * ms, live},
+		{"silent for longer than this entry lags", time.Second, 0, nil, time.Second, 4500 * ms, suspect},
+		{"the member lags", 0, time.Second, nil, time.Second, 3500 * ms, live},
+		{"silent for longer than the member lags", 0, time.Second, nil, time.Second, 4500 * ms, suspect},
+		{"both lag", time.Second, time.Second, nil, time.Second, 4500 * ms, live},
+		{"another member hears it", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, time.Second, 11500 * ms, live},
+		{"another member heard its last message too", 0, 0, func(time.Duration) time.Duration { return 0 }, time.Second, 3500 * ms, suspect},
+		{"another member hears it while this one is cut off", 0, 0, func(at time.Duration) time.Duration { return at - 100*ms }, time.Second, 12500 * ms, suspect},
+		{"both lag, without excuse", time.Second, time.Second, func(at time.Duration) time.Duration { return at }, 0, 3500 * ms, suspect},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			v := newView(member("a", 1, 1, live), testSettings(), time.Minute)
+			v.maxLag = tt.maxLag
 			from := member("b", 2, 1, live)
 			v.applyMessage(start, &from, nil)
 			v.peers[2].digest.Lag = tt.peerLag
