Tracker: sightings only of members that lag by half a heartbeat

Cause: under load nearly every member lags a few tens of milliseconds, and each heartbeat told of eight of them, whose silence nobody misjudges. Change: a member is told of from a lag of half of group.beat on, besides those that are late or suspect to another. Checked: go test ./tracker.

--- a/tracker/view.go
+++ b/tracker/view.go
@@ -329,14 +329,14 @@
 }
 
 // sightings returns the peers of the zone that this entry has heard and that
-// others may not hear: those that lag, those that others have told to be suspect,
+// others may not hear: those that lag by half a heartbeat or more, those that others have told to be suspect,
 // and those whose last heartbeat was late here.
 func (v *view) sightings(now time.Time) []medlargw.Sighting {
 	limit := v.suspectTimeout(v.self.Zone)
 	var all []medlargw.Sighting
 	for _, p := range v.sortedPeers() {
 		age := now.Sub(p.lastDirectMessage)
-		doubtful := p.digest.Lag > 0 || now.Sub(p.lastDoubted) < 2*limit || age > limit/2
+		doubtful := p.digest.Lag > v.settings.Beat/2 || now.Sub(p.lastDoubted) < 2*limit || age > limit/2
 		if p.member.Zone != v.self.Zone || age > limit || !doubtful {
 			continue
 		}
