--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,10 +48,11 @@
 	nextID    medlargw.TaskID
 	finished  []medlargw.FinishedJob
 	arbiter   *arbiter.Arbiter
-	lag       time.Duration // How late this entry acts.
-	pacer     *pacer.Pacer  // Of this entry's network link.
-	lastProbe time.Time     // When holders were last asked for their free resources.
-	nextProbe int           // Round-robin index of the next holder to ask.
+	verdicts  medlargw.VerdictCounts // Since TakeVerdicts.
+	lag       time.Duration          // How late this entry acts.
+	pacer     *pacer.Pacer           // Of this entry's network link.
+	lastProbe time.Time              // When holders were last asked for their free resources.
+	nextProbe int                    // Round-robin index of the next holder to ask.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -173,7 +173,7 @@
 // judge updates the verdict on a holder that has tasks. One that has counted as
 // lost is reachable again as soon as there is a new sign of life.
 func (c *Coordinator) judge(now time.Time, h *holder) {
-	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: c.lag, PeerLag: h.lag}
+	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: min(c.lag, c.settings.Lag), PeerLag: c.PeerLag(h.peer.Incarnation)}
 	switch verdict := c.arbiter.Judge(e); {
 	case verdict == medlargw.PeerLost && !h.lost:
 		c.markLost(now, h, e)
@@ -182,6 +182,7 @@
 		c.markReachable(h, "heard of")
 	case verdict == medlargw.PeerSlow && !h.lost && !h.slow:
 		h.slow = true
+		c.verdicts.Slow++
 		c.log.Info("holder slow", append(evidenceFields(h, e), zap.Int("tasks", len(h.tasks)))...)
 	case verdict == medlargw.PeerAlive:
 		h.slow = false
@@ -219,6 +220,7 @@
 	h.lost = true
 	h.slow = false
 	h.lostAt = now
+	c.verdicts.Lost++
 	all := h.sortedTasks()
 	c.log.Info("holder lost", append(evidenceFields(h, e), zap.Duration("sent", now.Sub(h.lastSent)), zap.Int("tasks", len(all)))...)
 	for _, t := range all {
@@ -238,12 +240,22 @@
 	}
 }
 
+// TakeVerdicts returns the counts of changed verdicts on holders and clears them.
+func (c *Coordinator) TakeVerdicts() medlargw.VerdictCounts {
+	counts := c.verdicts
+	c.verdicts = medlargw.VerdictCounts{}
+	return counts
+}
+
 // SetLag sets how late this entry acts, which is no silence of the holders.
 func (c *Coordinator) SetLag(lag time.Duration) { c.lag = lag }
 
 // HandleHeartbeat records a heartbeat of a holder, which names the lag of its
 // sender and the other entries that the sender has heard.
 func (c *Coordinator) HandleHeartbeat(now time.Time, from medlargw.Incarnation, lag time.Duration, others []medlargw.Sighting) {
+	if c.settings.Lag == 0 {
+		return
+	}
 	if h := c.holders[from]; h != nil {
 		h.lastHeard = now
 		h.lag = lag
@@ -255,10 +267,10 @@
 	}
 }
 
-// PeerLag returns how late a peer acts, by its last heartbeat.
+// PeerLag returns the lag of a peer that excuses its silence, by its last heartbeat.
 func (c *Coordinator) PeerLag(incarnation medlargw.Incarnation) time.Duration {
 	if h := c.holders[incarnation]; h != nil {
-		return h.lag
+		return min(h.lag, c.settings.Lag)
 	}
 	return 0
 }
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -47,6 +47,7 @@
 	nextProbe     int              // Position in probeAddrs, modulo its length, of the next address.
 	lastTick      time.Time
 	lag           time.Duration // How late this entry acts.
+	maxLag        time.Duration // LeaseSettings.Lag.
 	judgements    []judgement
 	version       uint64 // Rises when a member is added, is removed or changes its state, and with each change of this entry's own member.
 }
@@ -192,10 +193,10 @@
 // entry has had no message from it for GroupSettings.Suspect. Only members of this
 // entry's zone have a lag that explains it.
 func (v *view) isSilent(now time.Time, p *peer) bool {
-	if now.Sub(p.lastDirectMessage) <= v.settings.Suspect {
-		return false
+	if p.member.Zone != v.self.Zone {
+		return now.Sub(p.lastDirectMessage) > v.settings.Suspect
 	}
-	return p.member.Zone != v.self.Zone || v.judge(now, p) == medlargw.PeerLost
+	return arbiter.New(v.settings.Suspect).Judge(v.evidence(now, p)) == medlargw.PeerLost
 }
 
 // confirmZone treats a heartbeat with the same view hash as a sign of life from
@@ -269,7 +270,7 @@
 				v.version++
 			}
 		case verdict != medlargw.PeerLost:
-		case silence-v.lag > v.suspectTimeout(p.member.Zone)+v.settings.Gone-v.settings.Suspect:
+		case silence-min(v.lag, v.maxLag) > v.suspectTimeout(p.member.Zone)+v.settings.Gone-v.settings.Suspect:
 			v.setState(now, p, medlargw.MemberGone)
 		case p.member.State != medlargw.MemberLeaving:
 			v.setState(now, p, medlargw.MemberSuspect)
@@ -288,8 +289,8 @@
 	return medlargw.PeerEvidence{
 		Silence: silence,
 		Heard:   min(silence, now.Sub(p.lastSighting)),
-		OwnLag:  v.lag,
-		PeerLag: p.digest.Lag,
+		OwnLag:  min(v.lag, v.maxLag),
+		PeerLag: min(p.digest.Lag, v.maxLag),
 	}
 }
 
@@ -317,6 +318,9 @@
 
 // applySightings records when another entry has heard the peers of this one.
 func (v *view) applySightings(now time.Time, all []medlargw.Sighting) {
+	if v.maxLag == 0 {
+		return
+	}
 	for _, s := range all {
 		if p := v.peers[s.Incarnation]; p != nil {
 			p.lastSighting = later(p.lastSighting, now.Add(-s.Age))
@@ -325,14 +329,14 @@
 }
 
 // sightings returns the peers of the zone that this entry has heard and that
-// others may not hear: those that lag, those that others have told to be suspect,
+// others may not hear: those that lag by half a heartbeat or more, those that others have told to be suspect,
 // and those whose last heartbeat was late here.
 func (v *view) sightings(now time.Time) []medlargw.Sighting {
 	limit := v.suspectTimeout(v.self.Zone)
 	var all []medlargw.Sighting
 	for _, p := range v.sortedPeers() {
 		age := now.Sub(p.lastDirectMessage)
-		doubtful := p.digest.Lag > 0 || now.Sub(p.lastDoubted) < 2*limit || age > limit/2
+		doubtful := p.digest.Lag > v.settings.Beat/2 || now.Sub(p.lastDoubted) < 2*limit || age > limit/2
 		if p.member.Zone != v.self.Zone || age > limit || !doubtful {
 			continue
 		}
