Holder: starts that are not answered in the usual time are stopped

Cause: targets leave a few orders in a hundred unanswered, or carry them out late. Such a start took 200 ms until its order timed out, and a median of 208 ms more until a report that was requested after the stop proved that the run is not there: the renewal in flight waits for the end of another run. Ruled out: the lag of the entry (1,174 of them were found absent at their targets), pausing the target (they are spread over all). Change: package awaiter learns how long answers take (RFC 6298); a start without an answer for longer, plus this entry's own lag, is stopped as before after the time-out, and the stop's answer brings an extra report at once. The proof is the same. A report that another has overtaken does not tell what runs.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -29,6 +29,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
+	"medlargw.example/medlargw/awaiter"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -51,8 +52,9 @@
 	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
-	lag               time.Duration // How late this entry acts.
-	pacer             *pacer.Pacer  // Of this entry's network link.
+	answerTimes       *awaiter.Awaiter // Of start orders.
+	lag               time.Duration    // How late this entry acts.
+	pacer             *pacer.Pacer     // Of this entry's network link.
 	actions           medlargw.HolderActions
 }
 
@@ -70,6 +72,7 @@
 		homes:    map[medlargw.Incarnation]*home{},
 
 		apportioner: apportioner.New(),
+		answerTimes: awaiter.New(minOrderWait, settings.Order),
 	}
 }
 
@@ -125,6 +128,7 @@
 	if t.releasing && h.release(now, t) {
 		return
 	}
+	h.stopUnanswered(now, t)
 	h.resendStops(now, t)
 	t.dropPendingEnds(now, h.settings.Silence)
 	if !t.renewing && !now.Before(t.nextRenew) {
--- a/holder/order.go
+++ b/holder/order.go
@@ -14,6 +14,32 @@
 // It gives time for the next report, which lists the runs that take them.
 const fullPause = 50 * time.Millisecond
 
+// minOrderWait is the least time after which a start order counts as unanswered. It
+// allows for the pause of a target that is throttled for a part of its quota.
+const minOrderWait = 60 * time.Millisecond
+
+// orderWait returns the time after which an answer to an order is unlikely to come.
+// An answer that this entry reads late is no silence of the target.
+func (h *Holder) orderWait() time.Duration {
+	return min(h.answerTimes.Limit()+h.lag, h.settings.Order)
+}
+
+// stopUnanswered stops the runs whose start orders are unanswered for longer than
+// answers usually take. Once the stop is answered, a report proves that the run is
+// not there, and its task can start elsewhere, well before the order times out.
+func (h *Holder) stopUnanswered(now time.Time, t *target) {
+	if !t.claimed {
+		return
+	}
+	for _, r := range t.sortedRuns() {
+		if r.state == runStarting && !r.stopping && now.Sub(r.sent) > h.orderWait() {
+			h.log.Debug("start not answered in the usual time", t.runFields(r.id)...)
+			r.state = runUnconfirmed
+			h.stopRun(now, r, "start not answered")
+		}
+	}
+}
+
 // StartAnswered handles the answer to a start order, or the error when there
 // was no answer.
 func (h *Holder) StartAnswered(now time.Time, c *medlargw.StartCommand, reply medlargw.OrderReply, err error) {
@@ -31,6 +57,7 @@
 		return
 	}
 	t.updateClock(now, reply.Clock)
+	h.answerTimes.Observe(now.Sub(r.sent))
 	if reply.Status == medlargw.OrderDone {
 		r.state = runRunning
 		r.acked = now
@@ -80,12 +107,25 @@
 	case medlargw.OrderDone:
 		if r.stopAnswered.IsZero() {
 			r.stopAnswered = now
+			h.lookForRun(t, r)
 		}
 	case medlargw.OrderFenced:
 		h.handleFenced(now, t)
 	}
 }
 
+// lookForRun asks for a report at once if the renewal in flight was sent before the
+// stop of an unconfirmed run was answered, so that its report proves nothing.
+func (h *Holder) lookForRun(t *target, r *run) {
+	if r.state != runUnconfirmed || !t.renewing {
+		return
+	}
+	h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{
+		Target: t.info, Extra: true,
+		Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()},
+	})
+}
+
 // findRun returns the target and the run of an order. The target is nil if the
 // order belongs to a former claim, the run if it has ended.
 func (h *Holder) findRun(name medlargw.TargetName, id medlargw.RunID, token uint64) (*target, *run) {
@@ -102,7 +142,7 @@
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		if r.stopping && r.stopAnswered.IsZero() && now.Sub(r.stopSent) >= h.settings.Order {
+		if r.stopping && r.stopAnswered.IsZero() && now.Sub(r.stopSent) >= h.orderWait() {
 			h.stopRun(now, r, r.reason)
 		}
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -70,6 +70,10 @@
 	if t == nil || t.token != c.Renewal.FenceToken {
 		return
 	}
+	if c.Extra {
+		h.extraAnswered(now, sent, t, report, err)
+		return
+	}
 	t.renewing = false
 	if err != nil {
 		h.renewalFailed(now, t, err)
@@ -92,14 +96,31 @@
 		h.logClaim(t, c, report)
 	}
 	h.renewalAnswered(now, t, report)
+	// The answer to an extra renewal may have overtaken this one.
+	overtaken := report.IncarnationStart.Equal(t.incarnationStart) && report.Clock < t.clock
 	h.checkIncarnation(t, report)
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
-	h.handleActive(now, sent, t, report)
+	if !overtaken {
+		h.handleActive(now, sent, t, report)
+	}
 	h.scheduleRenewal(now, t)
 	h.place(now)
 }
 
+// extraAnswered handles the answer to a renewal that only asked for a report.
+// Whatever else it tells, the renewal in flight tells too.
+func (h *Holder) extraAnswered(now, sent time.Time, t *target, report *medlargw.RunReport, err error) {
+	sameIncarnation := report.IncarnationStart.IsZero() || report.IncarnationStart.Equal(t.incarnationStart)
+	if err != nil || report.Status != medlargw.OrderDone || !t.claimed || !sameIncarnation || report.Clock < t.clock {
+		return
+	}
+	t.updateClock(now, report.Clock)
+	h.handleEnds(now, t, report)
+	h.handleActive(now, sent, t, report)
+	h.place(now)
+}
+
 // renewalFailed schedules the next attempt after a renewal that was not
 // answered or not carried out.
 func (h *Holder) renewalFailed(now time.Time, t *target, err error) {
--- a/run.go
+++ b/run.go
@@ -136,6 +136,7 @@
 type RenewCommand struct {
 	Target  Target
 	Renewal Renewal
+	Extra   bool // It only asks for a report, beside a renewal that the target has not answered yet.
 }
 
 // HolderActions are the messages to be sent after an event at a holder.
