--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -54,7 +54,7 @@
 // receivedJob is a job of a peer.
 type receivedJob struct {
 	cancel  context.CancelFunc
-	silence *time.Timer   // Ends the job when the peer is silent.
+	silence *time.Timer   // Ends the job when the peer is silent; nil once it has ended.
 	ended   chan struct{} // Closed when the outcome is known; nil if the ID is not accepted.
 	outcome medlargw.Outcome
 }
@@ -261,20 +261,29 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	j.cancel = cancel
 	j.silence = time.AfterFunc(c.settings.Silence, func() {
+		c.counters.countRelay("silent")
 		c.log.Info("relayed job ended, its sender is silent", zap.String("job", job.RequestID), zap.String("from", string(from)))
 		cancel()
 	})
 	c.senders.Go(func() {
 		defer cancel()
 		o := c.coordinate(ctx, &job)
-		j.silence.Stop()
-		j.outcome = o
-		close(j.ended)
-		c.forgetRelay(id)
+		c.endReceived(id, j, o)
 	})
 	return j
 }
 
+// endReceived records the outcome of a job of a peer.
+func (c *Conductor) endReceived(id medlargw.RelayID, j *receivedJob, o medlargw.Outcome) {
+	c.relays.mu.Lock()
+	defer c.relays.mu.Unlock()
+	j.silence.Stop()
+	j.silence = nil
+	j.outcome = o
+	close(j.ended)
+	c.forgetRelay(id)
+}
+
 // forgetRelay forgets an ID after a while.
 func (c *Conductor) forgetRelay(id medlargw.RelayID) {
 	time.AfterFunc(relayRetention, func() {
--- a/conductor/relay_test.go
+++ b/conductor/relay_test.go
@@ -47,6 +47,15 @@
 				time.AfterFunc(200*time.Millisecond, func() { cl.setHostDown(late.host, peer.host, false) })
 			},
 		},
+		{
+			name: "the last answer is lost", wantRun: true,
+			fail: func(cl *cluster, late, peer *entry) {
+				time.Sleep(450 * time.Millisecond)
+				cl.sim.setLinkDown(peer.host, late.host, true)
+				time.Sleep(250 * time.Millisecond)
+				cl.sim.setLinkDown(peer.host, late.host, false)
+			},
+		},
 		{
 			name: "peer is cut off", want: "attempt-lost", wantRun: true,
 			fail: func(cl *cluster, late, peer *entry) { cl.setHostDown(late.host, peer.host, true) },
@@ -75,6 +84,12 @@
 					if got := peer.counter("relays.received") == 1; got != test.wantRun {
 						t.Errorf("received by the peer: got %v, want %v", got, test.wantRun)
 					}
+					if test.want == "" {
+						time.Sleep(time.Second)
+						if got := peer.counter("relays.silent"); got != 0 {
+							t.Errorf("jobs ended for a silent sender: got %d, want 0", got)
+						}
+					}
 					if outcome.Code == medlargw.CodeAttemptLost {
 						time.Sleep(resendAfter)
 						cl.submit(cl.entries[2], "job", 4, 700*time.Millisecond, 14000)
