Admitter: refuse the less urgent first while urgent jobs are refused

Cause: under load above the capacity the least urgent jobs, which have the longest objectives, passed both rules of admission for longest and held the targets; urgent jobs started some of their tasks and starved with the rest. And a job whose offer was not answered yet counted as a sign of congestion, so that slow links and processors refused jobs.

Ruled out by trials (docs/design/admission.md): leaving out congestion, a share of the slack for it, and reports corrected by their age are all worse.

Change: the decision is package admitter, without I/O. A job that would have to wait is refused while a more urgent one was refused within 300 ms; only offered jobs that found no resources are signs of congestion; the size of a hopeless job is no lack of resources. The log line names the rule and the rank, and refused.RULE-rank-N counts them.

--- a/action.go
+++ b/action.go
@@ -6,6 +6,7 @@
 type FinishedJob struct {
 	Job     *Job
 	Outcome Outcome
+	Refusal RefusalReason // Of a job on targets under lease; RefusalNone if it was not refused.
 }
 
 // DeciderActions are what the control goroutine must carry out after the
--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,167 @@
+// Package admitter decides whether a home admits a job.
+//
+// A job for which a holder reports free resources is admitted. Otherwise it has
+// to wait, and is refused for one of these reasons:
+//
+//   - it is not expected to start in time, by the work that waits at the holders;
+//   - a job that goes before it has waited for a share of its objective, although
+//     the holders were asked: the queues stand, whatever the reports say;
+//   - a more urgent job was refused a moment ago. The resources that a less urgent
+//     one would take are those that the next urgent job lacks.
+package admitter
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+const (
+	// packingEfficiency is the share of the cores that can be used by tasks that
+	// each take a third to a half of a target.
+	packingEfficiency = 0.8
+	// startDecisionShare is the share of the time to the objective of a job after
+	// which a job that has not started is refused, unless it is expected to start
+	// in time.
+	startDecisionShare = 0.2
+	// minStartDecisionTime is the least age at which an admitted job is refused for
+	// not having started, unless its latest start has passed. It gives holders time
+	// to answer with their free resources, which heartbeats report too late.
+	minStartDecisionTime = 40 * time.Millisecond
+	// congestionShare is the share of the time to the objective after which a job
+	// that has not started shows that there is no capacity for others of its
+	// rank. Half of startDecisionShare lets enough work queue to keep the targets
+	// busy.
+	congestionShare = startDecisionShare / 2
+	// precedenceTime is the time for which the refusal of a job holds back less
+	// urgent ones. Within it, every holder reports several times.
+	precedenceTime = 300 * time.Millisecond
+	// minEstimateShare is the share of the estimated run time of a task that must
+	// fit into the time until the deadline. Run times are seldom below that share
+	// of the estimate.
+	minEstimateShare = 0.5
+)
+
+// Admitter decides on the jobs of one home. It is not safe for concurrent use.
+type Admitter struct {
+	refusedAt map[queue]time.Time // When a job was last refused for lack of resources.
+}
+
+// queue identifies the jobs of a pool that have the same rank.
+type queue struct {
+	pool medlargw.PoolName
+	rank int
+}
+
+// New returns an admitter that has refused nothing.
+func New() *Admitter { return &Admitter{refusedAt: map[queue]time.Time{}} }
+
+// Admit decides on a job that has just arrived.
+func (a *Admitter) Admit(now time.Time, r *medlargw.AdmissionRequest) medlargw.Admission {
+	switch { // Neither is a lack of resources.
+	case isHopeless(now, r):
+		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalHopeless}
+	case r.Evacuated:
+		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalEvacuated}
+	}
+	adm, known := assess(now, r)
+	switch {
+	case !known || adm.Wait == 0:
+	case adm.Prospect != medlargw.ProspectOnTime:
+		adm.Refusal = medlargw.RefusalWait
+	case isCongested(now, r):
+		adm.Refusal = medlargw.RefusalCongestion
+	case a.urgentRefused(now, r):
+		adm.Refusal = medlargw.RefusalPrecedence
+	}
+	a.record(now, r, adm.Refusal)
+	return adm
+}
+
+// Review decides on an admitted job of which no task has started. A job whose
+// chance is lost is refused as soon as that is certain.
+func (a *Admitter) Review(now time.Time, r *medlargw.AdmissionRequest) medlargw.Admission {
+	if r.Evacuated {
+		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalEvacuated}
+	}
+	adm, known := assess(now, r)
+	objective := r.LatestStart.Add(r.Estimate).Sub(r.Arrived)
+	switch {
+	case now.After(r.LatestStart):
+		adm.Refusal = medlargw.RefusalTooLate
+	case now.Sub(r.Arrived) < max(minStartDecisionTime, time.Duration(startDecisionShare*float64(objective))):
+	case !known || adm.Prospect != medlargw.ProspectOnTime:
+		adm.Refusal = medlargw.RefusalWait
+	}
+	a.record(now, r, adm.Refusal)
+	return adm
+}
+
+// record keeps the time of a refusal for lack of resources.
+func (a *Admitter) record(now time.Time, r *medlargw.AdmissionRequest, reason medlargw.RefusalReason) {
+	if reason != medlargw.RefusalNone {
+		a.refusedAt[queue{r.Pool, r.Rank}] = now
+	}
+}
+
+// urgentRefused reports whether a more urgent job was refused within
+// precedenceTime.
+func (a *Admitter) urgentRefused(now time.Time, r *medlargw.AdmissionRequest) bool {
+	for q, at := range a.refusedAt {
+		if q.pool == r.Pool && q.rank < r.Rank && now.Sub(at) < precedenceTime {
+			return true
+		}
+	}
+	return false
+}
+
+// isCongested reports whether a job of the same or a more urgent rank has waited
+// so long for its first start that the given job could hardly start in time.
+func isCongested(now time.Time, r *medlargw.AdmissionRequest) bool {
+	for i := range r.Waiting {
+		w := &r.Waiting[i]
+		if w.Rank <= r.Rank && now.Sub(w.Arrived) > time.Duration(congestionShare*float64(w.Objective.Sub(w.Arrived))) {
+			return true
+		}
+	}
+	return false
+}
+
+// isHopeless reports whether a job that starts at the given time can hardly end
+// by its deadline.
+func isHopeless(start time.Time, r *medlargw.AdmissionRequest) bool {
+	return start.Add(time.Duration(minEstimateShare * float64(r.Estimate))).After(r.Deadline)
+}
+
+// assess returns what a job can expect, and whether any targets are known.
+func assess(now time.Time, r *medlargw.AdmissionRequest) (medlargw.Admission, bool) {
+	wait, known := resourceWait(r)
+	adm := medlargw.Admission{Wait: max(wait, r.LinkWait)}
+	start := now.Add(adm.Wait)
+	switch {
+	case isHopeless(start, r):
+		adm.Prospect = medlargw.ProspectUseless
+	case start.After(r.LatestStart):
+		adm.Prospect = medlargw.ProspectLate
+	}
+	return adm, known
+}
+
+// resourceWait returns how long a job is expected to wait for resources, over all
+// holders; it is zero while one task fits. It returns false if no target is known.
+func resourceWait(r *medlargw.AdmissionRequest) (time.Duration, bool) {
+	var work, capacity int64
+	for _, p := range r.Holders {
+		for _, free := range p.Free {
+			if free.Covers(r.Resources) {
+				return 0, true
+			}
+		}
+		work += p.WorkAhead(r.Rank)
+		capacity += p.TotalCores
+	}
+	if capacity == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(work) / (float64(capacity) * packingEfficiency) * float64(time.Millisecond)), true
+}
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -89,6 +90,9 @@
 		name = string(o.Code)
 	}
 	metrics.GetOrRegisterCounter("jobs."+name, c.registry).Inc(1)
+	if f.Refusal != medlargw.RefusalNone {
+		metrics.GetOrRegisterCounter("refused."+string(f.Refusal)+"-rank-"+strconv.Itoa(f.Job.Rank), c.registry).Inc(1)
+	}
 }
 
 // countRelay counts a job that is handed to a peer, or one of a peer.
--- /dev/null
+++ b/conductor/overload_test.go
@@ -0,0 +1,97 @@
+package conductor_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// classResult is what became of the jobs of one kind.
+type classResult struct {
+	earned, available float64
+	admitted          int // Not refused.
+	unserved          int // Admitted, and failed or ended later than any caller has a use for.
+}
+
+func (c *classResult) add(r *jobResult) {
+	payoff := 0.0
+	if r.outcome.Complete {
+		payoff = r.job.payoffAt(r.age)
+	}
+	c.earned += payoff
+	c.available += r.job.payoffAt(0)
+	if r.outcome.Code != medlargw.CodeOverloaded {
+		c.admitted++
+		if payoff == 0 {
+			c.unserved++
+		}
+	}
+}
+
+// share returns the earned share of the available payoff.
+func (c *classResult) share() float64 { return c.earned / c.available }
+
+// TestBurstOfTwiceTheRoom answers six seconds of twice the demand that the targets
+// can serve, between seconds of 0.6: the more urgent classes must be served best, a
+// job that is not refused must be served, and two seconds after the burst all must
+// be as before.
+func TestBurstOfTwiceTheRoom(t *testing.T) {
+	const (
+		burst       = 2 * time.Second // When it begins.
+		calm        = 8 * time.Second // When it ends.
+		normal      = calm + 2*time.Second
+		until       = 13 * time.Second
+		maxUnserved = 0.02 // Share of the admitted jobs.
+		minAfter    = 0.98 // Payoff after the burst, relative to that before.
+	)
+	var before, after, during classResult
+	var byKind [3]classResult
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, policyHosts, func(cl *cluster) {
+				var cores int64
+				for _, target := range cl.sim.targets.Targets() {
+					cores += target.Resources.Cores
+				}
+				g := newGenerator(seed, until, cores)
+				g.add(0, burst, 0.6)
+				g.add(burst, calm, 2)
+				g.add(calm, until, 0.6)
+				slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
+				for _, r := range cl.runLoad(g.jobs) {
+					switch {
+					case r.job.at < burst:
+						before.add(&r)
+					case r.job.at < calm:
+						during.add(&r)
+						byKind[r.job.kind].add(&r)
+					case r.job.at >= normal:
+						after.add(&r)
+					}
+				}
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+	for k := range byKind {
+		got := byKind[k].share()
+		t.Logf("%s: earned %.2f", kinds[k].name, got)
+		if k > 0 && got > byKind[k-1].share() {
+			t.Errorf("share of the payoff of %s: got %.2f, want no more than that of %s", kinds[k].name, got, kinds[k-1].name)
+		}
+	}
+	got := float64(during.unserved) / float64(during.admitted)
+	t.Logf("admitted and not served: %.3f", got)
+	if got > maxUnserved {
+		t.Errorf("admitted and not served: got %.3f, want at most %.2f", got, maxUnserved)
+	}
+	if got, want := after.share(), minAfter*before.share(); got < want {
+		t.Errorf("payoff from two seconds after the burst on: got %.3f, want at least %.3f", got, want)
+	}
+}
--- /dev/null
+++ b/coordinator/admit.go
@@ -0,0 +1,55 @@
+package coordinator
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// admissionRequest returns the request of a job that has no started task. It is
+// valid until the next call.
+func (c *Coordinator) admissionRequest(now time.Time, j *job) *medlargw.AdmissionRequest {
+	m := j.job
+	holders, waiting := c.request.Holders[:0], c.request.Waiting[:0]
+	for _, h := range c.byDistance {
+		if p := h.pool(m.Pool); p != nil && h.acceptsOffers() {
+			holders = append(holders, p)
+		}
+	}
+	for _, other := range c.jobs {
+		if other != j && other.job.Pool == m.Pool && other.waits() {
+			waiting = append(waiting, medlargw.WaitingJob{Rank: other.job.Rank, Arrived: other.job.Arrived, Objective: other.due})
+		}
+	}
+	c.request = medlargw.AdmissionRequest{
+		Pool: m.Pool, Rank: m.Rank, Resources: m.Resources, Estimate: j.estimate,
+		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
+		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+	}
+	return &c.request
+}
+
+// waits reports whether a job has not started because no holder had resources
+// for it. Offers that are not answered yet are no evidence of that.
+func (j *job) waits() bool {
+	if j.started {
+		return false
+	}
+	for _, t := range j.tasks {
+		if t.state == taskIdle || t.state == taskQueued || t.refusals > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// withdrawIfLate withdraws a job that has not started and is not expected to start
+// in time, and reports whether it has done so.
+func (c *Coordinator) withdrawIfLate(now time.Time, j *job) bool {
+	adm := c.admitter.Review(now, c.admissionRequest(now, j))
+	if adm.Refusal == medlargw.RefusalNone {
+		return false
+	}
+	c.withdraw(now, j, &adm)
+	return true
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/admitter"
 	"medlargw.example/medlargw/arbiter"
 	"medlargw.example/medlargw/pacer"
 )
@@ -53,6 +54,8 @@
 	pacer     *pacer.Pacer           // Of this entry's network link.
 	lastProbe time.Time              // When holders were last asked for their free resources.
 	nextProbe int                    // Round-robin index of the next holder to ask.
+	admitter  *admitter.Admitter
+	request   medlargw.AdmissionRequest // Reused, with its slices.
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
@@ -71,6 +74,7 @@
 		settings:    settings,
 		self:        self,
 		estimator:   est,
+		admitter:    admitter.New(),
 		tasks:       map[medlargw.TaskID]*task{},
 		formerTasks: map[medlargw.TaskID]*task{},
 		holders:     map[medlargw.Incarnation]*holder{},
@@ -199,8 +203,7 @@
 	case !now.Before(j.job.Deadline):
 		c.abort(now, j, medlargw.CodeDeadline, "the deadline has passed")
 	case j.refusing:
-	case !j.started && c.shouldRefuse(now, j):
-		c.withdraw(now, j)
+	case !j.started && c.withdrawIfLate(now, j):
 	default:
 		c.placeIdle(now, j)
 	}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -14,23 +14,6 @@
 	// maxAvoidedTargets is the number of targets, those of its latest failed runs,
 	// that a task avoids.
 	maxAvoidedTargets = 4
-	// startDecisionShare is the share of the time to the objective of a job after
-	// which a job that has not started is refused, unless it is expected to start
-	// in time.
-	startDecisionShare = 0.2
-	// minStartDecisionTime is the least age at which an accepted job is refused
-	// for not having started, unless its latest start has passed. It gives holders
-	// time to answer with their free resources, which heartbeats report too late.
-	minStartDecisionTime = probeInterval * 8 / 5
-	// congestionShare is the share of the time to the objective after which a job
-	// that has not started shows that there is no capacity for others of its
-	// rank. Half of startDecisionShare lets enough work queue to keep the targets
-	// busy.
-	congestionShare = startDecisionShare / 2
-	// minEstimateShare is the share of the estimated run time of a task that must
-	// fit into the time until the deadline. Run times are seldom below that share
-	// of the estimate.
-	minEstimateShare = 0.5
 	// minRetryAfter is the least delay that a refused caller is told to wait.
 	minRetryAfter = time.Second
 )
@@ -42,9 +25,10 @@
 	estimate time.Duration // Expected run time of one task.
 	due      time.Time     // When the objective for the response time is missed.
 	tasks    []*task
-	done     int  // Number of done tasks.
-	started  bool // An order to start one of its tasks may have been sent.
-	refusing bool // Its tasks are being recalled so that it can be refused.
+	done     int                // Number of done tasks.
+	started  bool               // An order to start one of its tasks may have been sent.
+	refusing bool               // Its tasks are being recalled so that it can be refused.
+	refusal  medlargw.Admission // Why it is being refused.
 	ended    bool
 	// Holder of the latest task that was offered for its free resources.
 	lastHolder *holder
@@ -115,34 +99,15 @@
 	}
 	c.jobs = append(c.jobs, j)
 	c.taskCounts[taskIdle] += len(j.tasks)
-	if time.Duration(float64(j.estimate)*minEstimateShare) > m.Deadline.Sub(now) {
+	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
+	switch adm.Refusal {
+	case medlargw.RefusalNone:
+		c.placeIdle(now, j)
+	case medlargw.RefusalHopeless:
 		c.abort(now, j, medlargw.CodeDeadline, "one task takes longer than the time until the deadline")
-		return
-	}
-	if c.evacuated[m.Pool] {
-		c.refuse(now, j, 0, "all zones of the targets are evacuated")
-		return
-	}
-	if wait, ok := c.expectedWait(now, j); ok && wait > 0 && (now.Add(wait).After(j.latestStart()) || c.congested(now, j)) {
-		c.refuse(now, j, wait, "no room in time")
-		return
-	}
-	c.placeIdle(now, j)
-}
-
-// congested reports whether a job of the same pool and of the same or a more
-// urgent rank has waited so long for its first start that the given job could
-// hardly start in time.
-func (c *Coordinator) congested(now time.Time, j *job) bool {
-	for _, other := range c.jobs {
-		if other.started || other == j || other.job.Pool != j.job.Pool || other.job.Rank > j.job.Rank {
-			continue
-		}
-		if now.Sub(other.job.Arrived) > time.Duration(congestionShare*float64(other.due.Sub(other.job.Arrived))) {
-			return true
-		}
+	default:
+		c.refuse(now, j, &adm)
 	}
-	return false
 }
 
 // Cancel aborts a job whose caller has disconnected.
@@ -175,22 +140,10 @@
 	}
 }
 
-// shouldRefuse reports whether a job that has not started should be refused
-// now.
-func (c *Coordinator) shouldRefuse(now time.Time, j *job) bool {
-	if now.After(j.latestStart()) || c.evacuated[j.job.Pool] {
-		return true
-	}
-	if now.Sub(j.job.Arrived) < max(minStartDecisionTime, time.Duration(startDecisionShare*float64(j.due.Sub(j.job.Arrived)))) {
-		return false
-	}
-	wait, ok := c.expectedWait(now, j)
-	return !ok || now.Add(wait).After(j.latestStart())
-}
-
 // withdraw recalls all tasks of a job, which is refused once all are returned.
-func (c *Coordinator) withdraw(now time.Time, j *job) {
+func (c *Coordinator) withdraw(now time.Time, j *job, adm *medlargw.Admission) {
 	j.refusing = true
+	j.refusal = *adm
 	for _, t := range j.tasks {
 		if t.state != taskIdle {
 			t.recall()
@@ -210,16 +163,17 @@
 			return
 		}
 	}
-	wait, _ := c.expectedWait(now, j)
-	c.refuse(now, j, wait, "no room in time")
+	c.refuse(now, j, &j.refusal)
 }
 
 // refuse ends a job none of whose tasks was started.
-func (c *Coordinator) refuse(now time.Time, j *job, wait time.Duration, message string) {
+func (c *Coordinator) refuse(now time.Time, j *job, adm *medlargw.Admission) {
 	c.log.Info("job refused", zap.String("job", j.job.RequestID), zap.String("service", string(j.job.Service)),
-		zap.String("reason", message), zap.Duration("wait", wait), zap.Duration("age", now.Sub(j.job.Arrived)),
+		zap.Int("rank", j.job.Rank), zap.String("reason", adm.Refusal.Message()), zap.String("rule", string(adm.Refusal)), zap.Stringer("prospect", adm.Prospect),
+		zap.Duration("wait", adm.Wait), zap.Duration("age", now.Sub(j.job.Arrived)),
 		zap.Duration("slack", j.latestStart().Sub(now)), zap.Int("tasks", len(j.tasks)))
-	c.finish(j, medlargw.RefusedOutcome(j.job, medlargw.CodeOverloaded, message, max(wait, minRetryAfter)))
+	o := medlargw.RefusedOutcome(j.job, medlargw.CodeOverloaded, adm.Refusal.Message(), max(adm.Wait, minRetryAfter))
+	c.finish(j, o, adm.Refusal)
 }
 
 // abort fails a job that cannot be completed, and cancels its remaining tasks.
@@ -241,11 +195,11 @@
 			o.Tasks[i].Execution = medlargw.ExecutionUnknown // The holder may have started the task.
 		}
 	}
-	c.finish(j, o)
+	c.finish(j, o, medlargw.RefusalNone)
 }
 
 // finish records the outcome of a job and cancels its remaining tasks.
-func (c *Coordinator) finish(j *job, o medlargw.Outcome) {
+func (c *Coordinator) finish(j *job, o medlargw.Outcome, reason medlargw.RefusalReason) {
 	j.ended = true
 	c.jobs = slices.DeleteFunc(c.jobs, func(other *job) bool { return other == j })
 	for _, t := range j.tasks {
@@ -260,7 +214,7 @@
 		c.detach(t)
 		c.taskCounts[t.state]--
 	}
-	c.finished = append(c.finished, medlargw.FinishedJob{Job: j.job, Outcome: o})
+	c.finished = append(c.finished, medlargw.FinishedJob{Job: j.job, Outcome: o, Refusal: reason})
 }
 
 // complete ends a job all of whose tasks are done.
@@ -276,7 +230,7 @@
 	for i := range o.Tasks {
 		o.Tasks[i] = medlargw.TaskResult{ID: j.job.Tasks[i].ID, Execution: medlargw.ExecutionFinished}
 	}
-	c.finish(j, o)
+	c.finish(j, o, medlargw.RefusalNone)
 }
 
 // setState changes the state of a task, and the number of tasks in each state.
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -12,9 +12,6 @@
 	// maxRefusals is the number of refused offers after which a task queues at a
 	// holder instead of being offered to others.
 	maxRefusals = 3
-	// packingEfficiency is the share of the cores that can be used by tasks that
-	// each take a third to a half of a target.
-	packingEfficiency = 0.8
 	// crossZonePenalty is the reduction of the wait that justifies the use of a
 	// holder in another zone.
 	crossZonePenalty = 10 * time.Millisecond
@@ -115,7 +112,7 @@
 		if p == nil || p.TotalCores == 0 || !h.acceptsOffers() || c.mustWait(now, h) {
 			continue
 		}
-		wait := max(0, p.NextEnd-now.Sub(h.resourcesAt)) + time.Duration(workAhead(p, m.Rank)/p.TotalCores)*time.Millisecond
+		wait := max(0, p.NextEnd-now.Sub(h.resourcesAt)) + time.Duration(p.WorkAhead(m.Rank)/p.TotalCores)*time.Millisecond
 		if h.peer.Zone != c.self.Zone {
 			wait += crossZonePenalty
 		}
@@ -126,18 +123,6 @@
 	return best
 }
 
-// workAhead returns the queued work that is served before a new task of the
-// rank.
-func workAhead(p *medlargw.PoolResources, rank int) int64 {
-	var work int64
-	for _, w := range p.Waiting {
-		if w.Rank <= rank {
-			work += w.Work
-		}
-	}
-	return work
-}
-
 // HasTargets reports whether any available holder has a target that accepts
 // runs.
 func (c *Coordinator) HasTargets() bool {
@@ -151,14 +136,6 @@
 	return false
 }
 
-// expectedWait returns how long a new job is expected to wait for resources over
-// all holders, and for this entry's network link. It returns false if no target
-// is known.
-func (c *Coordinator) expectedWait(now time.Time, j *job) (time.Duration, bool) {
-	wait, ok := c.resourceWait(j)
-	return max(wait, c.linkWait(now, j)), ok
-}
-
 // linkWait returns how long the network link is busy with what has been sent and
 // with the payloads of the waiting jobs that go before the given one.
 func (c *Coordinator) linkWait(now time.Time, j *job) time.Duration {
@@ -179,29 +156,6 @@
 	return c.pacer.Delay(now) + c.pacer.Duration(bytes)
 }
 
-// resourceWait returns how long a new job is expected to wait for resources,
-// over all holders; it is zero while one task fits now. It returns false if no
-// target is known.
-func (c *Coordinator) resourceWait(j *job) (time.Duration, bool) {
-	m := j.job
-	var work, capacity int64
-	for _, h := range c.byDistance {
-		p := h.pool(m.Pool)
-		if p == nil || !h.acceptsOffers() {
-			continue
-		}
-		if h.bestFit(m) != nil {
-			return 0, true
-		}
-		work += workAhead(p, m.Rank)
-		capacity += p.TotalCores
-	}
-	if capacity == 0 {
-		return 0, false
-	}
-	return time.Duration(float64(work)/(float64(capacity)*packingEfficiency)) * time.Millisecond, true
-}
-
 // rebalance recalls queued tasks for which another holder has free resources.
 func (c *Coordinator) rebalance(now time.Time) {
 	if c.taskCounts[taskQueued] == 0 || c.pacer.Busy(now) {
--- a/resources.go
+++ b/resources.go
@@ -67,6 +67,18 @@
 	p.Waiting = append(p.Waiting, RankWork{Rank: rank, Work: work})
 }
 
+// WorkAhead returns the waiting work that is served before a new task of the rank,
+// in thousandths of a core times milliseconds.
+func (p *PoolResources) WorkAhead(rank int) int64 {
+	var work int64
+	for _, w := range p.Waiting {
+		if w.Rank <= rank {
+			work += w.Work
+		}
+	}
+	return work
+}
+
 // HolderResources summarizes the free resources and the waiting work of a
 // holder. Of two from one incarnation of the holder, the one with the higher
 // Sequence is newer.
