Inviter: refused callers come back as the targets drain, in the order of ranks

Cause: Retry-After was the expected wait or a second, whichever is more, so all that was refused within a second came back together.

Change: package inviter gives the time after the work that waits and all callers of the rank and of more urgent ones that were refused before, at the rate that new jobs leave of the measured drain (package averager). Homes report the work that they have invited and the rate of their new jobs, holders the work that they start, in new fields of the reports; an entry without them counts as one without demand. Logged as retry, measured as retry_milliseconds by rank.

--- a/admission.go
+++ b/admission.go
@@ -71,3 +71,13 @@
 	Wait     time.Duration // Expected time until the first start; zero if resources are free.
 	Refusal  RefusalReason // RefusalNone if the job is admitted.
 }
+
+// InvitationRequest is a refused job whose caller is to be told when to come back.
+type InvitationRequest struct {
+	Pool    PoolName
+	Rank    int
+	Work    int64            // Of all tasks, in thousandths of a core times milliseconds.
+	Wait    time.Duration    // Expected time until a start, were the job admitted now.
+	Holders []*PoolResources // The latest reports of the holders that accept offers.
+	Peers   []*PoolResources // The recent reports of all other entries, as homes.
+}
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -79,12 +79,7 @@
 // countJob records the end of a job and its response time.
 func (c *counters) countJob(f *medlargw.FinishedJob, response time.Duration) {
 	o := &f.Outcome
-	histogram := c.registry.GetOrRegister("response_milliseconds."+string(f.Job.Class), func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
-	})
-	if h, ok := histogram.(metrics.Histogram); ok {
-		h.Update(response.Milliseconds())
-	}
+	c.updateHistogram("response_milliseconds."+string(f.Job.Class), response)
 	name := "complete"
 	if !o.Complete {
 		name = string(o.Code)
@@ -92,6 +87,17 @@
 	metrics.GetOrRegisterCounter("jobs."+name, c.registry).Inc(1)
 	if f.Refusal != medlargw.RefusalNone {
 		metrics.GetOrRegisterCounter("refused."+string(f.Refusal)+"-rank-"+strconv.Itoa(f.Job.Rank), c.registry).Inc(1)
+		c.updateHistogram("retry_milliseconds."+strconv.Itoa(f.Job.Rank), o.RetryAfter)
+	}
+}
+
+// updateHistogram adds a time to a histogram.
+func (c *counters) updateHistogram(name string, d time.Duration) {
+	histogram := c.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	})
+	if h, ok := histogram.(metrics.Histogram); ok {
+		h.Update(d.Milliseconds())
 	}
 }
 
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -48,12 +48,20 @@
 // coordinator, and keeps them for heartbeats.
 func (c *Conductor) publishResources(now time.Time) {
 	c.linkBusy = c.pacer.Busy(now)
-	resources := c.holder.FreeResources(now)
+	resources := c.report(now)
 	c.resources.Store(&resources)
 	c.coord.SetFreeResources(now, c.self.Incarnation, resources)
 	c.updateStatus(&resources)
 }
 
+// report returns the free resources of this entry's targets, with the demand at
+// this home.
+func (c *Conductor) report(now time.Time) medlargw.HolderResources {
+	r := c.holder.FreeResources(now)
+	c.coord.AddDemand(now, &r)
+	return r
+}
+
 func (c *Conductor) updateStatus(resources *medlargw.HolderResources) {
 	s := &medlargw.DispatchStatus{Jobs: c.coord.JobCount()}
 	for _, p := range resources.Pools {
@@ -165,7 +173,7 @@
 	if len(events) == 0 {
 		return
 	}
-	resources := c.holder.FreeResources(now)
+	resources := c.report(now)
 	resources.Clock = c.uptime(now)
 	byHome := map[medlargw.Incarnation]*medlargw.Report{}
 	var homes []medlargw.Peer
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -15,7 +15,9 @@
 func (c *Conductor) HandleOffer(ctx context.Context, o medlargw.Offer) (medlargw.OfferReply, error) {
 	return query(ctx, c, func(now time.Time) medlargw.OfferReply {
 		c.pacer.Add(now, medlargw.OfferBytes)
-		return c.holder.HandleOffer(now, c.uptime(now), &o)
+		reply := c.holder.HandleOffer(now, c.uptime(now), &o)
+		c.coord.AddDemand(now, &reply.FreeResources)
+		return reply
 	})
 }
 
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -53,3 +53,36 @@
 	c.withdraw(now, j, &adm)
 	return true
 }
+
+// maxDemandAge is the age from which the demand that a peer has reported is not
+// counted.
+const maxDemandAge = time.Second
+
+// invitationRequest returns the request of a job that is refused.
+func (c *Coordinator) invitationRequest(now time.Time, j *job, adm *medlargw.Admission) *medlargw.InvitationRequest {
+	m := j.job
+	r := &medlargw.InvitationRequest{Pool: m.Pool, Rank: m.Rank, Work: j.work(), Wait: adm.Wait}
+	for _, h := range c.byDistance {
+		p := h.pool(m.Pool)
+		if p == nil {
+			continue
+		}
+		if h.acceptsOffers() {
+			r.Holders = append(r.Holders, p)
+		}
+		if c.distance(h) > 0 && now.Sub(h.resourcesAt) < maxDemandAge {
+			r.Peers = append(r.Peers, p)
+		}
+	}
+	return r
+}
+
+// work returns the work of all tasks, in thousandths of a core times milliseconds.
+func (j *job) work() int64 {
+	return int64(len(j.tasks)) * j.job.Resources.Cores * j.estimate.Milliseconds()
+}
+
+// AddDemand adds the demand at this home to the report of this entry.
+func (c *Coordinator) AddDemand(now time.Time, r *medlargw.HolderResources) {
+	c.inviter.AddDemand(now, r)
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/admitter"
 	"medlargw.example/medlargw/arbiter"
+	"medlargw.example/medlargw/inviter"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -56,6 +57,7 @@
 	nextProbe int                    // Round-robin index of the next holder to ask.
 	admitter  *admitter.Admitter
 	request   medlargw.AdmissionRequest // Reused, with its slices.
+	inviter   *inviter.Inviter
 }
 
 // New returns a coordinator without jobs. The pacer is that of this entry's
@@ -75,6 +77,7 @@
 		self:        self,
 		estimator:   est,
 		admitter:    admitter.New(),
+		inviter:     inviter.New(),
 		tasks:       map[medlargw.TaskID]*task{},
 		formerTasks: map[medlargw.TaskID]*task{},
 		holders:     map[medlargw.Incarnation]*holder{},
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -14,7 +14,7 @@
 	// maxAvoidedTargets is the number of targets, those of its latest failed runs,
 	// that a task avoids.
 	maxAvoidedTargets = 4
-	// minRetryAfter is the least delay that a refused caller is told to wait.
+	// minRetryAfter is the delay that a caller is told to wait during an evacuation.
 	minRetryAfter = time.Second
 )
 
@@ -99,6 +99,7 @@
 	}
 	c.jobs = append(c.jobs, j)
 	c.taskCounts[taskIdle] += len(j.tasks)
+	c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work())
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
 	switch adm.Refusal {
 	case medlargw.RefusalNone:
@@ -168,11 +169,16 @@
 
 // refuse ends a job none of whose tasks was started.
 func (c *Coordinator) refuse(now time.Time, j *job, adm *medlargw.Admission) {
+	after := minRetryAfter
+	if adm.Refusal != medlargw.RefusalEvacuated {
+		after = c.inviter.Invite(now, c.invitationRequest(now, j, adm))
+	}
 	c.log.Info("job refused", zap.String("job", j.job.RequestID), zap.String("service", string(j.job.Service)),
 		zap.Int("rank", j.job.Rank), zap.String("reason", adm.Refusal.Message()), zap.String("rule", string(adm.Refusal)), zap.Stringer("prospect", adm.Prospect),
 		zap.Duration("wait", adm.Wait), zap.Duration("age", now.Sub(j.job.Arrived)),
-		zap.Duration("slack", j.latestStart().Sub(now)), zap.Int("tasks", len(j.tasks)))
-	o := medlargw.RefusedOutcome(j.job, medlargw.CodeOverloaded, adm.Refusal.Message(), max(adm.Wait, minRetryAfter))
+		zap.Duration("slack", j.latestStart().Sub(now)), zap.Int("tasks", len(j.tasks)),
+		zap.Duration("retry", after))
+	o := medlargw.RefusedOutcome(j.job, medlargw.CodeOverloaded, adm.Refusal.Message(), after)
 	c.finish(j, o, adm.Refusal)
 }
 
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -26,6 +26,7 @@
 	"refused":               "Jobs on targets under lease that were refused before a start, by reason and rank.",
 	"response_milliseconds": "Response time of complete jobs in milliseconds, by class; the sample favours the last minutes.",
 	"share":                 "Share of this entry in the targets of its zone: owned, due by its capacity, and the capacity in thousandths of a core; zero is not stated.",
+	"retry_milliseconds":    "Time in milliseconds after which refused callers were told to come back, by rank.",
 	"slots":                 "Slots of targets that outlived their job.",
 	"target-changes":        "Changes of the state of targets, by the new state.",
 	"targets":               "Targets by state.",
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -29,6 +29,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
+	"medlargw.example/medlargw/averager"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -51,8 +52,9 @@
 	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
-	lag               time.Duration // How late this entry acts.
-	pacer             *pacer.Pacer  // Of this entry's network link.
+	lag               time.Duration                            // How late this entry acts.
+	pacer             *pacer.Pacer                             // Of this entry's network link.
+	startedWork       map[medlargw.PoolName]*averager.Averager // Thousandths of a core times milliseconds.
 	actions           medlargw.HolderActions
 }
 
@@ -69,6 +71,8 @@
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
 		homes:    map[medlargw.Incarnation]*home{},
 
+		startedWork: map[medlargw.PoolName]*averager.Averager{},
+
 		apportioner: apportioner.New(),
 	}
 }
@@ -157,21 +161,12 @@
 func (h *Holder) FreeResources(now time.Time) medlargw.HolderResources {
 	h.resourcesSequence++
 	sum := medlargw.HolderResources{Sequence: h.resourcesSequence, Protocol: medlargw.ProtocolSharedPayloads}
-	pool := func(name medlargw.PoolName) *medlargw.PoolResources {
-		for i := range sum.Pools {
-			if sum.Pools[i].Pool == name {
-				return &sum.Pools[i]
-			}
-		}
-		sum.Pools = append(sum.Pools, medlargw.PoolResources{Pool: name})
-		return &sum.Pools[len(sum.Pools)-1]
-	}
 	busy := h.pacer.Busy(now)
 	for _, t := range h.sorted {
 		if !t.usable(now, &h.settings) {
 			continue
 		}
-		p := pool(t.info.Pool)
+		p := sum.Pool(t.info.Pool)
 		p.TotalCores += t.info.Resources.Cores
 		switch {
 		case t.slowness >= slowThreshold || t.isCold(now):
@@ -183,7 +178,12 @@
 		}
 	}
 	for _, w := range h.waiting {
-		pool(w.offered.Pool).AddWaiting(w.offered.Rank, w.offered.Resources, w.offered.Estimate)
+		sum.Pool(w.offered.Pool).AddWaiting(w.offered.Rank, w.offered.Resources, w.offered.Estimate)
+	}
+	for i := range sum.Pools {
+		if a := h.startedWork[sum.Pools[i].Pool]; a != nil {
+			sum.Pools[i].Started = int64(a.Rate(now))
+		}
 	}
 	return sum
 }
--- a/holder/place.go
+++ b/holder/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/averager"
 	"medlargw.example/medlargw/selector"
 )
 
@@ -84,6 +85,7 @@
 	}
 	w.run = r
 	t.addRun(r)
+	h.countStart(now, w)
 	t.leaseEnd = max(t.leaseEnd, r.leaseEnd)
 	order := medlargw.StartOrder{Run: r.id, Payload: w.offered.Payload, LeaseEnd: r.leaseEnd, FenceToken: t.token}
 	h.pacer.Add(now, medlargw.OrderBytes+len(order.Payload))
@@ -93,6 +95,16 @@
 	})
 }
 
+// countStart counts the work of a task that is started.
+func (h *Holder) countStart(now time.Time, w *task) {
+	a := h.startedWork[w.offered.Pool]
+	if a == nil {
+		a = &averager.Averager{}
+		h.startedWork[w.offered.Pool] = a
+	}
+	a.Add(now, float64(w.offered.Resources.Cores*w.offered.Estimate.Milliseconds()))
+}
+
 // stopRun creates the stop order of a run. The order is sent again until it is
 // answered.
 func (h *Holder) stopRun(now time.Time, r *run, reason string) {
--- a/resources.go
+++ b/resources.go
@@ -39,19 +39,23 @@
 type PoolName string
 
 // PoolResources summarizes the free resources and the waiting work of one
-// holder in one pool.
+// holder in one pool, and the demand at the same entry as a home.
 type PoolResources struct {
 	Pool       PoolName
 	Free       []Resources   // Free resources of each target that takes new runs.
 	TotalCores int64         // Total cores of those targets, free or not, in thousandths of a core.
 	Waiting    []RankWork    // By rank.
+	Started    int64         // Work started per second over about the last second, as RankWork.Work.
 	NextEnd    time.Duration // Time until the next run is expected to end and to free resources; zero is unknown.
 }
 
-// RankWork is the work of one rank that waits in the queue of a holder.
+// RankWork is the work of one rank at one entry, in thousandths of a core times
+// milliseconds.
 type RankWork struct {
-	Rank int
-	Work int64 // Thousandths of a core times milliseconds.
+	Rank     int
+	Work     int64 // That waits in the queue of the holder.
+	Arriving int64 // Of new jobs at the home, per second. Callers who come back as they were told don't count.
+	Invited  int64 // Of refused callers whom the home has told to come back at a later time.
 }
 
 // AddWaiting adds the work of a waiting task, which takes the resources for the
@@ -67,6 +71,30 @@
 	p.Waiting = append(p.Waiting, RankWork{Rank: rank, Work: work})
 }
 
+// AddDemand adds the demand at the home.
+func (p *PoolResources) AddDemand(demand []RankWork) {
+	for _, d := range demand {
+		i := slices.IndexFunc(p.Waiting, func(w RankWork) bool { return w.Rank == d.Rank })
+		if i < 0 {
+			p.Waiting = append(p.Waiting, d)
+			continue
+		}
+		p.Waiting[i].Arriving += d.Arriving
+		p.Waiting[i].Invited += d.Invited
+	}
+}
+
+// Pool returns the resources of the pool, and adds them if there are none yet.
+func (r *HolderResources) Pool(name PoolName) *PoolResources {
+	for i := range r.Pools {
+		if r.Pools[i].Pool == name {
+			return &r.Pools[i]
+		}
+	}
+	r.Pools = append(r.Pools, PoolResources{Pool: name})
+	return &r.Pools[len(r.Pools)-1]
+}
+
 // WorkAhead returns the waiting work that is served before a new task of the rank,
 // in thousandths of a core times milliseconds.
 func (p *PoolResources) WorkAhead(rank int) int64 {
