Guarantor: minimum shares of the starts on targets under lease

Cause: a class that is refused first under lasting overload may be one that must never be dropped; Class.MinShare (floor) was used for targets with slots only.

Change: package guarantor keeps the account of the shares, for the tasks that a home admits and for the starts of a holder. Nothing by default. check and publish already refuse shares that are negative, over one or more than the whole; an entry that meets them ignores them with a log line and config.ignored-shares.

Conclusion: a declared share is kept.

--- a/admission.go
+++ b/admission.go
@@ -46,6 +46,8 @@
 type AdmissionRequest struct {
 	Pool        PoolName
 	Rank        int
+	Tasks       int
+	Owed        bool          // Whether the job was admitted by the minimum share of its class.
 	Resources   Resources     // That one task takes of a target.
 	Estimate    time.Duration // Expected run time of one task.
 	Arrived     time.Time
@@ -70,6 +72,7 @@
 	Prospect Prospect
 	Wait     time.Duration // Expected time until the first start; zero if resources are free.
 	Refusal  RefusalReason // RefusalNone if the job is admitted.
+	Owed     bool          // Whether it is admitted only by the minimum share of its class.
 }
 
 // InvitationRequest is a refused job whose caller is to be told when to come back.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/guarantor"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// precedenceTime is the time for which the refusal of a job holds back less
 	// urgent ones. Within it, every holder reports several times.
 	precedenceTime = 300 * time.Millisecond
+	// maxCredit is the number of tasks that a class with a minimum share may be owed:
+	// those of a few jobs.
+	maxCredit = 16
 	// minEstimateShare is the share of the estimated run time of a task that must
 	// fit into the time until the deadline. Run times are seldom below that share
 	// of the estimate.
@@ -45,6 +49,8 @@
 // Admitter decides on the jobs of one home. It is not safe for concurrent use.
 type Admitter struct {
 	refusedAt map[queue]time.Time // When a job was last refused for lack of resources.
+	shares    map[int]float64     // Minimum share of the admitted tasks, by rank.
+	admitted  map[medlargw.PoolName]*guarantor.Guarantor
 }
 
 // queue identifies the jobs of a pool that have the same rank.
@@ -54,7 +60,28 @@
 }
 
 // New returns an admitter that has refused nothing.
-func New() *Admitter { return &Admitter{refusedAt: map[queue]time.Time{}} }
+func New() *Admitter {
+	return &Admitter{refusedAt: map[queue]time.Time{}, admitted: map[medlargw.PoolName]*guarantor.Guarantor{}}
+}
+
+// SetMinShares replaces the minimum shares of the starts, by rank.
+func (a *Admitter) SetMinShares(shares map[int]float64) {
+	a.shares = shares
+	for _, p := range a.admitted {
+		p.SetShares(shares)
+	}
+}
+
+// account returns the account of the minimum shares in a pool.
+func (a *Admitter) account(pool medlargw.PoolName) *guarantor.Guarantor {
+	p := a.admitted[pool]
+	if p == nil {
+		p = guarantor.New(maxCredit)
+		p.SetShares(a.shares)
+		a.admitted[pool] = p
+	}
+	return p
+}
 
 // Admit decides on a job that has just arrived.
 func (a *Admitter) Admit(now time.Time, r *medlargw.AdmissionRequest) medlargw.Admission {
@@ -74,6 +101,13 @@
 	case a.urgentRefused(now, r):
 		adm.Refusal = medlargw.RefusalPrecedence
 	}
+	account := a.account(r.Pool)
+	if adm.Refusal != medlargw.RefusalNone && account.Owed(r.Rank) && adm.Prospect != medlargw.ProspectUseless {
+		adm.Refusal, adm.Owed = medlargw.RefusalNone, true
+	}
+	if adm.Refusal == medlargw.RefusalNone {
+		account.Charge(r.Rank, r.Tasks)
+	}
 	a.record(now, r, adm.Refusal)
 	return adm
 }
@@ -89,6 +123,7 @@
 	switch {
 	case now.After(r.LatestStart):
 		adm.Refusal = medlargw.RefusalTooLate
+	case r.Owed: // What waits before it does not tell when it starts.
 	case now.Sub(r.Arrived) < max(minStartDecisionTime, time.Duration(startDecisionShare*float64(objective))):
 	case !known || adm.Prospect != medlargw.ProspectOnTime:
 		adm.Refusal = medlargw.RefusalWait
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -248,10 +248,41 @@
 	}
 }
 
-// Configure logs the configuration that has come into force.
+// Configure applies the minimum shares of the classes in the configuration that
+// has come into force.
 func (c *Conductor) Configure(cfg *medlargw.Config) {
 	c.log.Info("configuration in force", zap.Uint64("generation", cfg.Generation),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
+	shares := c.minShares(cfg)
+	c.post(func(time.Time) {
+		c.holder.SetMinShares(shares)
+		c.coord.SetMinShares(shares)
+	})
+}
+
+// minShares returns the minimum shares of the starts by rank. Those that are no
+// shares, or are more than the whole together, are ignored.
+func (c *Conductor) minShares(cfg *medlargw.Config) map[int]float64 {
+	shares := map[int]float64{}
+	sum := 0.0
+	for i := range cfg.Classes {
+		class := &cfg.Classes[i]
+		switch {
+		case class.MinShare == 0:
+		case class.MinShare > 0 && class.MinShare <= 1:
+			shares[class.Rank] += class.MinShare
+			sum += class.MinShare
+		default:
+			c.counters.ignoredShares.Inc(1)
+			c.log.Warn("minimum share of a class ignored", zap.String("class", string(class.Name)), zap.Float64("share", class.MinShare))
+		}
+	}
+	if sum > 1 {
+		c.counters.ignoredShares.Inc(1)
+		c.log.Warn("minimum shares of all classes ignored", zap.Float64("sum", sum))
+		return nil
+	}
+	return shares
 }
 
 // SetGroup replaces the group of entries that hold targets, and their targets.
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -35,6 +35,7 @@
 	targetsDue     metrics.GaugeFloat64
 	capacity       metrics.Gauge
 	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
+	ignoredShares  metrics.Counter // Minimum shares of classes that are invalid.
 	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
 
@@ -57,6 +58,7 @@
 		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
 		capacity:       metrics.GetOrRegisterGauge("share.capacity", r),
 		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
+		ignoredShares:  metrics.GetOrRegisterCounter("config.ignored-shares", r),
 		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
 }
--- a/conductor/overload_test.go
+++ b/conductor/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -95,3 +96,91 @@
 		t.Errorf("payoff from two seconds after the burst on: got %.3f, want at least %.3f", got, want)
 	}
 }
+
+// TestMinimumShareUnderOverload answers lasting overload by urgent work: a class
+// with a declared minimum share of the starts keeps it, or all that it asks for,
+// and what is admitted by it is on time. Without one, the class is refused first.
+func TestMinimumShareUnderOverload(t *testing.T) {
+	const (
+		build = 2
+		share = 0.05
+	)
+	tests := []struct {
+		name     string
+		minShare float64
+	}{{"no share", 0}, {"a share", share}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			starts, late, jobs := [3]int{}, 0, 0
+			runCluster(t, 1, policyHosts, func(cl *cluster) {
+				for _, e := range cl.entries {
+					e.conductor.Configure(&medlargw.Config{Classes: []medlargw.Class{{Name: "build", Rank: build, MinShare: test.minShare}}})
+				}
+				var cores int64
+				for _, target := range cl.sim.targets.Targets() {
+					cores += target.Resources.Cores
+				}
+				g := newGenerator(1, 3*loadDuration, cores)
+				g.add(0, g.until, 2)
+				for _, r := range cl.runLoad(g.jobs) {
+					if r.job.at < time.Second || r.outcome.Code == medlargw.CodeOverloaded {
+						continue
+					}
+					starts[r.job.kind] += r.job.tasks
+					if r.job.kind == build {
+						jobs++
+						if r.age > r.job.objective() {
+							late++
+						}
+					}
+				}
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+			got := float64(starts[build]) / float64(starts[0]+starts[1]+starts[2])
+			t.Logf("share of the starts: %.3f; %d of %d jobs late", got, late, jobs)
+			if kept := got >= share; kept != (test.minShare > 0) {
+				t.Errorf("share of the starts: got %.3f, want at least %.3f only with a declared share", got, share)
+			}
+			if test.minShare > 0 && late > jobs/10 {
+				t.Errorf("late jobs of the class: got %d of %d, want at most a tenth", late, jobs)
+			}
+		})
+	}
+}
+
+// TestInvalidMinimumShares checks that an entry which meets shares that publishing
+// would refuse ignores and logs them.
+func TestInvalidMinimumShares(t *testing.T) {
+	const one, all = "minimum share of a class ignored", "minimum shares of all classes ignored"
+	tests := []struct {
+		name   string
+		shares []float64
+		want   map[string]int
+	}{
+		{"none", []float64{0, 0}, map[string]int{}},
+		{"the whole", []float64{0.6, 0.4}, map[string]int{}},
+		{"negative", []float64{-0.1, 0.4}, map[string]int{one: 1}},
+		{"over one", []float64{0.1, 1.1}, map[string]int{one: 1}},
+		{"not a number", []float64{math.NaN(), 0.1}, map[string]int{one: 1}},
+		{"more than the whole", []float64{0.6, 0.5}, map[string]int{all: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := logs{}
+			runLoggedCluster(t, 1, []string{"a1"}, l, func(cl *cluster) {
+				cfg := &medlargw.Config{}
+				for i, share := range test.shares {
+					cfg.Classes = append(cfg.Classes, medlargw.Class{Rank: i, MinShare: share})
+				}
+				cl.entries[0].conductor.Configure(cfg)
+			})
+			for _, msg := range []string{one, all} {
+				if got := l.count(t, msg); got != test.want[msg] {
+					t.Errorf("lines %q: got %d, want %d", msg, got, test.want[msg])
+				}
+			}
+		})
+	}
+}
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -22,13 +22,16 @@
 		}
 	}
 	c.request = medlargw.AdmissionRequest{
-		Pool: m.Pool, Rank: m.Rank, Resources: m.Resources, Estimate: j.estimate,
+		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
 		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
 
+// SetMinShares replaces the minimum shares of the starts, by rank.
+func (c *Coordinator) SetMinShares(shares map[int]float64) { c.admitter.SetMinShares(shares) }
+
 // waits reports whether a job has not started because no holder had resources
 // for it. Offers that are not answered yet are no evidence of that.
 func (j *job) waits() bool {
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -30,6 +30,7 @@
 	refusing bool               // Its tasks are being recalled so that it can be refused.
 	refusal  medlargw.Admission // Why it is being refused.
 	ended    bool
+	owed     bool // It was admitted by the minimum share of its class.
 	// Holder of the latest task that was offered for its free resources.
 	lastHolder *holder
 }
@@ -103,6 +104,7 @@
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
 	switch adm.Refusal {
 	case medlargw.RefusalNone:
+		j.owed = adm.Owed
 		c.placeIdle(now, j)
 	case medlargw.RefusalHopeless:
 		c.abort(now, j, medlargw.CodeDeadline, "one task takes longer than the time until the deadline")
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -6,6 +6,7 @@
 	"admin":                 "Requests of operators that were refused, by cause.",
 	"attempts":              "Attempts that ended, by kind and reason.",
 	"borrow":                "Calls for loans of slots, by outcome.",
+	"config":                "Values of the configuration that are invalid and were ignored.",
 	"entry":                 "State of this entry: tasks, slots, members and ages in seconds where the name says so.",
 	"evacuations":           "Waiting tasks that were returned to their homes because the zone of their targets is evacuated.",
 	"intake":                "Requests of callers that were refused before decoding, for lack of processor time.",
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -30,6 +30,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
 	"medlargw.example/medlargw/averager"
+	"medlargw.example/medlargw/guarantor"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -52,9 +53,11 @@
 	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
+	minShares         map[int]float64 // Of the starts, by rank.
+	starts            map[medlargw.PoolName]*guarantor.Guarantor
+	startedWork       map[medlargw.PoolName]*averager.Averager // Thousandths of a core times milliseconds.
 	lag               time.Duration                            // How late this entry acts.
 	pacer             *pacer.Pacer                             // Of this entry's network link.
-	startedWork       map[medlargw.PoolName]*averager.Averager // Thousandths of a core times milliseconds.
 	actions           medlargw.HolderActions
 }
 
@@ -71,6 +74,7 @@
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
 		homes:    map[medlargw.Incarnation]*home{},
 
+		starts:      map[medlargw.PoolName]*guarantor.Guarantor{},
 		startedWork: map[medlargw.PoolName]*averager.Averager{},
 
 		apportioner: apportioner.New(),
--- a/holder/place.go
+++ b/holder/place.go
@@ -6,12 +6,16 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/averager"
+	"medlargw.example/medlargw/guarantor"
 	"medlargw.example/medlargw/selector"
 )
 
+// maxCredit is the number of starts that a class with a minimum share may be owed.
+const maxCredit = 2
+
 // place starts the waiting tasks that fit, while the network link can take their
-// payloads. Tasks that can still end by their due time go first; late tasks get
-// the remaining resources.
+// payloads. Tasks that can still end by their due time go first, and of these the
+// ones of a class that is owed a start; late tasks get the remaining resources.
 func (h *Holder) place(now time.Time) {
 	if len(h.waiting) == 0 {
 		return
@@ -19,25 +23,48 @@
 	for _, t := range h.sorted {
 		t.decay(now)
 	}
+	if len(h.minShares) > 0 {
+		h.placeWaiting(now, false, h.isOwed)
+	}
 	for _, late := range []bool{false, true} {
-		for _, w := range slices.Clone(h.waiting) {
-			if now.After(w.latestStart()) != late {
-				continue
-			}
-			if w.home.silent(now, &h.settings) {
-				continue // The tasks of its home are about to be cancelled.
-			}
-			if h.pacer.Busy(now) {
-				return
-			}
-			if t := h.pickTarget(now, w, late); t != nil {
-				h.dequeue(w)
-				h.startRun(now, t, w)
-			}
+		h.placeWaiting(now, late, nil)
+	}
+}
+
+// placeWaiting starts the waiting tasks that fit, that are late or not, and that
+// the filter accepts when it is their turn; nil accepts all.
+func (h *Holder) placeWaiting(now time.Time, late bool, filter func(w *task) bool) {
+	for _, w := range slices.Clone(h.waiting) {
+		if now.After(w.latestStart()) != late || filter != nil && !filter(w) {
+			continue
+		}
+		if w.home.silent(now, &h.settings) {
+			continue // The tasks of its home are about to be cancelled.
+		}
+		if h.pacer.Busy(now) {
+			return
+		}
+		if t := h.pickTarget(now, w, late); t != nil {
+			h.dequeue(w)
+			h.startRun(now, t, w)
 		}
 	}
 }
 
+// SetMinShares replaces the minimum shares of the starts, by rank.
+func (h *Holder) SetMinShares(shares map[int]float64) {
+	h.minShares = shares
+	for _, a := range h.starts {
+		a.SetShares(shares)
+	}
+}
+
+// isOwed reports whether the next start in its pool is owed to the rank of a task.
+func (h *Holder) isOwed(w *task) bool {
+	a := h.starts[w.offered.Pool]
+	return a != nil && a.Owed(w.offered.Rank)
+}
+
 // pickTarget returns the target for the task, or nil if there is none.
 func (h *Holder) pickTarget(now time.Time, w *task, late bool) *target {
 	var best *target
@@ -102,9 +129,23 @@
 		a = &averager.Averager{}
 		h.startedWork[w.offered.Pool] = a
 	}
+	if len(h.minShares) > 0 {
+		h.account(w.offered.Pool).Charge(w.offered.Rank, 1)
+	}
 	a.Add(now, float64(w.offered.Resources.Cores*w.offered.Estimate.Milliseconds()))
 }
 
+// account returns the account of the minimum shares in a pool.
+func (h *Holder) account(pool medlargw.PoolName) *guarantor.Guarantor {
+	a := h.starts[pool]
+	if a == nil {
+		a = guarantor.New(maxCredit)
+		a.SetShares(h.minShares)
+		h.starts[pool] = a
+	}
+	return a
+}
+
 // stopRun creates the stop order of a run. The order is sent again until it is
 // answered.
 func (h *Holder) stopRun(now time.Time, r *run, reason string) {
