Coordinator: a job is a sign of congestion from the time when no holder had resources

Cause: on hosts with little processor an offer takes tens of milliseconds to be answered. That time counted as a wait for resources, of which a tenth of the objective (16 ms for work of 60 ms) refuses others.

Change: the wait counts from the first answer that no resources were free, or from when no holder could be offered the task.

--- a/admission.go
+++ b/admission.go
@@ -62,9 +62,9 @@
 // WaitingJob is a job of which no task has started, and for which no holder had
 // resources when it was offered.
 type WaitingJob struct {
-	Rank      int
-	Arrived   time.Time
-	Objective time.Time // When its objective for the response time is missed.
+	Rank            int
+	Since           time.Time     // When its home learned that no holder had resources.
+	TimeToObjective time.Duration // From its arrival.
 }
 
 // Admission is the answer to an AdmissionRequest.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -155,7 +155,7 @@
 func isCongested(now time.Time, r *medlargw.AdmissionRequest) bool {
 	for i := range r.Waiting {
 		w := &r.Waiting[i]
-		if w.Rank <= r.Rank && now.Sub(w.Arrived) > time.Duration(congestionShare*float64(w.Objective.Sub(w.Arrived))) {
+		if w.Rank <= r.Rank && now.Sub(w.Since) > time.Duration(congestionShare*float64(w.TimeToObjective)) {
 			return true
 		}
 	}
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -18,7 +18,9 @@
 	}
 	for _, other := range c.jobs {
 		if other != j && other.job.Pool == m.Pool && other.waits() {
-			waiting = append(waiting, medlargw.WaitingJob{Rank: other.job.Rank, Arrived: other.job.Arrived, Objective: other.due})
+			waiting = append(waiting, medlargw.WaitingJob{
+				Rank: other.job.Rank, Since: other.waitsSince, TimeToObjective: other.due.Sub(other.job.Arrived),
+			})
 		}
 	}
 	c.request = medlargw.AdmissionRequest{
@@ -34,16 +36,13 @@
 
 // waits reports whether a job has not started because no holder had resources
 // for it. Offers that are not answered yet are no evidence of that.
-func (j *job) waits() bool {
-	if j.started {
-		return false
-	}
-	for _, t := range j.tasks {
-		if t.state == taskIdle || t.state == taskQueued || t.refusals > 0 {
-			return true
-		}
+func (j *job) waits() bool { return !j.started && !j.waitsSince.IsZero() }
+
+// setWaits records that no holder had resources for a task of the job.
+func (j *job) setWaits(now time.Time) {
+	if j.waitsSince.IsZero() {
+		j.waitsSince = now
 	}
-	return false
 }
 
 // withdrawIfLate withdraws a job that has not started and is not expected to start
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -30,7 +30,10 @@
 	refusing bool               // Its tasks are being recalled so that it can be refused.
 	refusal  medlargw.Admission // Why it is being refused.
 	ended    bool
-	owed     bool // It was admitted by the minimum share of its class.
+	// When it was first known that no holder had resources for a task; zero is not
+	// yet.
+	waitsSince time.Time
+	owed       bool // It was admitted by the minimum share of its class.
 	// Holder of the latest task that was offered for its free resources.
 	lastHolder *holder
 }
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -28,7 +28,9 @@
 	}
 	if h := c.soonestStart(now, m); h != nil {
 		c.offerTo(t, h, true)
+		return
 	}
+	t.job.setWaits(now)
 }
 
 func (c *Coordinator) offerTo(t *task, h *holder, queue bool) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -94,12 +94,14 @@
 		if t.state == taskOffered {
 			c.setState(t, taskQueued)
 		}
+		t.job.setWaits(now)
 	case medlargw.OfferRefused, medlargw.OfferExpired:
 		if t.state == taskStarted {
 			c.logRefusedAfterStart(t, state)
 			return
 		}
 		if state == medlargw.OfferRefused && !t.recalled {
+			t.job.setWaits(now)
 			t.recordRefusal(now)
 		}
 		from, doubtful := t.holder, t.unanswered || state == medlargw.OfferExpired
