Metrics: expected and actual time to the first start

Cause: an operator could not see whether admission expects the starts that come.

Change: histograms start_milliseconds.expected and start_milliseconds.actual, with help text.

--- a/action.go
+++ b/action.go
@@ -6,7 +6,10 @@
 type FinishedJob struct {
 	Job     *Job
 	Outcome Outcome
-	Refusal RefusalReason // Of a job on targets under lease; RefusalNone if it was not refused.
+	// Of a job on targets under lease:
+	Refusal       RefusalReason // RefusalNone if it was not refused.
+	ExpectedStart time.Duration // From its arrival, when it was admitted.
+	FirstStart    time.Duration // From its arrival, as known at its home; zero if no task has started.
 }
 
 // DeciderActions are what the control goroutine must carry out after the
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -82,6 +82,10 @@
 func (c *counters) countJob(f *medlargw.FinishedJob, response time.Duration) {
 	o := &f.Outcome
 	c.updateHistogram("response_milliseconds."+string(f.Job.Class), response)
+	if f.FirstStart > 0 {
+		c.updateHistogram("start_milliseconds.expected", f.ExpectedStart)
+		c.updateHistogram("start_milliseconds.actual", f.FirstStart)
+	}
 	name := "complete"
 	if !o.Complete {
 		name = string(o.Code)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -32,8 +32,10 @@
 	ended    bool
 	// When it was first known that no holder had resources for a task; zero is not
 	// yet.
-	waitsSince time.Time
-	owed       bool // It was admitted by the minimum share of its class.
+	waitsSince    time.Time
+	expectedStart time.Duration // From its arrival, when it was admitted.
+	firstStart    time.Duration // From its arrival; zero if no task is known to have started.
+	owed          bool          // It was admitted by the minimum share of its class.
 	// Holder of the latest task that was offered for its free resources.
 	lastHolder *holder
 }
@@ -107,7 +109,7 @@
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
 	switch adm.Refusal {
 	case medlargw.RefusalNone:
-		j.owed = adm.Owed
+		j.owed, j.expectedStart = adm.Owed, adm.Wait
 		c.placeIdle(now, j)
 	case medlargw.RefusalHopeless:
 		c.abort(now, j, medlargw.CodeDeadline, "one task takes longer than the time until the deadline")
@@ -225,7 +227,9 @@
 		c.detach(t)
 		c.taskCounts[t.state]--
 	}
-	c.finished = append(c.finished, medlargw.FinishedJob{Job: j.job, Outcome: o, Refusal: reason})
+	c.finished = append(c.finished, medlargw.FinishedJob{
+		Job: j.job, Outcome: o, Refusal: reason, ExpectedStart: j.expectedStart, FirstStart: j.firstStart,
+	})
 }
 
 // complete ends a job all of whose tasks are done.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -126,6 +126,9 @@
 	t.recalled = false
 	t.unanswered = false
 	t.job.started = true
+	if t.job.firstStart == 0 {
+		t.job.firstStart = now.Sub(t.job.job.Arrived)
+	}
 	if t.job.refusing {
 		t.job.refusing = false
 		c.placeIdle(now, t.job)
--- a/exporter/help.go
+++ b/exporter/help.go
@@ -29,6 +29,7 @@
 	"share":                 "Share of this entry in the targets of its zone: owned, due by its capacity, and the capacity in thousandths of a core; zero is not stated.",
 	"retry_milliseconds":    "Time in milliseconds after which refused callers were told to come back, by rank.",
 	"slots":                 "Slots of targets that outlived their job.",
+	"start_milliseconds":    "Time in milliseconds from the arrival of jobs to their first start on targets under lease: expected at admission, and actual.",
 	"target-changes":        "Changes of the state of targets, by the new state.",
 	"targets":               "Targets by state.",
 	"tasks":                 "Events of tasks on targets under lease, by kind.",
