Tests: heartbeats reach a follower only once it has started

Ruled out: the same in the product. The tracker answers heartbeats from its own start on (errNotStarted before), and the assigner starts before it. Change: the follower is registered after its start, as the tracker does it.

--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -81,12 +81,12 @@
 	reg := registrar.New(zap.NewNop())
 	reg.Add(e.conductor, &trackerFake{f}, &messengerFake{f})
 	f.assigner = assigner.New(fs.cl.logs.logger(e.host), reg, medlargw.Settings{Host: e.peer.Host, Zone: e.peer.Zone}, f)
-	fs.mu.Lock()
-	fs.all[e.peer.Addr] = f
-	fs.mu.Unlock()
 	if err := f.assigner.Start(context.Background()); err != nil {
 		fs.cl.sim.t.Fatal(err)
 	}
+	fs.mu.Lock()
+	fs.all[e.peer.Addr] = f // From now on it gets heartbeats, as from a started tracker.
+	fs.mu.Unlock()
 }
 
 // restart stops an entry abruptly and starts it again.
