--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -34,6 +35,7 @@
 	targetsDue     metrics.GaugeFloat64
 	capacity       metrics.Gauge
 	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
+	ignoredShares  metrics.Counter // Minimum shares of classes that are invalid.
 	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
 
@@ -56,6 +58,7 @@
 		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
 		capacity:       metrics.GetOrRegisterGauge("share.capacity", r),
 		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
+		ignoredShares:  metrics.GetOrRegisterCounter("config.ignored-shares", r),
 		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
 }
@@ -78,17 +81,30 @@
 // countJob records the end of a job and its response time.
 func (c *counters) countJob(f *medlargw.FinishedJob, response time.Duration) {
 	o := &f.Outcome
-	histogram := c.registry.GetOrRegister("response_milliseconds."+string(f.Job.Class), func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
-	})
-	if h, ok := histogram.(metrics.Histogram); ok {
-		h.Update(response.Milliseconds())
+	c.updateHistogram("response_milliseconds."+string(f.Job.Class), response)
+	if f.FirstStart > 0 {
+		c.updateHistogram("start_milliseconds.expected", f.ExpectedStart)
+		c.updateHistogram("start_milliseconds.actual", f.FirstStart)
 	}
 	name := "complete"
 	if !o.Complete {
 		name = string(o.Code)
 	}
 	metrics.GetOrRegisterCounter("jobs."+name, c.registry).Inc(1)
+	if f.Refusal != medlargw.RefusalNone {
+		metrics.GetOrRegisterCounter("refused."+string(f.Refusal)+"-rank-"+strconv.Itoa(f.Job.Rank), c.registry).Inc(1)
+		c.updateHistogram("retry_milliseconds."+strconv.Itoa(f.Job.Rank), o.RetryAfter)
+	}
+}
+
+// updateHistogram adds a time to a histogram.
+func (c *counters) updateHistogram(name string, d time.Duration) {
+	histogram := c.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	})
+	if h, ok := histogram.(metrics.Histogram); ok {
+		h.Update(d.Milliseconds())
+	}
 }
 
 // countRelay counts a job that is handed to a peer, or one of a peer.
--- /dev/null
+++ b/coordinator/admit.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// admissionRequest returns the request of a job that has no started task. It is
+// valid until the next call.
+func (c *Coordinator) admissionRequest(now time.Time, j *job) *medlargw.AdmissionRequest {
+	m := j.job
+	holders, waiting := c.request.Holders[:0], c.request.Waiting[:0]
+	for _, h := range c.byDistance {
+		if p := h.pool(m.Pool); p != nil && h.acceptsOffers() {
+			holders = append(holders, p)
+		}
+	}
+	for _, other := range c.jobs {
+		if other != j && other.job.Pool == m.Pool && other.waits() {
+			waiting = append(waiting, medlargw.WaitingJob{
+				Rank: other.job.Rank, Since: other.waitsSince, TimeToObjective: other.due.Sub(other.job.Arrived),
+			})
+		}
+	}
+	c.request = medlargw.AdmissionRequest{
+		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
+		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
+		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+	}
+	return &c.request
+}
+
+// SetMinShares replaces the minimum shares of the starts, by rank.
+func (c *Coordinator) SetMinShares(shares map[int]float64) { c.admitter.SetMinShares(shares) }
+
+// waits reports whether a job has not started because no holder had resources
+// for it. Offers that are not answered yet are no evidence of that.
+func (j *job) waits() bool { return !j.started && !j.waitsSince.IsZero() }
+
+// setWaits records that no holder had resources for a task of the job.
+func (j *job) setWaits(now time.Time) {
+	if j.waitsSince.IsZero() {
+		j.waitsSince = now
+	}
+}
+
+// withdrawIfLate withdraws a job that has not started and is not expected to start
+// in time, and reports whether it has done so.
+func (c *Coordinator) withdrawIfLate(now time.Time, j *job) bool {
+	adm := c.admitter.Review(now, c.admissionRequest(now, j))
+	if adm.Refusal == medlargw.RefusalNone {
+		return false
+	}
+	c.withdraw(now, j, &adm)
+	return true
+}
+
+// maxDemandAge is the age from which the demand that a peer has reported is not
+// counted.
+const maxDemandAge = time.Second
+
+// invitationRequest returns the request of a job that is refused.
+func (c *Coordinator) invitationRequest(now time.Time, j *job, adm *medlargw.Admission) *medlargw.InvitationRequest {
+	m := j.job
+	r := &medlargw.InvitationRequest{Pool: m.Pool, Rank: m.Rank, Work: j.work(), Wait: adm.Wait}
+	for _, h := range c.byDistance {
+		p := h.pool(m.Pool)
+		if p == nil {
+			continue
+		}
+		if h.acceptsOffers() {
+			r.Holders = append(r.Holders, p)
+		}
+		if c.distance(h) > 0 && now.Sub(h.resourcesAt) < maxDemandAge {
+			r.Peers = append(r.Peers, p)
+		}
+	}
+	return r
+}
+
+// work returns the work of all tasks, in thousandths of a core times milliseconds.
+func (j *job) work() int64 {
+	return int64(len(j.tasks)) * j.job.Resources.Cores * j.estimate.Milliseconds()
+}
+
+// AddDemand adds the demand at this home to the report of this entry.
+func (c *Coordinator) AddDemand(now time.Time, r *medlargw.HolderResources) {
+	c.inviter.AddDemand(now, r)
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -94,12 +94,14 @@
 		if t.state == taskOffered {
 			c.setState(t, taskQueued)
 		}
+		t.job.setWaits(now)
 	case medlargw.OfferRefused, medlargw.OfferExpired:
 		if t.state == taskStarted {
 			c.logRefusedAfterStart(t, state)
 			return
 		}
 		if state == medlargw.OfferRefused && !t.recalled {
+			t.job.setWaits(now)
 			t.recordRefusal(now)
 		}
 		from, doubtful := t.holder, t.unanswered || state == medlargw.OfferExpired
@@ -124,6 +126,9 @@
 	t.recalled = false
 	t.unanswered = false
 	t.job.started = true
+	if t.job.firstStart == 0 {
+		t.job.firstStart = now.Sub(t.job.job.Arrived)
+	}
 	if t.job.refusing {
 		t.job.refusing = false
 		c.placeIdle(now, t.job)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -29,7 +29,9 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
+	"medlargw.example/medlargw/averager"
 	"medlargw.example/medlargw/awaiter"
+	"medlargw.example/medlargw/guarantor"
 	"medlargw.example/medlargw/pacer"
 )
 
@@ -52,9 +54,12 @@
 	postponedClaims   bool                       // The first claims wait for transfers.
 	lastAssigned      time.Time
 	resourcesSequence uint64
-	answerTimes       *awaiter.Awaiter // Of start orders.
-	lag               time.Duration    // How late this entry acts.
-	pacer             *pacer.Pacer     // Of this entry's network link.
+	minShares         map[int]float64 // Of the starts, by rank.
+	starts            map[medlargw.PoolName]*guarantor.Guarantor
+	startedWork       map[medlargw.PoolName]*averager.Averager // Thousandths of a core times milliseconds.
+	answerTimes       *awaiter.Awaiter                         // Of start orders.
+	lag               time.Duration                            // How late this entry acts.
+	pacer             *pacer.Pacer                             // Of this entry's network link.
 	actions           medlargw.HolderActions
 }
 
@@ -71,6 +76,9 @@
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
 		homes:    map[medlargw.Incarnation]*home{},
 
+		starts:      map[medlargw.PoolName]*guarantor.Guarantor{},
+		startedWork: map[medlargw.PoolName]*averager.Averager{},
+
 		apportioner: apportioner.New(),
 		answerTimes: awaiter.New(minOrderWait, settings.Order),
 	}
@@ -161,21 +169,12 @@
 func (h *Holder) FreeResources(now time.Time) medlargw.HolderResources {
 	h.resourcesSequence++
 	sum := medlargw.HolderResources{Sequence: h.resourcesSequence, Protocol: medlargw.ProtocolSharedPayloads}
-	pool := func(name medlargw.PoolName) *medlargw.PoolResources {
-		for i := range sum.Pools {
-			if sum.Pools[i].Pool == name {
-				return &sum.Pools[i]
-			}
-		}
-		sum.Pools = append(sum.Pools, medlargw.PoolResources{Pool: name})
-		return &sum.Pools[len(sum.Pools)-1]
-	}
 	busy := h.pacer.Busy(now)
 	for _, t := range h.sorted {
 		if !t.usable(now, &h.settings) {
 			continue
 		}
-		p := pool(t.info.Pool)
+		p := sum.Pool(t.info.Pool)
 		p.TotalCores += t.info.Resources.Cores
 		switch {
 		case t.slowness >= slowThreshold || t.isCold(now):
@@ -187,7 +186,12 @@
 		}
 	}
 	for _, w := range h.waiting {
-		pool(w.offered.Pool).AddWaiting(w.offered.Rank, w.offered.Resources, w.offered.Estimate)
+		sum.Pool(w.offered.Pool).AddWaiting(w.offered.Rank, w.offered.Resources, w.offered.Estimate)
+	}
+	for i := range sum.Pools {
+		if a := h.startedWork[sum.Pools[i].Pool]; a != nil {
+			sum.Pools[i].Started = int64(a.Rate(now))
+		}
 	}
 	return sum
 }
