Long lines and a loop of a test that stood twice

Cause: the read-through of the diff. Change: wrapped lines; the tests of selector share one function. No change of behaviour; the assertions are the same.

--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -173,7 +173,10 @@
 // judge updates the verdict on a holder that has tasks. One that has counted as
 // lost is reachable again as soon as there is a new sign of life.
 func (c *Coordinator) judge(now time.Time, h *holder) {
-	e := medlargw.PeerEvidence{Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard), OwnLag: min(c.lag, c.settings.Lag), PeerLag: c.PeerLag(h.peer.Incarnation)}
+	e := medlargw.PeerEvidence{
+		Silence: now.Sub(h.lastAnswered), Heard: now.Sub(h.lastHeard),
+		OwnLag: min(c.lag, c.settings.Lag), PeerLag: c.PeerLag(h.peer.Incarnation),
+	}
 	switch verdict := c.arbiter.Judge(e); {
 	case verdict == medlargw.PeerLost && !h.lost:
 		c.markLost(now, h, e)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -181,7 +181,8 @@
 		after = c.inviter.Invite(now, c.invitationRequest(now, j, adm))
 	}
 	c.log.Info("job refused", zap.String("job", j.job.RequestID), zap.String("service", string(j.job.Service)),
-		zap.Int("rank", j.job.Rank), zap.String("reason", adm.Refusal.Message()), zap.String("rule", string(adm.Refusal)), zap.Stringer("prospect", adm.Prospect),
+		zap.Int("rank", j.job.Rank), zap.String("reason", adm.Refusal.Message()), zap.String("rule", string(adm.Refusal)),
+		zap.Stringer("prospect", adm.Prospect),
 		zap.Duration("wait", adm.Wait), zap.Duration("age", now.Sub(j.job.Arrived)),
 		zap.Duration("slack", j.latestStart().Sub(now)), zap.Int("tasks", len(j.tasks)),
 		zap.Duration("retry", after))
--- a/holder/home.go
+++ b/holder/home.go
@@ -173,8 +173,8 @@
 // expireHomes stops the tasks of homes that were not heard from for
 // LeaseSettings.Silence, because their callers may submit the jobs again at
 // another entry. While this entry lags, messages of the home may be there unread,
-// so the stop waits, unless the last message was read late too. From Silence on, no task of the home starts and no lease of
-// its runs is renewed in any case.
+// so the stop waits, unless the last message was read late too. From Silence on,
+// no task of the home starts and no lease of its runs is renewed in any case.
 func (h *Holder) expireHomes(now time.Time) {
 	for _, m := range h.sortedHomes() {
 		delay := max(0, min(h.lag, h.settings.Lag, maxStopDelay)-m.heardLag)
--- a/holder/target.go
+++ b/holder/target.go
@@ -136,7 +136,8 @@
 // renews the lease too.
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
-		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() && !t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
+		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() &&
+		!t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
 }
 
 // isCold reports whether the target is expected to be slow after its start.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -31,7 +31,9 @@
 			return false
 		}
 	}
-	transferred := medlargw.TransferredTarget{Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.ackable(), Rating: t.rater.Rating()}
+	transferred := medlargw.TransferredTarget{
+		Name: t.info.Name, IncarnationStart: t.incarnationStart, FenceToken: t.token, AckedSequence: t.ackable(), Rating: t.rater.Rating(),
+	}
 	for _, r := range t.sortedRuns() {
 		if r.task == nil || r.stopping {
 			continue // The new holder stops the runs that it does not know.
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -14,6 +14,17 @@
 	slow, cold bool
 }
 
+// selected returns the name of the target that the selector selects; empty is none.
+func selected(s *selector.Selector, targets []target) string {
+	name := ""
+	for _, c := range targets {
+		if s.Consider(c.freeCores, c.slowness, c.slow, c.cold) {
+			name = c.name
+		}
+	}
+	return name
+}
+
 // TestTargetsComeBackCold answers a load in which the targets of a zone come back
 // cold together, as after an upkeep: tasks go to warm targets while there are
 // any, and to cold ones only if they can still end in time there.
@@ -47,13 +58,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := selector.New(estimate, test.slack, test.late, false)
-			got := ""
-			for _, c := range test.targets {
-				if s.Consider(c.freeCores, c.slowness, c.slow, c.cold) {
-					got = c.name
-				}
-			}
-			if got != test.want {
+			if got := selected(s, test.targets); got != test.want {
 				t.Errorf("target: got %q, want %q", got, test.want)
 			}
 		})
@@ -83,13 +88,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := selector.New(estimate, test.slack, test.late, test.contended)
-			got := ""
-			for _, c := range test.targets {
-				if s.Consider(c.freeCores, c.slowness, c.slow, c.cold) {
-					got = c.name
-				}
-			}
-			if got != test.want {
+			if got := selected(s, test.targets); got != test.want {
 				t.Errorf("target: got %q, want %q", got, test.want)
 			}
 		})
