--- a/loader/loader.go
+++ b/loader/loader.go
@@ -188,7 +188,7 @@
 		Shares: medlargw.Shares(p.String("shares", string(medlargw.SharesByCapacity))),
 		Cores:  p.Number("cores", 0, 0, medlargw.MaxCores),
 		Memory: int64(p.Int("memory", 0, 0, medlargw.MaxMemory)),
-		Relay:  p.Duration("relay", medlargw.DefaultRelay, 0, time.Minute),
+		Relay:  p.Duration("relay", 0, 0, time.Minute),
 	}
 	if c.Shares != medlargw.SharesByCapacity && c.Shares != medlargw.SharesEqual {
 		p.Report("shares", "got %q, want \"capacity\" or \"equal\"", string(c.Shares))
--- a/settings.go
+++ b/settings.go
@@ -100,10 +100,6 @@
 // Shares is what the shares of the entries in the targets under lease depend on.
 type Shares string
 
-// DefaultRelay is the usual value of CapacitySettings.Relay. It is below the
-// shortest objectives, and above the pauses of a small host that keeps up.
-const DefaultRelay = 50 * time.Millisecond
-
 // The values of Shares.
 const (
 	SharesByCapacity Shares = "capacity"
