Apportioner: hashes are kept while the targets stay

Cause: each entry that joins, leaves or states a capacity had all hashes of its zone computed anew at every entry. Ruled out: the logarithm alone; the unweighted division takes half as long. Change: the hashes of a host with all targets, and their inverse logarithms, are kept while the targets do not change. Owners are the same (TestEqualCapacity, TestShares, TestMovement pass).

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -42,6 +42,16 @@
 	next     int   // Index of the target that is likely to be asked for next.
 	weighted bool
 	weights  int64 // Sum of the entries' capacities.
+	columns  map[medlargw.HostName]*column
+}
+
+// column holds what the hashes of the targets with one host give, by the index of
+// the target. It is kept while the targets do not change: in a large zone entries
+// come one after the other, and each of them changes all owners' scores but few
+// columns.
+type column struct {
+	hashes  []uint64
+	inverse []float64 // See inverseLog; nil until it is needed.
 }
 
 // New returns an apportioner that knows no targets.
@@ -59,8 +69,10 @@
 	if z != nil && slices.Equal(z.entries, entries) && slices.Equal(z.targets, targets) {
 		return
 	}
+	former := z
 	z = &zone{targets: targets, entries: slices.Clone(entries), owners: make([]int, len(targets))}
 	z.weights, z.weighted = sumCapacities(entries)
+	z.hash(former)
 	z.assign()
 	a.zones[name] = z
 }
@@ -117,11 +129,39 @@
 	maps.DeleteFunc(a.zones, func(name medlargw.ZoneName, _ *zone) bool { return !keep(name) })
 }
 
-// highestHash returns the entry with the highest hash of target and host.
-func highestHash(target medlargw.TargetName, entries []medlargw.Peer) int {
+// hash computes the columns of the entries. It takes over those of the former
+// division of the zone if that is of the same targets.
+func (z *zone) hash(former *zone) {
+	same := former != nil && slices.Equal(former.targets, z.targets)
+	z.columns = make(map[medlargw.HostName]*column, len(z.entries))
+	for i := range z.entries {
+		host := z.entries[i].Host
+		if same && former.columns[host] != nil {
+			z.columns[host] = former.columns[host]
+			continue
+		}
+		c := &column{hashes: make([]uint64, len(z.targets))}
+		for j, t := range z.targets {
+			c.hashes[j] = pairHash(t, host)
+		}
+		z.columns[host] = c
+	}
+}
+
+// byEntry returns the columns in the order of the entries.
+func (z *zone) byEntry() []*column {
+	all := make([]*column, len(z.entries))
+	for i := range z.entries {
+		all[i] = z.columns[z.entries[i].Host]
+	}
+	return all
+}
+
+// highestHash returns the entry with the highest hash of a target and its host.
+func highestHash(target int, columns []*column) int {
 	best, highest := 0, uint64(0)
-	for i := range entries {
-		if h := pairHash(target, entries[i].Host); h >= highest {
+	for i, c := range columns {
+		if h := c.hashes[target]; h >= highest {
 			best, highest = i, h
 		}
 	}
@@ -149,15 +189,19 @@
 
 // assign computes the owners of all targets of the zone.
 func (z *zone) assign() {
+	columns := z.byEntry()
 	if !z.weighted {
-		for i, t := range z.targets {
-			z.owners[i] = highestHash(t, z.entries)
+		for i := range z.targets {
+			z.owners[i] = highestHash(i, columns)
 		}
 		return
 	}
+	for _, c := range columns {
+		c.invert()
+	}
 	left := z.bounds()
-	for i, t := range z.targets {
-		owner := z.highestScore(t, left)
+	for i := range z.targets {
+		owner := z.highestScore(i, columns, left)
 		left[owner]--
 		z.owners[i] = owner
 	}
@@ -184,14 +228,14 @@
 
 // highestScore returns the entry with the highest score for the target among those
 // that may take one more.
-func (z *zone) highestScore(t medlargw.TargetName, left []int) int {
+func (z *zone) highestScore(target int, columns []*column, left []int) int {
 	best, highest := -1, 0.0
 	for i := range z.entries {
 		if left[i] <= 0 {
 			continue
 		}
 		p := &z.entries[i]
-		s := score(pairHash(t, p.Host), p.Capacity)
+		s := float64(p.Capacity) * columns[i].inverse[target] // weight / -ln(u)
 		if best < 0 || s > highest || s == highest && p.Host < z.entries[best].Host {
 			best, highest = i, s
 		}
@@ -199,11 +243,22 @@
 	return best
 }
 
-// score returns weight / -ln(u), where u is the hash as a fraction of its range:
-// the entry with the highest score is each one with a probability in proportion to
-// its weight.
-func score(hash uint64, weight int64) float64 {
+// invert computes the inverse logarithms once.
+func (c *column) invert() {
+	if c.inverse != nil {
+		return
+	}
+	c.inverse = make([]float64, len(c.hashes))
+	for i, h := range c.hashes {
+		c.inverse[i] = inverseLog(h)
+	}
+}
+
+// inverseLog returns 1 / -ln(u), where u is the hash as a fraction of its range.
+// The entry with the highest product of it and a weight is each one with a
+// probability in proportion to its weight.
+func inverseLog(hash uint64) float64 {
 	const scale = 1 << 53
 	u := (float64(hash>>11) + 0.5) / scale
-	return float64(weight) / -math.Log(u)
+	return 1 / -math.Log(u)
 }
