Holder: comments on the wait for confirmations

Cause: the last read of the change; confirmWait was still called the longest wait, though it has doubled since, and the field of a target had no comment. Change: comments only.

--- a/holder/ends.go
+++ b/holder/ends.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// confirmWait is the longest time for which the renewal of a lease waits until
+	// confirmWait is the time for which the renewal of a lease waits at first until
 	// the homes have confirmed the ends in the last report. While an end is not
 	// acknowledged, the target answers a renewal at once. The wait doubles up to
 	// maxConfirmWait with each renewal that has brought no other end.
--- a/holder/target.go
+++ b/holder/target.go
@@ -58,9 +58,9 @@
 	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
 
 	renewing       bool
-	awaitsConfirm  bool // The next renewal waits until homes have confirmed ends.
-	confirmWait    time.Duration
-	awaitedEnd     uint64 // Sequence number of the last end when that wait began.
+	awaitsConfirm  bool          // The next renewal waits until homes have confirmed ends.
+	confirmWait    time.Duration // That wait; zero if it has not begun.
+	awaitedEnd     uint64        // Sequence number of the last end when that wait began.
 	nextRenew      time.Time
 	claimedAt      time.Time // When the claim was answered.
 	lastAnswer     time.Time // Arrival of the last answer.
