Holder: logs tell which runs a silent target has, and how its connections fail

A Runner's error now says that the target closed or refused the connection; a break lists the runs with their ages; the first claim of a new target tells how long it waited.

--- a/holder/assign.go
+++ b/holder/assign.go
@@ -135,7 +135,7 @@
 		if t == nil {
 			t = newTarget(*info)
 			t.nextRenew = now.Add(max(h.claimDelay(former.Incarnation, known), h.firstAssigned.Add(discoveryTime).Sub(now)))
-			h.addTarget(t)
+			h.addTarget(now, t)
 		}
 		t.releasing = false
 	case t != nil && found:
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -144,7 +144,8 @@
 	}
 }
 
-func (h *Holder) addTarget(t *target) {
+func (h *Holder) addTarget(now time.Time, t *target) {
+	t.addedAt = now
 	t.evacuated = h.evacuated[t.info.Zone]
 	h.targets[t.info.Name] = t
 	h.sorted = append(h.sorted, t)
--- a/holder/log.go
+++ b/holder/log.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -95,8 +96,36 @@
 	h.log.Info("runs of a target counted as ended", fields...)
 }
 
+// logSilent logs the first unanswered renewal of a target, and the runs there.
+func (h *Holder) logSilent(now time.Time, t *target, err error) {
+	h.log.Info("target does not answer", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)), zap.Error(err))
+	for _, r := range t.sortedRuns() {
+		if r.task == nil {
+			continue
+		}
+		h.log.Info("run on a silent target", append(t.runFields(r.id), zap.Int("rank", r.task.offered.Rank),
+			zap.Bool("confirmed", !r.acked.IsZero()), zap.Duration("age", now.Sub(r.sent)))...)
+	}
+}
+
+// recordBreak records that the target has closed or refused a connection, and logs
+// the first refusal.
+func (h *Holder) recordBreak(now time.Time, t *target, err error) {
+	refused := errors.Is(err, medlargw.ErrConnectionRefused)
+	if t.closedAt.IsZero() && (refused || errors.Is(err, medlargw.ErrConnectionClosed)) {
+		t.closedAt = now
+	}
+	if refused && t.refusedAt.IsZero() {
+		t.refusedAt = now
+		if t.claimed {
+			h.log.Info("target refuses connections", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)),
+				zap.Duration("silent", now.Sub(t.lastAnswer)))
+		}
+	}
+}
+
 // logClaim logs the answer to a claim.
-func (h *Holder) logClaim(t *target, c *medlargw.RenewCommand, report *medlargw.RunReport) {
+func (h *Holder) logClaim(now time.Time, t *target, c *medlargw.RenewCommand, report *medlargw.RunReport) {
 	unknown := 0
 	for i := range report.Active {
 		if t.runs[report.Active[i].Run] == nil {
@@ -111,8 +140,9 @@
 	fields := []zap.Field{
 		zap.String("target", string(t.info.Name)), zap.Uint64("fence", t.token), zap.Uint64("seen", c.Renewal.AckedSequence),
 		zap.Int("active", len(report.Active)), zap.Int("ended", len(report.Ended)), zap.Int("unknown", unknown),
+		zap.Duration("waited", now.Sub(t.addedAt)), zap.Time("born", report.IncarnationStart),
 	}
-	if unknown > 0 {
+	if unknown > 0 || now.Sub(h.firstAssigned) > settleTime {
 		h.log.Info("target claimed", fields...)
 		return
 	}
--- a/holder/report.go
+++ b/holder/report.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if !t.claimed {
-		h.logClaim(t, c, report)
+		h.logClaim(now, t, c, report)
 	}
 	h.renewalAnswered(now, t, report)
 	// The answer to an extra renewal may have overtaken this one.
@@ -125,8 +125,9 @@
 // answered or not carried out.
 func (h *Holder) renewalFailed(now time.Time, t *target, err error) {
 	if t.failedRenewals == 0 && t.claimed {
-		h.log.Info("target does not answer", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)), zap.Error(err))
+		h.logSilent(now, t, err)
 	}
+	h.recordBreak(now, t, err)
 	t.failedRenewals++
 	retry := min(minRenewRetry<<min(t.failedRenewals, 8), maxRenewRetry)
 	if !t.claimed && t.failedRenewals > 1 {
@@ -140,6 +141,7 @@
 		h.log.Info("target answers again", zap.String("target", string(t.info.Name)), zap.Duration("silent", now.Sub(t.lastAnswer)))
 	}
 	t.failedRenewals = 0
+	t.closedAt, t.refusedAt = time.Time{}, time.Time{}
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
--- a/holder/target.go
+++ b/holder/target.go
@@ -66,6 +66,9 @@
 	lastAnswer     time.Time // Arrival of the last answer.
 	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
+	closedAt       time.Time // When the target first closed or refused a connection since it last answered; zero is not.
+	refusedAt      time.Time // When the target first refused a connection since it last answered; zero is not.
+	addedAt        time.Time // When this entry became its owner.
 
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
 	evacuated     bool      // The operators evacuate its zone: it gets no new runs.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -139,7 +139,7 @@
 		if t == nil {
 			info, _ := h.listedTarget(transferred.Name)
 			t = newTarget(info)
-			h.addTarget(t)
+			h.addTarget(now, t)
 		}
 		h.logTransferReceived(t, transferred, tr.From.Host)
 		if known := t.rater.Rating(); known.Runs < transferred.Rating.Runs {
