Test: a task that crashes each target that starts it, failing (KNOWN-RED)

Six ways in which the crashes of one task spread over holders: they stay, they crash silently, holders are lost, targets are transferred, a holder is cut off from the home, all holders are of another zone. The stand-in for a target can crash with a task, is down for a while and refuses connections meanwhile; a task that is started a third time after its third crash is a violation in every test and search.

--- /dev/null
+++ b/conductor/crash_test.go
@@ -0,0 +1,105 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// TestTaskThatCrashesTargetsIsGivenUp guards against a task that crashes target
+// after target: neither the loss of holders, transfers of targets, holders of another
+// zone nor crashes that are known late only make its home start it again and again.
+func TestTaskThatCrashesTargetsIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name    string
+		silent  bool                           // The crashes are known only when the targets are back.
+		disturb func(cl *cluster, crashes int) // After each crash.
+	}{
+		{"holders stay", false, func(*cluster, int) {}},
+		{"silent crashes", true, func(*cluster, int) {}},
+		{"holders are lost", true, func(cl *cluster, crashes int) {
+			if crashes <= 2 {
+				cl.stop(cl.entries[crashes])
+			}
+		}},
+		{"targets are transferred", false, func(cl *cluster, crashes int) { cl.setGroups(cl.entries[1+crashes%3]) }},
+		{"a holder is cut off from the home", false, func(cl *cluster, crashes int) {
+			if crashes <= 2 {
+				cl.setHostDown("a1", cl.entries[crashes].host, true)
+			}
+		}},
+		{"holders of another zone", false, nil},
+	}
+	for _, test := range tests {
+		for seed := range seeds() {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				runCluster(t, seed, []string{"a1", "a2", "b1", "b2"}, func(cl *cluster) {
+					cl.sim.silentCrashes = test.silent
+					if test.disturb == nil {
+						cl.cutOwnTargets()
+						test.disturb = func(*cluster, int) {}
+					}
+					cl.checkDeadlyTask(test.disturb)
+				})
+			})
+		}
+	}
+}
+
+// cutOwnTargets cuts the targets of the first zone off from all entries.
+func (cl *cluster) cutOwnTargets() {
+	for _, target := range cl.sim.targets.Targets() {
+		for _, e := range cl.entries {
+			if target.Zone == cl.entries[0].peer.Zone {
+				cl.setHostDown(e.host, string(target.Name), true)
+			}
+		}
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// checkDeadlyTask submits a job of two tasks, the first of which crashes each target
+// that starts it, and checks that the job is answered as failed as soon as enough
+// crashes are known.
+func (cl *cluster) checkDeadlyTask(disturb func(cl *cluster, crashes int)) {
+	const deadline = 20 * time.Second
+	t, deadly := cl.sim.t, "deadly.0"
+	job := cl.newJob("deadly", 2, 300*time.Millisecond, 14000)
+	job.Deadline = time.Now().Add(deadline)
+	job.SlackFactor = 60
+	cl.withLock(func() {
+		work := cl.sim.taskWork[deadly]
+		work.Downtime = 3 * time.Second
+		cl.sim.taskWork[deadly] = work
+	})
+	outcomes := make(chan medlargw.Outcome, 1)
+	go func() { outcomes <- cl.entries[0].conductor.Submit(context.Background(), job) }()
+	crashes := 0
+	for waited := time.Duration(0); waited < deadline+time.Second; waited += 10 * time.Millisecond {
+		select {
+		case o := <-outcomes:
+			if o.Code != medlargw.CodeTaskFailed {
+				t.Errorf("outcome: got %q (%s), want %q", o.Code, o.Message, medlargw.CodeTaskFailed)
+			}
+			if got, want := cl.sim.targets.Crashes(deadly), 4; got > want {
+				t.Errorf("crashes: got %d, want at most %d", got, want)
+			}
+			for _, violation := range cl.sim.targets.Violations() {
+				t.Error(violation)
+			}
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		if n := cl.sim.targets.Crashes(deadly); n != crashes {
+			crashes = n
+			disturb(cl, crashes)
+		}
+		if waited%time.Second == 0 {
+			cl.setGroups() // The host list is read each second.
+		}
+	}
+	t.Errorf("outcome: got none within %v, want one", deadline)
+}
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -28,6 +28,8 @@
 
 	lastStart map[medlargw.ZoneName]time.Time // When a target of the zone last received a start order.
 
+	silentCrashes bool // Targets that crash neither close nor refuse connections.
+
 	linkRate    float64 // Of each entry host and direction, in bytes per second; zero is unlimited.
 	isEntryHost map[string]bool
 	hostLinks   map[string]hostLinks
@@ -102,6 +104,9 @@
 		<-ctx.Done()
 		return errLinkDown
 	}
+	if r.sim.targets.IsDown(name) {
+		return r.sim.downError(ctx, medlargw.ErrConnectionRefused)
+	}
 	if by := r.sim.targets.Faults(name).OrderDelay; by > 0 {
 		time.AfterFunc(by, late)
 		<-ctx.Done()
@@ -120,9 +125,22 @@
 		<-ctx.Done()
 		return errLinkDown
 	}
+	if r.sim.targets.IsDown(name) {
+		return r.sim.downError(ctx, medlargw.ErrConnectionClosed)
+	}
 	return ctx.Err()
 }
 
+// downError returns the error of a call to a target that has crashed. The host of a
+// target that crashes silently sends no answer.
+func (s *simulation) downError(ctx context.Context, err error) error {
+	if s.silentCrashes {
+		<-ctx.Done()
+		return errLinkDown
+	}
+	return err
+}
+
 func (r *fakeRunner) StartRun(ctx context.Context, t *medlargw.Target, o medlargw.StartOrder) (medlargw.OrderReply, error) {
 	if err := r.deliver(ctx, t.Name, len(o.Payload), func() { r.sim.targets.Start(t.Name, o) }); err != nil {
 		return medlargw.OrderReply{}, err
--- a/faults.go
+++ b/faults.go
@@ -25,4 +25,5 @@
 type SimulatedTask struct {
 	RunTime   time.Duration
 	Resources Resources
+	Downtime  time.Duration // If above zero, the target crashes as it starts the task, and is down for this time.
 }
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -20,6 +20,9 @@
 	stopDelay = 30 * time.Millisecond
 	// maxLease is the longest lease; longer ones are shortened to it.
 	maxLease = time.Second
+	// After maxCrashes crashes a task may be started maxLateStarts times more.
+	maxCrashes    = 3
+	maxLateStarts = 2
 )
 
 // Imitator holds simulated targets and their runs.
@@ -34,8 +37,10 @@
 	violations        []string
 	submissions       map[submission]*history
 	repeats           []string
-	usefulCoreSeconds float64 // Core-seconds of successful runs.
-	wastedCoreSeconds float64 // Core-seconds of all other runs.
+	crashes           map[string]int // Number of crashes by the task that caused them.
+	lateStarts        map[string]int // Number of starts of a task after maxCrashes.
+	usefulCoreSeconds float64        // Core-seconds of successful runs.
+	wastedCoreSeconds float64        // Core-seconds of all other runs.
 }
 
 // target is one simulated target.
@@ -77,6 +82,8 @@
 		notRun:     map[string]bool{},
 
 		submissions: map[submission]*history{},
+		crashes:     map[string]int{},
+		lateStarts:  map[string]int{},
 	}
 }
 
@@ -174,13 +181,34 @@
 func (im *Imitator) Crash(name medlargw.TargetName) {
 	im.mu.Lock()
 	defer im.mu.Unlock()
-	t := im.targets[name]
+	im.crash(im.targets[name], 0)
+}
+
+// crash ends all runs on a target and starts a new incarnation of it after the
+// downtime.
+func (im *Imitator) crash(t *target, downtime time.Duration) {
 	for id, r := range t.runs {
 		im.activeRuns[id.Task]--
 		im.addCoreSeconds(r, medlargw.RunStopped)
 	}
 	close(t.changed)
 	im.reset(t)
+	t.startedAt = t.startedAt.Add(downtime)
+	t.info.IncarnationStart = t.startedAt
+}
+
+// IsDown reports whether a target has crashed and not started again.
+func (im *Imitator) IsDown(name medlargw.TargetName) bool {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	return im.targets[name].startedAt.After(im.now())
+}
+
+// Crashes returns the number of targets that a task has crashed.
+func (im *Imitator) Crashes(task string) int {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	return im.crashes[task]
 }
 
 func (im *Imitator) addViolation(format string, args ...any) {
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -104,6 +104,12 @@
 	}
 	of := newSubmission(task, o.Payload)
 	im.recordStart(t, o.Run, of)
+	if im.crashes[task] >= maxCrashes {
+		im.lateStarts[task]++
+		if im.lateStarts[task] > maxLateStarts {
+			im.addViolation("task %s: got %d starts after %d crashes, want at most %d", task, im.lateStarts[task], maxCrashes, maxLateStarts)
+		}
+	}
 	work := im.describe(task, o.Payload)
 	used := work.Resources
 	for _, r := range t.runs {
@@ -123,6 +129,11 @@
 		r.endKind = medlargw.RunFailed
 	}
 	t.runs[o.Run] = r
+	if work.Downtime > 0 {
+		im.crashes[task]++
+		im.crash(t, work.Downtime)
+		return
+	}
 	t.notifyWaiters() // Waiting renewals must take the end of this run into account.
 }
 
@@ -150,8 +161,15 @@
 // waits no longer than n.MaxWait.
 func (im *Imitator) Renew(ctx context.Context, name medlargw.TargetName, n medlargw.Renewal) (medlargw.RunReport, error) {
 	deadline := im.now().Add(n.MaxWait)
+	var incarnation time.Time
 	for {
 		report, changed, next := im.report(name, &n)
+		if incarnation.IsZero() {
+			incarnation = report.IncarnationStart
+		}
+		if !report.IncarnationStart.Equal(incarnation) {
+			return medlargw.RunReport{}, medlargw.ErrConnectionClosed
+		}
 		remaining := deadline.Sub(im.now())
 		if report.Status != medlargw.OrderDone || len(report.Ended) > 0 || remaining <= 0 {
 			return report, nil
