Coordinator: the crashes of targets under a task are counted, and end its job

Cause: a run that ends with its target was reported as stopped, like one that was stopped by an order, and only failed runs count against the limit of attempts. The class of the fault: an end without a cause of its own is taken for an innocent one, and tried again without a bound.

Ruled out: a limit on all attempts (drains, evacuations and lost holders would fail good jobs), counting at the holder (it changes with transfers and take-overs).

Now the holder tells the home what it knows of the crash with the end of each run: proven when nothing accepts connections at the address of the target any more, when it answers in another incarnation, or another lifetime answers in its place; possible when it was silent until the lease ended; none when it was drained or evacuated. It also says so before the end is proven, so that the caller of a job given up is told at once. The home counts a run once, whoever tells of it, with the share of the run in the crash (package attributor: youngest runs have most of it). Lost runs are looked up in the host list: a new start of the target or another target at its address proves the crash later. A task is given up after two crashes that are mostly its own, after three in any case; while three are possible it is not started.

--- /dev/null
+++ b/attributor/attributor.go
@@ -0,0 +1,282 @@
+// Package attributor attributes the crashes of targets to the runs that were there,
+// and finds the services whose tasks crash targets.
+//
+// All runs on a target that crashes are suspects, most of them without guilt. Two
+// things tell them apart. A task that crashes targets does so soon after its start,
+// and seldom just when an older run happens to be beside it. And the runs of a
+// service that crashes targets are on board more often than its share of the run
+// time explains.
+//
+// Entries exchange their sums, so that all of them find the same services.
+package attributor
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+const (
+	// halfLife is the time after which a crash or a run counts half.
+	halfLife = 2 * time.Second
+	// youth is the age at which a run is half as suspect as one that has just started.
+	youth = 20 * time.Millisecond
+	// priorBlame and priorExposure stand for what is known of a service without
+	// crashes: the blame, and the share of the run time.
+	priorBlame    = 0.5
+	priorExposure = 0.05
+	// minBlame is the blame from which a service is confined, and minRatio the ratio of
+	// its blame per run time to that of all other services.
+	minBlame = 2
+	minRatio = 4
+	// minOtherExposure is the least share of the run time that other services have when
+	// a service is confined. There is nothing to protect from a service that has all
+	// targets for itself.
+	minOtherExposure = 0.1
+	// quietTime is the time without a crash after which a service is released.
+	quietTime = 4 * time.Second
+	// maxPeerAge is the age from which the sums of a peer are not counted.
+	maxPeerAge = 2 * time.Second
+	// minReported is the sum of all blame below which an entry reports nothing.
+	minReported = 0.1
+)
+
+// sums are the decayed sums of one service at this entry.
+type sums struct {
+	blame, exposure float64
+	at              time.Time // Of the last decay.
+	lastCrash       time.Time // Zero if there was none.
+}
+
+// peerSums are the sums that a peer has reported.
+type peerSums struct {
+	at       time.Time
+	services []medlargw.ServiceCrashes
+}
+
+// Attributor is not safe for concurrent use.
+type Attributor struct {
+	own      map[medlargw.ServiceName]*sums
+	peers    map[medlargw.Incarnation]peerSums
+	confined map[medlargw.ServiceName]bool
+}
+
+// New returns an attributor that has seen no crash.
+func New() *Attributor {
+	return &Attributor{
+		own:      map[medlargw.ServiceName]*sums{},
+		peers:    map[medlargw.Incarnation]peerSums{},
+		confined: map[medlargw.ServiceName]bool{},
+	}
+}
+
+// decayed returns the sums of a service at the given time.
+func (a *Attributor) decayed(now time.Time, service medlargw.ServiceName) *sums {
+	s := a.own[service]
+	if s == nil {
+		s = &sums{at: now}
+		a.own[service] = s
+	}
+	factor := decay(now.Sub(s.at))
+	s.blame *= factor
+	s.exposure *= factor
+	s.at = now
+	return s
+}
+
+func decay(age time.Duration) float64 {
+	return math.Exp2(-max(0, age.Seconds()) / halfLife.Seconds())
+}
+
+// RecordRun records the run time of a run that has ended, with or without success.
+func (a *Attributor) RecordRun(now time.Time, service medlargw.ServiceName, runTime time.Duration) {
+	a.decayed(now, service).exposure += runTime.Seconds()
+}
+
+// Shares returns the share of each run in the crash of the target that they were on.
+// The shares add up to 1 if there is any run.
+func (a *Attributor) Shares(now time.Time, suspects []medlargw.CrashSuspect) []float64 {
+	shares := make([]float64, len(suspects))
+	all := a.merge(now)
+	total, exposure := 0.0, totalExposure(all)
+	for i, s := range suspects {
+		k := all[s.Service]
+		part := 0.0
+		if exposure > 0 {
+			part = k.Exposure / exposure
+		}
+		shares[i] = (k.Blame + priorBlame) / (part + priorExposure) / float64(max(0, s.Age)+youth)
+		total += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= total
+	}
+	return shares
+}
+
+// RecordCrash records a crash with the shares of the runs in it.
+func (a *Attributor) RecordCrash(now time.Time, suspects []medlargw.CrashSuspect, shares []float64) {
+	byService := map[medlargw.ServiceName]float64{}
+	for i, s := range suspects {
+		byService[s.Service] += shares[i]
+	}
+	for service, share := range byService {
+		s := a.decayed(now, service)
+		s.blame += share
+		if share > 0.5 {
+			s.lastCrash = now
+		}
+	}
+	a.Update(now)
+}
+
+// SetPeer replaces the sums of another entry.
+func (a *Attributor) SetPeer(now time.Time, peer medlargw.Incarnation, services []medlargw.ServiceCrashes) {
+	if len(services) == 0 {
+		delete(a.peers, peer)
+		return
+	}
+	a.peers[peer] = peerSums{at: now, services: services}
+}
+
+// merge returns the sums of all entries by service.
+func (a *Attributor) merge(now time.Time) map[medlargw.ServiceName]medlargw.ServiceCrashes {
+	all := map[medlargw.ServiceName]medlargw.ServiceCrashes{}
+	add := func(c medlargw.ServiceCrashes, age time.Duration) {
+		known, ok := all[c.Service]
+		if !ok {
+			known.SinceLast = math.MaxInt64
+		}
+		known.Service = c.Service
+		known.Blame += c.Blame * decay(age)
+		known.Exposure += c.Exposure * decay(age)
+		known.SinceLast = min(known.SinceLast, c.SinceLast+age)
+		all[c.Service] = known
+	}
+	for service := range a.own {
+		add(a.ownCrashes(now, service), 0)
+	}
+	for peer, p := range a.peers {
+		age := now.Sub(p.at)
+		if age > maxPeerAge {
+			delete(a.peers, peer)
+			continue
+		}
+		for _, c := range p.services {
+			add(c, age)
+		}
+	}
+	return all
+}
+
+// never is the time since the last crash of a service that has caused none.
+const never = time.Hour
+
+func (a *Attributor) ownCrashes(now time.Time, service medlargw.ServiceName) medlargw.ServiceCrashes {
+	s := a.decayed(now, service)
+	c := medlargw.ServiceCrashes{Service: service, Blame: s.blame, Exposure: s.exposure, SinceLast: never}
+	if !s.lastCrash.IsZero() {
+		c.SinceLast = min(never, now.Sub(s.lastCrash))
+	}
+	return c
+}
+
+func totalExposure(all map[medlargw.ServiceName]medlargw.ServiceCrashes) float64 {
+	sum := 0.0
+	for _, c := range all {
+		sum += c.Exposure
+	}
+	return sum
+}
+
+// Update decides which services are confined, and reports whether that has changed.
+// A service is confined when it has more blame than its run time explains, and
+// released when it has caused no crash for a while.
+func (a *Attributor) Update(now time.Time) bool {
+	if len(a.confined) == 0 && !a.hasBlame(now) {
+		return false
+	}
+	all := a.merge(now)
+	exposure, blame := totalExposure(all), 0.0
+	for _, c := range all {
+		blame += c.Blame
+	}
+	changed := false
+	for service, c := range all {
+		switch {
+		case a.confined[service]:
+			if c.SinceLast > quietTime {
+				delete(a.confined, service)
+				changed = true
+			}
+		case c.Blame >= minBlame && c.SinceLast <= quietTime && stands(c, blame, exposure):
+			a.confined[service] = true
+			changed = true
+		}
+	}
+	for service := range a.confined {
+		if _, known := all[service]; !known {
+			delete(a.confined, service)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// stands reports whether a service stands out by its blame for its run time, given
+// the sums over all services.
+func stands(c medlargw.ServiceCrashes, blame, exposure float64) bool {
+	others := exposure - c.Exposure
+	if others < minOtherExposure*exposure {
+		return false
+	}
+	return c.Blame*others >= minRatio*(blame-c.Blame+priorBlame)*max(c.Exposure, priorExposure*exposure)
+}
+
+// hasBlame reports whether this entry or a peer has seen crashes lately.
+func (a *Attributor) hasBlame(now time.Time) bool {
+	sum := 0.0
+	for _, s := range a.own {
+		sum += s.blame * decay(now.Sub(s.at))
+	}
+	for _, p := range a.peers {
+		for _, c := range p.services {
+			sum += c.Blame * decay(now.Sub(p.at))
+		}
+	}
+	return sum >= minReported
+}
+
+// IsConfined reports whether the tasks of a service are confined to the targets that
+// are set apart.
+func (a *Attributor) IsConfined(service medlargw.ServiceName) bool { return a.confined[service] }
+
+// Confined returns the confined services, sorted.
+func (a *Attributor) Confined() []medlargw.ServiceName {
+	if len(a.confined) == 0 {
+		return nil
+	}
+	all := make([]medlargw.ServiceName, 0, len(a.confined))
+	for service := range a.confined {
+		all = append(all, service)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Report returns the sums of this entry for its peers, sorted by service. It is empty
+// while neither this entry nor a peer has seen crashes.
+func (a *Attributor) Report(now time.Time) []medlargw.ServiceCrashes {
+	if !a.hasBlame(now) {
+		return nil
+	}
+	all := make([]medlargw.ServiceCrashes, 0, len(a.own))
+	for service := range a.own {
+		all = append(all, a.ownCrashes(now, service))
+	}
+	slices.SortFunc(all, func(x, y medlargw.ServiceCrashes) int { return cmp.Compare(x.Service, y.Service) })
+	return all
+}
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -114,6 +114,10 @@
 
 // countEvent counts a task event.
 func (c *counters) countEvent(e *medlargw.TaskReport) {
+	if e.Event == medlargw.TaskStarted && e.Crash == medlargw.CrashProven {
+		metrics.GetOrRegisterCounter("tasks.on-crashed-targets", c.registry).Inc(1)
+		return
+	}
 	metrics.GetOrRegisterCounter("tasks."+e.Event.String(), c.registry).Inc(1)
 	if e.Reason == medlargw.ReasonEvacuated {
 		c.evacuatedTasks.Inc(1)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,6 +45,11 @@
 	byDistance  []*holder // This entry first, then its zone, then the other zones.
 	// Pools all of whose targets are in evacuated zones.
 	evacuated map[medlargw.PoolName]bool
+	// The host list, and the positions of the targets in it.
+	targets     []medlargw.Target
+	targetIndex map[medlargw.TargetName]int
+	hasLosses   bool // Tasks may have runs that ended with targets which may have crashed.
+
 	estimator medlargw.Estimator
 	nextJob   uint64
 	nextID    medlargw.TaskID
@@ -142,6 +147,8 @@
 	}
 	c.sortHolders()
 	c.evacuated = evacuatedPools(&g)
+	c.setTargets(g.Targets)
+	c.reviewLosses(now)
 }
 
 // evacuatedPools returns the pools all of whose targets are in evacuated zones.
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -205,6 +205,7 @@
 		}
 	case !now.Before(t.endedBy):
 		attempt := t.attempt
+		c.recordLoss(now, t, unknownBlame, false)
 		c.retry(now, t, "")
 		c.logEndedByTime(now, t, attempt, h)
 	}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -75,6 +75,9 @@
 	avoid        []medlargw.TargetName // Targets on which it failed recently.
 	unanswered   bool                  // The current offer, or a recall of it, was not answered.
 	formerIDs    []medlargw.TaskID     // Of its former offers.
+	target       medlargw.Target       // Of its current run, as it was listed at the start; without a name if it is unknown.
+	crashes      []crash               // Of targets under its runs.
+	losses       []loss                // Runs that ended with targets which may have crashed.
 }
 
 // recordRefusal counts the refusal of the task by its holder.
@@ -289,6 +292,7 @@
 	t.offerPending = false
 	t.unanswered = false
 	t.endedBy = time.Time{}
+	t.target = medlargw.Target{}
 	if t.state != taskDone {
 		c.setState(t, taskIdle)
 	}
--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -136,6 +136,7 @@
 		Run:             medlargw.RunID{Task: m.Tasks[t.index].ID, Attempt: t.attempt},
 		Payload:         m.Tasks[t.index].Payload,
 		Pool:            m.Pool,
+		Service:         m.Service,
 		Resources:       m.Resources,
 		Rank:            m.Rank,
 		Estimate:        t.job.estimate,
@@ -143,5 +144,6 @@
 		TimeToDeadline:  m.Deadline.Sub(now),
 		Avoid:           t.avoid,
 		MayQueue:        t.queue,
+		Suspect:         t.isSuspect(),
 	}
 }
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -20,6 +20,9 @@
 // place offers a task to the most suitable holder.
 func (c *Coordinator) place(now time.Time, t *task) {
 	m := t.job.job
+	if t.mustWait() {
+		return
+	}
 	if t.refusals < maxRefusals {
 		if h := c.reserveResources(now, t); h != nil {
 			c.offerTo(t, h, false)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -29,6 +29,7 @@
 	c.SetFreeResources(now, o.To.Incarnation, reply.FreeResources)
 	for _, s := range reply.States {
 		if t := h.tasks[s.ID]; t != nil {
+			c.setTarget(t, s.Target)
 			c.applyOfferState(now, t, s.State)
 		}
 	}
@@ -186,7 +187,16 @@
 	if e.Event.Terminal() && e.Event != medlargw.TaskSucceeded {
 		c.log.Info("attempt ended", zap.String("task", t.job.job.Tasks[t.index].ID), zap.Int("attempt", t.attempt),
 			zap.Stringer("event", e.Event), zap.String("target", string(e.Target)), zap.String("reason", e.Reason),
-			zap.Duration("elapsed", e.Elapsed), zap.String("holder", string(t.holder.peer.Host)))
+			zap.Stringer("crash", e.Crash), zap.Duration("elapsed", e.Elapsed), zap.String("holder", string(t.holder.peer.Host)))
+	}
+	c.setTarget(t, e.Target)
+	switch {
+	case e.Crash == medlargw.CrashProven:
+		if c.recordCrash(now, t, crash{attempt: t.attempt, blame: e.Blame}) {
+			return
+		}
+	case e.Event.Terminal():
+		t.withdrawCrash(t.attempt)
 	}
 	switch e.Event {
 	case medlargw.TaskStarted:
@@ -206,6 +216,9 @@
 		c.recordFailure(now, t, e.Target)
 	case medlargw.TaskStopped:
 		c.markStarted(now, t)
+		if e.Crash == medlargw.CrashPossible {
+			c.recordLoss(now, t, e.Blame, true)
+		}
 		c.retry(now, t, e.Target)
 	case medlargw.TaskReturned:
 		c.retry(now, t, e.Target)
--- /dev/null
+++ b/crash.go
@@ -0,0 +1,45 @@
+package medlargw
+
+import "time"
+
+// CrashState is what is known of the crash of a target under a run.
+type CrashState int
+
+const (
+	// CrashNone means that the target has not crashed, or that its end was planned.
+	CrashNone CrashState = iota
+	// CrashPossible means that the run ended with the last lease of a silent target,
+	// which may have crashed or may be cut off.
+	CrashPossible
+	// CrashProven means that the process of the target has ended under the run, and
+	// nobody had planned it.
+	CrashProven
+)
+
+// String returns the name used in logs.
+func (s CrashState) String() string {
+	switch s {
+	case CrashNone:
+		return "none"
+	case CrashPossible:
+		return "possible"
+	case CrashProven:
+		return "proven"
+	}
+	return "unknown"
+}
+
+// CrashSuspect is a run on a target that has crashed.
+type CrashSuspect struct {
+	Service ServiceName
+	Age     time.Duration // From the start of the run to the crash.
+}
+
+// ServiceCrashes is what an entry has seen of the crashes under the runs of one
+// service. Both sums are decayed, so that they tell of the last seconds.
+type ServiceCrashes struct {
+	Service   ServiceName
+	Blame     float64       // Sum of the shares of its runs in crashes.
+	Exposure  float64       // Run time of its runs, in seconds.
+	SinceLast time.Duration // Since the last crash in which its runs had most of the blame.
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -29,6 +29,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/apportioner"
+	"medlargw.example/medlargw/attributor"
 	"medlargw.example/medlargw/averager"
 	"medlargw.example/medlargw/awaiter"
 	"medlargw.example/medlargw/guarantor"
@@ -58,6 +59,8 @@
 	starts            map[medlargw.PoolName]*guarantor.Guarantor
 	startedWork       map[medlargw.PoolName]*averager.Averager // Thousandths of a core times milliseconds.
 	answerTimes       *awaiter.Awaiter                         // Of start orders.
+	attributor        *attributor.Attributor                   // Of crashes to runs, shared with the coordinator.
+	breaks            []time.Time                              // When targets of this entry last broke their connections.
 	lag               time.Duration                            // How late this entry acts.
 	pacer             *pacer.Pacer                             // Of this entry's network link.
 	actions           medlargw.HolderActions
@@ -67,6 +70,8 @@
 // link, and is shared with the coordinator.
 func New(log *zap.Logger, settings medlargw.LeaseSettings, self medlargw.Member, link *pacer.Pacer) *Holder {
 	return &Holder{
+		attributor: attributor.New(),
+
 		pacer:    link,
 		log:      log.Named("holder"),
 		settings: settings,
--- a/holder/home.go
+++ b/holder/home.go
@@ -146,6 +146,10 @@
 		report.Target = r.target.info.Name
 		if !r.acked.IsZero() {
 			report.Elapsed = time.Duration(float64(now.Sub(r.acked)) / r.target.rater.Slowness())
+			h.attributor.RecordRun(now, w.offered.Service, now.Sub(r.acked))
+		}
+		if event == medlargw.TaskStopped {
+			report.Crash, report.Blame = r.crash, r.blame
 		}
 	}
 	h.forget(now, w)
--- a/holder/log.go
+++ b/holder/log.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,22 +107,6 @@
 	}
 }
 
-// recordBreak records that the target has closed or refused a connection, and logs
-// the first refusal.
-func (h *Holder) recordBreak(now time.Time, t *target, err error) {
-	refused := errors.Is(err, medlargw.ErrConnectionRefused)
-	if t.closedAt.IsZero() && (refused || errors.Is(err, medlargw.ErrConnectionClosed)) {
-		t.closedAt = now
-	}
-	if refused && t.refusedAt.IsZero() {
-		t.refusedAt = now
-		if t.claimed {
-			h.log.Info("target refuses connections", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)),
-				zap.Duration("silent", now.Sub(t.lastAnswer)))
-		}
-	}
-}
-
 // logClaim logs the answer to a claim.
 func (h *Holder) logClaim(now time.Time, t *target, c *medlargw.RenewCommand, report *medlargw.RunReport) {
 	unknown := 0
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -50,6 +50,9 @@
 	h.dropDuplicateReports(m, firstNew, added)
 	for i := range tasks {
 		states[i] = medlargw.OfferedState{ID: tasks[i].ID, State: h.offeredState(now, m, &tasks[i], added[i])}
+		if w := m.tasks[tasks[i].ID]; w != nil && w.run != nil {
+			states[i].Target = w.run.target.info.Name
+		}
 		if added[i] == nil {
 			h.logEnded(now, m, states[i].ID, states[i].State)
 		}
--- a/holder/order.go
+++ b/holder/order.go
@@ -84,6 +84,7 @@
 			h.endTask(now, w, medlargw.TaskReturned, r, status.String())
 		}
 	case medlargw.OrderWrongIncarnation:
+		h.recordCrash(now, t, r, "another incarnation")
 		h.endAllRuns(now, t, "another incarnation")
 		t.failedRenewals++
 	case medlargw.OrderUnhealthy:
@@ -214,6 +215,7 @@
 // knows. A new holder that has the transfer of a run may have renewed its lease.
 func (h *Holder) endLeases(now time.Time, t *target) {
 	h.logRunsEnded(now, t, "lease ended")
+	h.suspectCrash(t)
 	for _, r := range t.sortedRuns() {
 		if r.transferred {
 			h.endRun(now, r, medlargw.TaskUnknown, "lease ended after a transfer")
--- a/holder/report.go
+++ b/holder/report.go
@@ -85,6 +85,7 @@
 		h.handleFenced(now, t)
 		return
 	case medlargw.OrderWrongIncarnation:
+		h.recordCrash(now, t, nil, "another incarnation")
 		h.endAllRuns(now, t, "another incarnation")
 		h.renewalFailed(now, t, nil)
 		return
@@ -98,7 +99,7 @@
 	h.renewalAnswered(now, t, report)
 	// The answer to an extra renewal may have overtaken this one.
 	overtaken := report.IncarnationStart.Equal(t.incarnationStart) && report.Clock < t.clock
-	h.checkIncarnation(t, report)
+	h.checkIncarnation(now, t, report)
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
 	if !overtaken {
@@ -141,7 +142,7 @@
 		h.log.Info("target answers again", zap.String("target", string(t.info.Name)), zap.Duration("silent", now.Sub(t.lastAnswer)))
 	}
 	t.failedRenewals = 0
-	t.closedAt, t.refusedAt = time.Time{}, time.Time{}
+	h.withdrawCrash(t, report)
 	if !t.claimed {
 		h.tokens.accepted()
 		t.claimed = true
@@ -154,12 +155,14 @@
 // new incarnation. The report lists the runs that are active in it. The target
 // may also have carried out an order meant for its former incarnation, under a
 // lease that it limited to LeaseSettings.Longest.
-func (h *Holder) checkIncarnation(t *target, report *medlargw.RunReport) {
+func (h *Holder) checkIncarnation(now time.Time, t *target, report *medlargw.RunReport) {
 	if report.IncarnationStart.IsZero() || report.IncarnationStart.Equal(t.incarnationStart) {
 		return
 	}
 	if !t.incarnationStart.IsZero() {
 		h.log.Info("new incarnation of a target", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
+		h.recordCrash(now, t, nil, "new incarnation")
+		t.crashed = false
 	}
 	t.incarnationStart = report.IncarnationStart
 	t.lastEnd = 0
--- a/holder/target.go
+++ b/holder/target.go
@@ -38,8 +38,10 @@
 	stopSent     time.Time
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why the run is stopped.
-	countedSlow  bool      // The run was recorded as slow in the target's health.
-	ratio        float64   // Projected run time divided by the one expected on its target; zero is unknown.
+	crash        medlargw.CrashState
+	blame        float64 // Share in the crash of the target.
+	countedSlow  bool    // The run was recorded as slow in the target's health.
+	ratio        float64 // Projected run time divided by the one expected on its target; zero is unknown.
 }
 
 // target is a target that this entry holds or is about to claim.
@@ -67,6 +69,7 @@
 	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
 	closedAt       time.Time // When the target first closed or refused a connection since it last answered; zero is not.
+	crashed        bool      // Its process has ended unplanned since it last answered.
 	refusedAt      time.Time // When the target first refused a connection since it last answered; zero is not.
 	addedAt        time.Time // When this entry became its owner.
 
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -91,6 +91,8 @@
 		DueUs:      t.TimeToObjective.Microseconds(),
 		DeadlineUs: t.TimeToDeadline.Microseconds(),
 		Queue:      t.MayQueue,
+		Service:    string(t.Service),
+		Suspect:    t.Suspect,
 	}
 	for _, name := range t.Avoid {
 		w.Avoid = append(w.Avoid, string(name))
@@ -111,6 +113,8 @@
 		TimeToObjective: microsToDuration(w.GetDueUs()),
 		TimeToDeadline:  microsToDuration(w.GetDeadlineUs()),
 		MayQueue:        w.GetQueue(),
+		Service:         medlargw.ServiceName(w.GetService()),
+		Suspect:         w.GetSuspect(),
 	}
 	for _, name := range w.GetAvoid() {
 		t.Avoid = append(t.Avoid, medlargw.TargetName(name))
@@ -196,7 +200,7 @@
 		Room:        encodeHolderResources(&r.FreeResources),
 	}
 	for _, s := range r.States {
-		w.States = append(w.States, &wire.OfferedState{Id: uint64(s.ID), State: int32(s.State)})
+		w.States = append(w.States, &wire.OfferedState{Id: uint64(s.ID), State: int32(s.State), Target: string(s.Target)})
 	}
 	return w
 }
@@ -211,6 +215,8 @@
 		r.States = append(r.States, medlargw.OfferedState{
 			ID:    medlargw.TaskID(s.GetId()),
 			State: medlargw.OfferState(s.GetState()),
+
+			Target: medlargw.TargetName(s.GetTarget()),
 		})
 	}
 	return r
@@ -227,6 +233,8 @@
 			Target:    string(e.Target),
 			ElapsedUs: e.Elapsed.Microseconds(),
 			Reason:    e.Reason,
+			Crash:     int32(e.Crash),
+			Blame:     e.Blame,
 		})
 	}
 	return w
@@ -242,11 +250,29 @@
 			Target:  medlargw.TargetName(e.GetTarget()),
 			Elapsed: microsToDuration(e.GetElapsedUs()),
 			Reason:  e.GetReason(),
+			Crash:   decodeCrash(e.GetCrash()),
+			Blame:   decodeShare(e.GetBlame()),
 		})
 	}
 	return r
 }
 
+// decodeCrash returns CrashNone for a state that this build does not know.
+func decodeCrash(state int32) medlargw.CrashState {
+	if s := medlargw.CrashState(state); s == medlargw.CrashPossible || s == medlargw.CrashProven {
+		return s
+	}
+	return medlargw.CrashNone
+}
+
+// decodeShare returns zero for a value that is no share.
+func decodeShare(share float64) float64 {
+	if share >= 0 && share <= 1 {
+		return share
+	}
+	return 0
+}
+
 func encodePeer(p *medlargw.Peer) *wire.Member {
 	return &wire.Member{
 		Host:        string(p.Host),
--- a/offer.go
+++ b/offer.go
@@ -25,6 +25,7 @@
 	Run             RunID
 	Payload         []byte
 	Pool            PoolName
+	Service         ServiceName   // Of its job; empty is unknown.
 	Resources       Resources     // That the task takes of a target.
 	Rank            int           // Of its class; zero is the highest priority.
 	Estimate        time.Duration // Expected run time on a target of usual speed.
@@ -32,6 +33,7 @@
 	TimeToDeadline  time.Duration // Time left until its result is useless.
 	Avoid           []TargetName  // The latest targets on which a run of the task failed, was stopped or did not start.
 	MayQueue        bool          // Whether it may wait at the holder.
+	Suspect         bool          // Whether it is likely to crash the target that starts it.
 }
 
 // Offer asks a holder to run, return or stop tasks. It also shows the holder
@@ -68,8 +70,9 @@
 
 // OfferedState is the state of one task of an offer.
 type OfferedState struct {
-	ID    TaskID
-	State OfferState
+	ID     TaskID
+	State  OfferState
+	Target TargetName // Where the task was started; empty is unknown.
 }
 
 // OfferReply answers an Offer.
@@ -121,6 +124,10 @@
 	Target  TargetName    // Where the task ran; empty if it was not started.
 	Elapsed time.Duration // Run time, if the run has ended, as on a target of usual speed.
 	Reason  string        // Cause of the event, for logs.
+	// What is known of the crash of the target. A report of TaskStarted with it comes
+	// before the proof of the end of the run, which another report brings.
+	Crash CrashState
+	Blame float64 // Share of the run in the crash of the target, if it has crashed; from 0 to 1.
 	// TakenOver means that the run was started by another holder, which its home
 	// believes to hold it. It is not sent to the home.
 	TakenOver bool
