Holder: renewals that a crashed target refuses don't put off the end of its lease

The neighbours of a task that crashes its target waited 1.2 s until they could start again: each renewal that was refused counted as if it might have renewed the lease. Now a target that has closed or refused a connection gets no longer lease until it answers, so that its runs have certainly ended 0.8 s after the last renewal that it may have got.

--- a/holder/crash_test.go
+++ b/holder/crash_test.go
@@ -119,3 +119,35 @@
 		t.Errorf("blame of a young and an old run: got %.2f and %.2f, want at least 0.75 and at most 0.25", blame[2], blame[1])
 	}
 }
+
+// TestLeaseOfCrashedTarget guards against neighbours that wait too long: renewals that
+// a crashed target refuses must not put off the end of its lease, after which the
+// runs can start elsewhere. A target that only lost a channel keeps its lease.
+func TestLeaseOfCrashedTarget(t *testing.T) {
+	x := newFixture(t)
+	x.now = x.now.Add(300 * time.Millisecond) // The claim has granted more than a renewal does.
+	x.report(medlargw.RunReport{Clock: 1300 * time.Millisecond, IncarnationStart: start})
+	_, a := x.offer(1, 14000)
+	x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{Clock: 1300 * time.Millisecond}, nil)
+	sent := x.now
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, medlargw.ErrConnectionClosed)
+	for x.now.Sub(sent) < 3*time.Second {
+		x.now = x.now.Add(10 * time.Millisecond)
+		x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+		x.h.Tick(x.now)
+		a := x.takeActions()
+		for _, e := range a.Reports {
+			if got, want := x.now.Sub(sent), 900*time.Millisecond; e.Event == medlargw.TaskStopped && got > want {
+				t.Errorf("end of the run: got it %v after the last renewal, want at most %v", got, want)
+			}
+			if e.Event == medlargw.TaskStopped {
+				return
+			}
+		}
+		if len(a.Renewals) > 0 {
+			x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, medlargw.ErrConnectionRefused)
+		}
+	}
+	t.Error("end of the run: got none, want one")
+}
--- a/holder/report.go
+++ b/holder/report.go
@@ -32,7 +32,9 @@
 	if t.failedRenewals > 0 {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
-	if now.Sub(t.lastAnswer) < h.settings.Lease/2 && !t.mustLapse(now, &h.settings) {
+	// A target whose process may have ended gets no longer lease until it answers: the
+	// end of the last one is the proof that its runs have ended.
+	if now.Sub(t.lastAnswer) < h.settings.Lease/2 && t.closedAt.IsZero() && !t.mustLapse(now, &h.settings) {
 		renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease
 		t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
 	}
