Holder: a target that is new in the host list is claimed at once

The owners of targets that have left the list are kept for 10 s, so that one that is back is told from a new one. TestNewTargetIsClaimedAtOnce: 0.6 s before, at once now; 0.6 s still where the owner of a listed target that had lapsed leaves.

--- a/holder/assign.go
+++ b/holder/assign.go
@@ -22,6 +22,10 @@
 // targets of other zones, because the entries there may still be starting.
 const settleTime = 2 * time.Second
 
+// lapsedRetention is the time for which the owner of a target that has left the host
+// list is kept.
+const lapsedRetention = 10 * time.Second
+
 // SetGroup handles a change of the group: it claims the targets that this entry
 // owns now, and releases those that another entry owns.
 func (h *Holder) SetGroup(now time.Time, g medlargw.Group) {
@@ -48,12 +52,25 @@
 			t.unlistedSince = now
 		}
 	}
+	h.forgetOwners(now, listed)
+	h.applyEvacuations(now)
+}
+
+// forgetOwners forgets the owners of targets that have left the host list for a while.
+// An entry that lapses may come back, and its owner still hold the target.
+func (h *Holder) forgetOwners(now time.Time, listed map[medlargw.TargetName]bool) {
 	for name := range h.owners {
-		if !listed[name] {
+		since, lapsed := h.lapsed[name]
+		switch {
+		case listed[name]:
+			delete(h.lapsed, name)
+		case !lapsed:
+			h.lapsed[name] = now
+		case now.Sub(since) > lapsedRetention:
 			delete(h.owners, name)
+			delete(h.lapsed, name)
 		}
 	}
-	h.applyEvacuations(now)
 }
 
 // applyEvacuations takes the targets of the evacuated zones out of use for new
@@ -134,7 +151,11 @@
 	case found && owner.Incarnation == h.self.Incarnation:
 		if t == nil {
 			t = newTarget(*info)
-			t.nextRenew = now.Add(max(h.claimDelay(former.Incarnation, known), h.firstAssigned.Add(discoveryTime).Sub(now)))
+			wait := h.claimDelay(former.Incarnation, known)
+			if !known && h.knowsZone(now, info.Zone) {
+				wait = 0 // The target is new: it has no holder that could transfer it.
+			}
+			t.nextRenew = now.Add(max(wait, h.firstAssigned.Add(discoveryTime).Sub(now)))
 			h.addTarget(now, t)
 		}
 		t.releasing = false
@@ -162,6 +183,12 @@
 	}
 }
 
+// knowsZone reports whether this entry has known the owners of the targets of a zone
+// for long enough.
+func (h *Holder) knowsZone(now time.Time, zone medlargw.ZoneName) bool {
+	return zone == h.self.Zone && now.Sub(h.firstAssigned) >= settleTime
+}
+
 // claimDelay returns how long to wait for a transfer by the former owner. If
 // the former owner is unknown, it may be any other entry of the group.
 func (h *Holder) claimDelay(former medlargw.Incarnation, known bool) time.Duration {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -45,6 +45,7 @@
 	targets           map[medlargw.TargetName]*target
 	sorted            []*target                             // By name, so that the choice among equal targets is deterministic.
 	owners            map[medlargw.TargetName]medlargw.Peer // Of the targets of this entry's zone, and of those that it holds.
+	lapsed            map[medlargw.TargetName]time.Time     // When the targets in owners that are not listed left the list.
 	candidates        candidates                            // Computed at the last assignment.
 	apportioner       *apportioner.Apportioner              // Divides the targets among the candidates.
 	homes             map[medlargw.Incarnation]*home
@@ -79,6 +80,7 @@
 		tokens:   newTokenSource(self.Addr, self.Incarnation),
 		targets:  map[medlargw.TargetName]*target{},
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
+		lapsed:   map[medlargw.TargetName]time.Time{},
 		homes:    map[medlargw.Incarnation]*home{},
 
 		starts:      map[medlargw.PoolName]*guarantor.Guarantor{},
--- a/holder/restart_test.go
+++ b/holder/restart_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,3 +132,65 @@
 		})
 	}
 }
+
+// TestNewTargetIsClaimedAtOnce guards against targets that are back after a crash and
+// stay idle: one that is new in the host list has no holder whose transfer would be
+// worth waiting for. One that had only left the list may have one.
+func TestNewTargetIsClaimedAtOnce(t *testing.T) {
+	peer := medlargw.Peer{Host: "peer", Zone: self.Zone, Incarnation: 2}
+	own := medlargw.Peer{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}
+	var targets []medlargw.Target
+	for i := range 20 {
+		name := medlargw.TargetName(fmt.Sprintf("t%02d", i))
+		targets = append(targets, medlargw.Target{Name: name, Zone: self.Zone, Pool: "pool", Resources: medlargw.Resources{Cores: 32000}})
+	}
+	tests := []struct {
+		name     string
+		before   []medlargw.Target // Listed until two seconds before.
+		min, max time.Duration     // Of the claims of targets that this entry has not held, after they are listed.
+	}{
+		{"new", nil, 0, 50 * time.Millisecond},
+		{"had left the list, and their holder leaves", targets, 600 * time.Millisecond, 650 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := holder.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), self, pacer.New(0))
+			now := start
+			claims := func(d time.Duration) map[medlargw.TargetName]time.Duration {
+				all := map[medlargw.TargetName]time.Duration{}
+				for waited := time.Duration(0); waited < d; waited += 10 * time.Millisecond {
+					h.Tick(now)
+					for _, c := range h.TakeActions().Renewals {
+						if _, known := all[c.Target.Name]; !known {
+							all[c.Target.Name] = waited
+						}
+					}
+					now = now.Add(10 * time.Millisecond)
+				}
+				return all
+			}
+			g := medlargw.Group{Entries: []medlargw.Peer{own, peer}, Targets: test.before}
+			h.SetGroup(now, g)
+			held := claims(3 * time.Second)
+			g.Targets = nil
+			h.SetGroup(now, g)
+			claims(2 * time.Second)
+			g.Targets = targets
+			g.Entries[1].Leaving = len(test.before) > 0
+			h.SetGroup(now, g)
+			n := 0
+			for name, got := range claims(time.Second) {
+				if _, ok := held[name]; ok {
+					continue
+				}
+				n++
+				if got < test.min || got > test.max {
+					t.Errorf("claim of %s: got %v after the list, want %v to %v", name, got, test.min, test.max)
+				}
+			}
+			if n == 0 {
+				t.Error("claims of other targets: got none, want some")
+			}
+		})
+	}
+}
