Conductor: start orders that are too old are not sent

A start order is a permission that expires: its run may have been stopped since, and the stop answered. A target that starts again meanwhile knows nothing of that stop, and its clock starts anew, so that the end of the lease in the order is no bound either.

A goroutine that comes to send a start order after the timeout of orders reports that it was not sent, and the task starts anew (TestStartThatWasNotSent). Nothing bounds the time between that check and the write, so a target would have to be back within a moment.

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -21,6 +21,9 @@
 	registry metrics.Registry
 	starts   metrics.Counter
 	stops    metrics.Counter
+
+	expiredStarts metrics.Counter // Start orders that were too old to be sent.
+
 	renewals metrics.Counter
 	offers   metrics.Counter
 	reports  metrics.Counter
@@ -44,6 +47,9 @@
 		registry: r,
 		starts:   metrics.GetOrRegisterCounter("orders.start", r),
 		stops:    metrics.GetOrRegisterCounter("orders.stop", r),
+
+		expiredStarts: metrics.GetOrRegisterCounter("orders.expired", r),
+
 		renewals: metrics.GetOrRegisterCounter("orders.renew", r),
 		offers:   metrics.GetOrRegisterCounter("peers.offers", r),
 		reports:  metrics.GetOrRegisterCounter("peers.reports", r),
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -113,7 +114,15 @@
 
 func (c *Conductor) sendStart(cmd *medlargw.StartCommand) {
 	c.counters.starts.Inc(1)
+	created := c.clock.Now()
 	c.send(c.settings.Order, c.settings.Order, func(ctx context.Context) event {
+		// The run may have been stopped since, and the target may have started again and
+		// know nothing of that.
+		if age := c.clock.Now().Sub(created); age > c.settings.Order {
+			c.counters.expiredStarts.Inc(1)
+			err := fmt.Errorf("start order of %s is %v old: %w", cmd.Order.Run.Task, age, medlargw.ErrNotSent)
+			return func(now time.Time) { c.holder.StartAnswered(now, cmd, medlargw.OrderReply{}, err) }
+		}
 		reply, err := c.runner.StartRun(ctx, &cmd.Target, cmd.Order)
 		return func(now time.Time) { c.holder.StartAnswered(now, cmd, reply, err) }
 	})
--- a/holder/order.go
+++ b/holder/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -47,6 +48,12 @@
 	if r == nil || r.state == runRunning {
 		return
 	}
+	if errors.Is(err, medlargw.ErrNotSent) {
+		h.log.Info("start not sent", append(t.runFields(r.id), zap.Error(err))...)
+		h.requeue(now, r)
+		h.place(now)
+		return
+	}
 	if err != nil {
 		h.log.Info("start not answered", zap.String("task", r.id.Task), zap.Int("attempt", r.id.Attempt),
 			zap.String("target", string(t.info.Name)), zap.Error(err))
--- a/holder/unanswered_test.go
+++ b/holder/unanswered_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,3 +85,21 @@
 		})
 	}
 }
+
+// TestStartThatWasNotSent guards against a start order that is sent long after it was
+// made, when the run may have been stopped and its target started again: one that was
+// too old to be sent has started nothing, and the task starts anew.
+func TestStartThatWasNotSent(t *testing.T) {
+	x := newFixture(t)
+	_, a := x.offer(1, 14000)
+	first := a.Starts[0]
+	x.now = x.now.Add(300 * time.Millisecond)
+	x.h.StartAnswered(x.now, &first, medlargw.OrderReply{}, fmt.Errorf("old: %w", medlargw.ErrNotSent))
+	a = x.takeActions()
+	if len(a.Starts) != 1 || a.Starts[0].Order.Run != first.Order.Run {
+		t.Errorf("starts after one that was not sent: got %v, want the same run", a.Starts)
+	}
+	if len(a.Stops) != 0 {
+		t.Errorf("stops of a run that was not started: got %d, want none", len(a.Stops))
+	}
+}
