Holder: a crash counts whose start was not answered

The answer to the start is often lost with the crash that the task causes. When the target is back before its lease has ended, a stop that the new incarnation answers proves that the run is not there, and the run was returned without the crash, which its home took for withdrawn.

--- a/holder/crash_test.go
+++ b/holder/crash_test.go
@@ -151,3 +151,29 @@
 	}
 	t.Error("end of the run: got none, want one")
 }
+
+// TestCrashUnderUnansweredStart guards against crashes that are not counted since the
+// answer to the start was lost with them: the target is back before its lease ends, and
+// the run is returned as one that is not there.
+func TestCrashUnderUnansweredStart(t *testing.T) {
+	x := newFixture(t)
+	_, a := x.offer(1, 14000)
+	order := a.Starts[0]
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.h.StartAnswered(x.now, &order, medlargw.OrderReply{}, errors.New("no answer"))
+	stop := x.takeActions().Stops[0]
+	x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, errors.New("no answer"))
+	x.now = x.now.Add(600 * time.Millisecond)
+	x.h.StopAnswered(x.now, &stop, medlargw.OrderReply{Clock: 10 * time.Millisecond}, nil)
+	x.wait(100 * time.Millisecond)
+	a = x.report(medlargw.RunReport{Clock: 100 * time.Millisecond, IncarnationStart: start.Add(time.Second)})
+	var last medlargw.TaskReport
+	for _, e := range a.Reports {
+		if e.Event.Terminal() {
+			last = e
+		}
+	}
+	if last.Event != medlargw.TaskReturned || last.Crash != medlargw.CrashProven {
+		t.Errorf("end of the run: got %v with crash %v, want %v with %v", last.Event, last.Crash, medlargw.TaskReturned, medlargw.CrashProven)
+	}
+}
--- a/holder/home.go
+++ b/holder/home.go
@@ -148,7 +148,8 @@
 			report.Elapsed = time.Duration(float64(now.Sub(r.acked)) / r.target.rater.Slowness())
 			h.attributor.RecordRun(now, w.offered.Service, now.Sub(r.acked))
 		}
-		if event == medlargw.TaskStopped {
+		// A run whose start was not answered may have crashed the target too.
+		if event != medlargw.TaskSucceeded && event != medlargw.TaskFailed {
 			report.Crash, report.Blame = r.crash, r.blame
 		}
 	}
