Search: tasks that crash targets, and targets that are resized

TestRulesOfTargetsThatCrashAndResize: the entries of the search with jobs whose first task crashes each target that starts it, silently or not, and targets whose resources shrink (to none too) and grow with runs on them. The stand-in allows a start over the new resources for 4.5 s. Draws of the other searches are unchanged; start orders that wait for longer than their timeout are not sent there, as in the conductor.

--- a/conductor/search_caller_test.go
+++ b/conductor/search_caller_test.go
@@ -16,6 +16,7 @@
 	Cores    int64
 	Deadline time.Duration
 	Slack    float64
+	Deadly   bool // Its first task crashes each target that starts it.
 }
 
 // searchCaller submits a job, and submits it again if the answer says neither
@@ -57,6 +58,9 @@
 	for i := range c.plan.Tasks {
 		id := fmt.Sprintf("%s.%d", c.key, i)
 		w.work[id] = medlargw.SimulatedTask{RunTime: c.plan.Work, Resources: j.Resources}
+		if c.plan.Deadly && i == 0 {
+			w.work[id] = medlargw.SimulatedTask{Resources: j.Resources, Downtime: w.downtime}
+		}
 		j.Tasks = append(j.Tasks, medlargw.Task{ID: id, Payload: fmt.Appendf(nil, "%d", c.submissions)})
 	}
 	c.job = j
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -214,15 +214,24 @@
 func (e *searchEntry) sendStart(c *medlargw.StartCommand) {
 	w, name := e.w, c.Target.Name
 	w.log("%s sends start of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>32, name)
+	failed := func(err error) searchHandler {
+		return func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, err) }
+	}
 	w.order(e, startMessage, name, e.settings.Order, func(respond func(searchHandler)) {
 		reply := medlargw.OrderReply{Status: medlargw.OrderUnhealthy}
 		if !w.chance(w.unused) {
 			reply = w.targets.Start(name, c.Order)
 		}
 		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
+		if w.targets.IsDown(name) {
+			w.log("%s: crashed by %v", name, c.Order.Run)
+			w.breakConnections(name)
+			respond(failed(medlargw.ErrConnectionClosed))
+			return
+		}
 		w.targetChanged(name)
 		respond(func(now time.Time) { e.holder.StartAnswered(now, c, reply, nil) })
-	}, func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, errNoAnswer) })
+	}, failed)
 }
 
 func (e *searchEntry) sendStop(c *medlargw.StopCommand) {
@@ -233,14 +242,20 @@
 		w.log("%s: stop of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
 		w.targetChanged(name)
 		respond(func(now time.Time) { e.holder.StopAnswered(now, c, reply, nil) })
-	}, func(now time.Time) { e.holder.StopAnswered(now, c, medlargw.OrderReply{}, errNoAnswer) })
+	}, func(err error) searchHandler {
+		return func(now time.Time) { e.holder.StopAnswered(now, c, medlargw.OrderReply{}, err) }
+	})
 }
 
 func (e *searchEntry) sendRenewal(c *medlargw.RenewCommand) {
 	w, name, sent := e.w, c.Target.Name, e.w.now
+	failed := func(err error) searchHandler {
+		return func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &medlargw.RunReport{}, err) }
+	}
 	w.order(e, renewMessage, name, e.settings.Order+c.Renewal.MaxWait, func(respond func(searchHandler)) {
 		w.poll(&searchPoll{
 			name: name, renewal: c.Renewal, until: w.now.Add(c.Renewal.MaxWait),
+			broken: func() { respond(failed(medlargw.ErrConnectionClosed)) },
 			respond: func(report medlargw.RunReport) {
 				if len(report.Active)+len(report.Ended) > 0 || report.Status != medlargw.OrderDone {
 					w.log("%s: renewal of %s with token %d and acked %d: %v, active %v, ended %v",
@@ -249,12 +264,18 @@
 				respond(func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &report, nil) })
 			},
 		})
-	}, func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &medlargw.RunReport{}, errNoAnswer) })
+	}, failed)
 }
 
 // order sends an order or a renewal to a target.
-func (w *searchWorld) order(e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(func(searchHandler)), failed searchHandler) {
+func (w *searchWorld) order(e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(func(searchHandler)), failed func(error) searchHandler) {
 	w.call(e, k, string(name), limit, func(respond func(searchHandler)) {
+		if w.targets.IsDown(name) {
+			if !w.silentCrashes {
+				respond(failed(medlargw.ErrConnectionRefused))
+			}
+			return
+		}
 		if until := w.delayed[name]; until.After(w.now) {
 			process := w.processes[string(name)]
 			w.after(w.upTo(maxLateness), func() {
@@ -265,7 +286,7 @@
 			return
 		}
 		serve(respond)
-	}, failed)
+	}, failed(errNoAnswer), failed(medlargw.ErrNotSent))
 }
 
 // peerCall sends a request to the entry at an address, whatever its incarnation.
@@ -279,7 +300,7 @@
 			return
 		}
 		receiver.post(func(now time.Time) { serve(receiver, now, respond) })
-	}, failed)
+	}, failed, nil)
 }
 
 func (e *searchEntry) sendTransfer(t *medlargw.Transfer) {
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -79,6 +79,10 @@
 	searchLongest  = time.Minute
 	searchEntries  = 3
 	searchMaxSteps = 1 << 20
+	searchSpread   = 3                // Factor of the times of jobs while targets are resized.
+	searchDeadline = 15 * time.Second // Of a job that crashes targets.
+	maxAvoided     = 4
+	searchSlack    = 50 // Of a job that crashes targets.
 )
 
 // TestRulesOfTargetsUnderFaults checks that no target starts a task while another
@@ -99,13 +103,27 @@
 	search(t, rapid.Just(false), func(w *searchWorld) []string { return w.targets.Repeats() })
 }
 
+// TestRulesOfTargetsThatCrashAndResize checks the same rules while tasks crash the
+// targets that start them, and while the resources of targets shrink and grow with
+// runs on them: no task is started a third time after its third crash, and no start
+// brings a target over resources that it has had for longer than holders need to learn
+// of them.
+func TestRulesOfTargetsThatCrashAndResize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, rapid.Bool().Draw(t, "idempotent"), true, func(w *searchWorld) []string {
+			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
+		})
+	})
+}
+
 // search plays drawn courses of events, each until a rule is broken.
 func search(t *testing.T, idempotent *rapid.Generator[bool], broken func(w *searchWorld) []string) {
-	rapid.Check(t, func(t *rapid.T) { runSearch(t, idempotent.Draw(t, "idempotent"), broken) })
+	rapid.Check(t, func(t *rapid.T) { runSearch(t, idempotent.Draw(t, "idempotent"), false, broken) })
 }
 
-// runSearch plays one drawn course of events. It fails at the first broken rule.
-func runSearch(t *rapid.T, idempotent bool, broken func(w *searchWorld) []string) {
+// runSearch plays one drawn course of events, with tasks that crash targets and with
+// targets that are resized if that is set. It fails at the first broken rule.
+func runSearch(t *rapid.T, idempotent, crashAndResize bool, broken func(w *searchWorld) []string) {
 	w := newSearchWorld(rapid.Uint64().Draw(t, "seed"), t.Logf)
 	w.idempotent = idempotent
 	w.suspect = drawDuration(t, 300, 1200, "suspect")
@@ -114,7 +132,11 @@
 	w.unused = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "unhealthy")
 	fates := drawFates(t)
 	zones := rapid.SampledFrom([][]string{{"a", "a", "a"}, {"a", "a", "b"}}).Draw(t, "zones")
-	for i := range rapid.IntRange(1, 4).Draw(t, "targets") {
+	targets := rapid.IntRange(1, 4).Draw(t, "targets")
+	if crashAndResize {
+		targets += maxAvoided // A task avoids that many of those that it has crashed.
+	}
+	for i := range targets {
 		name := medlargw.TargetName(fmt.Sprintf("t%d", i))
 		w.names = append(w.names, name)
 		w.targets.Add(medlargw.Target{
@@ -129,6 +151,9 @@
 	}
 	jobs := rapid.SliceOfN(rapid.Custom(drawJob), 1, 10).Draw(t, "jobs")
 	faults := rapid.SliceOfN(rapid.Custom(drawFault), 0, 8).Draw(t, "faults")
+	if crashAndResize {
+		w.drawCrashes(t, jobs)
+	}
 	w.after(searchWarmUp, func() {
 		w.fates = fates
 		for _, j := range jobs {
@@ -145,7 +170,7 @@
 // run runs all events until the callers have their answers and nothing is under
 // way.
 func (w *searchWorld) run(t *rapid.T, broken func(w *searchWorld) []string) {
-	last := w.start.Add(searchLongest)
+	last := w.start.Add(w.longest)
 	for range searchMaxSteps {
 		w.step()
 		if all := broken(w); len(all) > 0 {
@@ -232,6 +257,37 @@
 	return fates
 }
 
+// drawCrashes draws which jobs have a task that crashes targets, and when targets are
+// resized.
+func (w *searchWorld) drawCrashes(t *rapid.T, jobs []searchJob) {
+	w.silentCrashes = rapid.Bool().Draw(t, "silent")
+	w.longest = 2 * searchLongest
+	w.downtime = drawDuration(t, 500, 3000, "downtime")
+	for i := range jobs {
+		jobs[i].At *= searchSpread // Some start after holders must have learned of all resizes.
+		if jobs[i].Deadly = rapid.SampledFrom([]bool{true, false, false}).Draw(t, "deadly"); jobs[i].Deadly {
+			jobs[i].Deadline, jobs[i].Slack = searchDeadline, searchSlack
+		}
+	}
+	type resize struct {
+		target int
+		at     time.Duration
+		cores  int64
+	}
+	resizes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) resize {
+		return resize{
+			rapid.IntRange(0, len(w.names)-1).Draw(t, "target"), drawDuration(t, 0, int(searchActive.Milliseconds()), "at"),
+			int64(rapid.SampledFrom([]int{0, 8000, 16000, 32000, 48000}).Draw(t, "cores")),
+		}
+	}), 0, 6).Draw(t, "resizes")
+	for _, r := range resizes {
+		w.after(searchWarmUp+r.at, func() {
+			w.log("%s has %d thousandths of a core", w.names[r.target], r.cores)
+			w.targets.SetResources(w.names[r.target], medlargw.Resources{Cores: r.cores, Memory: 1 << 20})
+		})
+	}
+}
+
 // disturb begins a fault.
 func (w *searchWorld) disturb(f searchFault, log *zap.Logger) {
 	e := w.entries[f.Entry]
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -90,17 +90,20 @@
 	work            map[string]medlargw.SimulatedTask
 	callers         []*searchCaller
 
-	fates      [messageKinds]messageFate
-	cuts       map[[2]string]time.Time // Ends of the cuts of one-way links.
-	delayed    map[medlargw.TargetName]time.Time
-	unlisted   map[medlargw.TargetName]time.Time
-	idempotent bool          // The jobs are idempotent.
-	suspect    time.Duration // Silence after which an entry leaves the group of another.
-	indirect   bool          // Entries tell each other whom they have heard.
-	listed     bool          // Groups have ListedEntries.
-	unused     float64       // Probability that a target rejects an order as unhealthy.
-	problems   []string      // Of outcomes.
-	endless    []string      // Events whose actions never ended.
+	fates         [messageKinds]messageFate
+	cuts          map[[2]string]time.Time // Ends of the cuts of one-way links.
+	delayed       map[medlargw.TargetName]time.Time
+	unlisted      map[medlargw.TargetName]time.Time
+	idempotent    bool          // The jobs are idempotent.
+	suspect       time.Duration // Silence after which an entry leaves the group of another.
+	indirect      bool          // Entries tell each other whom they have heard.
+	listed        bool          // Groups have ListedEntries.
+	silentCrashes bool          // Targets that crash neither close nor refuse connections.
+	longest       time.Duration // Until all jobs have an outcome.
+	downtime      time.Duration // Of the targets that the first task of a deadly job crashes.
+	unused        float64       // Probability that a target rejects an order as unhealthy.
+	problems      []string      // Of outcomes.
+	endless       []string      // Events whose actions never ended.
 }
 
 func newSearchWorld(seed uint64, trace func(format string, args ...any)) *searchWorld {
@@ -111,6 +114,7 @@
 		polls:     map[medlargw.TargetName][]*searchPoll{}, work: map[string]medlargw.SimulatedTask{}, cuts: map[[2]string]time.Time{},
 		delayed: map[medlargw.TargetName]time.Time{}, unlisted: map[medlargw.TargetName]time.Time{},
 	}
+	w.longest = searchLongest
 	w.targets = imitator.New(
 		func() time.Time { return w.now },
 		func(task string, _ []byte) medlargw.SimulatedTask { return w.work[task] },
@@ -190,12 +194,16 @@
 // arrives, and passes the event that handles the answer at the sender to respond.
 // If no answer arrives within the limit, the sender gets the event failed; nil is
 // no event.
-func (w *searchWorld) call(e *searchEntry, k messageKind, to string, limit time.Duration, serve func(respond func(searchHandler)), failed searchHandler) {
+func (w *searchWorld) call(e *searchEntry, k messageKind, to string, limit time.Duration, serve func(respond func(searchHandler)), failed, notSent searchHandler) {
 	if fate := &w.fates[k]; w.chance(fate.starved) {
 		d := w.upTo(fate.maxDelay)
 		w.log("%s from %s to %s is sent after %v", k, e.host, to, d)
 		w.after(d, func() {
-			if !e.stopped {
+			switch {
+			case e.stopped:
+			case k == startMessage && d > limit: // The order is too old.
+				e.post(notSent)
+			default:
 				w.callNow(e, k, to, limit, serve, failed)
 			}
 		})
@@ -276,6 +284,7 @@
 	renewal medlargw.Renewal
 	until   time.Time
 	respond func(medlargw.RunReport)
+	broken  func() // The target's end of the connection closes.
 }
 
 // poll carries out a renewal, and answers it at its end or at the end of a run.
@@ -308,6 +317,17 @@
 	}
 }
 
+// breakConnections ends the connections of a target that has crashed.
+func (w *searchWorld) breakConnections(name medlargw.TargetName) {
+	w.processes[string(name)]++
+	for _, p := range w.polls[name] {
+		if !w.silentCrashes {
+			p.broken()
+		}
+	}
+	w.polls[name] = nil
+}
+
 // crash starts a new incarnation of a target. Waiting renewals get no answer.
 func (w *searchWorld) crash(name medlargw.TargetName) {
 	w.targets.Crash(name)
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -20,6 +20,9 @@
 	stopDelay = 30 * time.Millisecond
 	// maxLease is the longest lease; longer ones are shortened to it.
 	maxLease = time.Second
+	// shrinkNotice is the time after which a holder must know that a target has shrunk: 3 s
+	// and a heartbeat of the target.
+	shrinkNotice = 4500 * time.Millisecond
 	// After maxCrashes crashes a task may be started maxLateStarts times more.
 	maxCrashes    = 3
 	maxLateStarts = 2
@@ -37,15 +40,17 @@
 	violations        []string
 	submissions       map[submission]*history
 	repeats           []string
-	crashes           map[string]int // Number of crashes by the task that caused them.
-	lateStarts        map[string]int // Number of starts of a task after maxCrashes.
-	usefulCoreSeconds float64        // Core-seconds of successful runs.
-	wastedCoreSeconds float64        // Core-seconds of all other runs.
+	crashes           map[submission]int // Number of crashes by the task that caused them.
+	lateStarts        map[submission]int // Number of starts of a task after maxCrashes.
+	usefulCoreSeconds float64            // Core-seconds of successful runs.
+	wastedCoreSeconds float64            // Core-seconds of all other runs.
 }
 
 // target is one simulated target.
 type target struct {
 	info         medlargw.Target
+	listedStart  time.Time // Start of the incarnation that the host list shows while the target is down.
+	larger       []formerResources
 	startedAt    time.Time
 	fencingToken uint64
 	clockRate    float64
@@ -60,6 +65,12 @@
 	faults       medlargw.TargetFaults
 }
 
+// formerResources are the resources that a target had before it shrank.
+type formerResources struct {
+	resources medlargw.Resources
+	until     time.Time // When holders must have learned that it has shrunk.
+}
+
 // run is an active run.
 type run struct {
 	id        medlargw.RunID
@@ -82,8 +93,8 @@
 		notRun:     map[string]bool{},
 
 		submissions: map[submission]*history{},
-		crashes:     map[string]int{},
-		lateStarts:  map[string]int{},
+		crashes:     map[submission]int{},
+		lateStarts:  map[submission]int{},
 	}
 }
 
@@ -110,13 +121,36 @@
 	t.changed = make(chan struct{})
 }
 
-// Targets returns all targets, ordered by name.
+// SetResources changes the resources of a target while it runs. Starts within the
+// resources that it had before are no violation until its holder must have learned of
+// the change.
+func (im *Imitator) SetResources(name medlargw.TargetName, r medlargw.Resources) {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	t := im.targets[name]
+	t.larger = append(t.larger, formerResources{t.info.Resources, im.now().Add(shrinkNotice)})
+	t.info.Resources = r
+}
+
+// covers reports whether a target has the resources, or had them not long ago.
+func (im *Imitator) covers(t *target, r medlargw.Resources) bool {
+	now := im.now()
+	t.larger = slices.DeleteFunc(t.larger, func(f formerResources) bool { return !f.until.After(now) })
+	return t.info.Resources.Covers(r) || slices.ContainsFunc(t.larger, func(f formerResources) bool { return f.resources.Covers(r) })
+}
+
+// Targets returns all targets as the host list shows them, ordered by name. It shows
+// one that is down as it was before.
 func (im *Imitator) Targets() []medlargw.Target {
 	im.mu.Lock()
 	defer im.mu.Unlock()
 	var all []medlargw.Target
 	for _, t := range im.targets {
-		all = append(all, t.info)
+		info := t.info
+		if t.startedAt.After(im.now()) {
+			info.IncarnationStart = t.listedStart
+		}
+		all = append(all, info)
 	}
 	slices.SortFunc(all, func(a, b medlargw.Target) int {
 		return slices.Compare([]byte(a.Name), []byte(b.Name))
@@ -192,6 +226,7 @@
 		im.addCoreSeconds(r, medlargw.RunStopped)
 	}
 	close(t.changed)
+	t.listedStart = t.startedAt
 	im.reset(t)
 	t.startedAt = t.startedAt.Add(downtime)
 	t.info.IncarnationStart = t.startedAt
@@ -208,7 +243,13 @@
 func (im *Imitator) Crashes(task string) int {
 	im.mu.Lock()
 	defer im.mu.Unlock()
-	return im.crashes[task]
+	n := 0
+	for of, crashes := range im.crashes {
+		if of.task == task {
+			n += crashes
+		}
+	}
+	return n
 }
 
 func (im *Imitator) addViolation(format string, args ...any) {
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -104,10 +104,10 @@
 	}
 	of := newSubmission(task, o.Payload)
 	im.recordStart(t, o.Run, of)
-	if im.crashes[task] >= maxCrashes {
-		im.lateStarts[task]++
-		if im.lateStarts[task] > maxLateStarts {
-			im.addViolation("task %s: got %d starts after %d crashes, want at most %d", task, im.lateStarts[task], maxCrashes, maxLateStarts)
+	if im.crashes[of] >= maxCrashes {
+		im.lateStarts[of]++
+		if im.lateStarts[of] > maxLateStarts {
+			im.addViolation("task %s: got %d starts after %d crashes, want at most %d", task, im.lateStarts[of], maxCrashes, maxLateStarts)
 		}
 	}
 	work := im.describe(task, o.Payload)
@@ -115,7 +115,7 @@
 	for _, r := range t.runs {
 		used = used.Add(r.resources)
 	}
-	if !t.info.Resources.Covers(used) {
+	if !im.covers(t, used) {
 		im.addViolation("room of %s: got %d thousandths of a core in use, want at most %d", t.info.Name, used.Cores, t.info.Resources.Cores)
 	}
 	if t.faults.SlowFactor > 0 {
@@ -130,7 +130,7 @@
 	}
 	t.runs[o.Run] = r
 	if work.Downtime > 0 {
-		im.crashes[task]++
+		im.crashes[of]++
 		im.crash(t, work.Downtime)
 		return
 	}
