Holder: a new incarnation of a target is used once the host list shows it

A target may start again under its name as another kind of host. The holder learned of the new incarnation from its report and went on with the resources of the former one until the list was read, up to a second later: TestSizeOfNewIncarnation started 20 cores on a target that then had 16. Now it starts nothing there until the list shows that incarnation. TestTargetThatIsResized: shrinking and growing with runs, stopping ones included, which held before. TestPolicy replaces targets without a change of the list; it is given the list after 1 s now, as on the platform (bounds unchanged, passes).

--- a/conductor/policy_test.go
+++ b/conductor/policy_test.go
@@ -223,6 +223,7 @@
 	for name, times := range s.resets {
 		for _, at := range times {
 			time.AfterFunc(at, func() { cl.sim.targets.Crash(medlargw.TargetName(name)) })
+			time.AfterFunc(at+time.Second, func() { cl.setGroups() }) // The host list is read each second.
 		}
 	}
 	if s.duringLoad != nil {
--- a/holder/target.go
+++ b/holder/target.go
@@ -145,7 +145,13 @@
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
 		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() &&
-		!t.delisted(now, s.Unlisted) && !t.mustLapse(now, s)
+		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.mustLapse(now, s)
+}
+
+// isListedBefore reports whether the host list describes a former incarnation of the
+// target. The present one may have other resources.
+func (t *target) isListedBefore() bool {
+	return !t.info.IncarnationStart.IsZero() && t.incarnationStart.After(t.info.IncarnationStart)
 }
 
 // isCold reports whether the target is expected to be slow after its start.
