Coordinator: a task whose order no target understands is given up

The same class of fault as the crashes: an end with no cause of its own was tried again without a bound, here as fast as targets answer. A start that targets answer as invalid is now tried as often as a task may fail. TestTaskThatTargetsReject: offered again after each answer before.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -93,6 +93,21 @@
 	return t.job.ended
 }
 
+// applyCrash records what an event tells of a crash, and reports whether the job has
+// ended by that.
+func (c *Coordinator) applyCrash(now time.Time, t *task, e *medlargw.TaskReport) bool {
+	switch {
+	case e.Crash == medlargw.CrashProven:
+		return c.recordCrash(now, t, crash{attempt: t.attempt, blame: e.Blame})
+	case e.Event.Terminal():
+		t.withdrawCrash(t.attempt)
+	}
+	if e.Crash == medlargw.CrashPossible && e.Event.Terminal() {
+		c.recordLoss(now, t, e.Blame, true)
+	}
+	return false
+}
+
 // withdrawCrash removes the crash under a run that has ended otherwise.
 func (t *task) withdrawCrash(attempt int) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(k crash) bool { return k.attempt == attempt })
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -158,3 +158,19 @@
 		t.Errorf("jobs after the second crash: got %d, want 0", got)
 	}
 }
+
+// TestTaskThatTargetsReject guards against a task that is offered to target after target
+// although none of them understands its order.
+func TestTaskThatTargetsReject(t *testing.T) {
+	h := newFixture(t)
+	id := h.submitStarted(1).Offer.Tasks[0].ID
+	for range 2 {
+		if h.c.JobCount() == 0 {
+			t.Fatal("job ended: got it after the first rejection, want two attempts")
+		}
+		id = h.reportEnd(id, medlargw.TaskReport{Event: medlargw.TaskReturned, Target: "t1", Reason: medlargw.ReasonInvalid})
+	}
+	if got := h.c.JobCount(); got != 0 || id != 0 {
+		t.Errorf("jobs after the second rejection: got %d and offer %d, want none", got, id)
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -61,6 +61,7 @@
 	id           medlargw.TaskID // Identifies the current offer.
 	attempt      int
 	failures     int
+	rejections   int       // Targets that did not understand its start order.
 	refusals     int       // Consecutive offers refused for lack of capacity.
 	refusedBy    []*holder // Holders that have refused it at refusedAt.
 	refusedAt    time.Time
@@ -322,6 +323,17 @@
 	c.place(now, t)
 }
 
+// recordRejection counts a target that did not understand the start order of a task. It
+// aborts the job after as many as may fail, and reports whether it has.
+func (c *Coordinator) recordRejection(now time.Time, t *task) bool {
+	t.rejections++
+	if t.rejections < t.job.job.MaxAttempts {
+		return false
+	}
+	c.abort(now, t.job, medlargw.CodeBadRequest, fmt.Sprintf("%d targets did not understand task %s", t.rejections, t.job.job.Tasks[t.index].ID))
+	return true
+}
+
 // recordFailure counts a failed run, and aborts the job if it was the last
 // allowed.
 func (c *Coordinator) recordFailure(now time.Time, t *task, target medlargw.TargetName) {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -190,13 +190,8 @@
 			zap.Stringer("crash", e.Crash), zap.Duration("elapsed", e.Elapsed), zap.String("holder", string(t.holder.peer.Host)))
 	}
 	c.setTarget(t, e.Target)
-	switch {
-	case e.Crash == medlargw.CrashProven:
-		if c.recordCrash(now, t, crash{attempt: t.attempt, blame: e.Blame}) {
-			return
-		}
-	case e.Event.Terminal():
-		t.withdrawCrash(t.attempt)
+	if c.applyCrash(now, t, e) {
+		return
 	}
 	switch e.Event {
 	case medlargw.TaskStarted:
@@ -216,11 +211,11 @@
 		c.recordFailure(now, t, e.Target)
 	case medlargw.TaskStopped:
 		c.markStarted(now, t)
-		if e.Crash == medlargw.CrashPossible {
-			c.recordLoss(now, t, e.Blame, true)
-		}
 		c.retry(now, t, e.Target)
 	case medlargw.TaskReturned:
+		if e.Reason == medlargw.ReasonInvalid && c.recordRejection(now, t) {
+			return
+		}
 		c.retry(now, t, e.Target)
 	case medlargw.TaskUnknown:
 		c.markStarted(now, t)
--- a/offer.go
+++ b/offer.go
@@ -116,6 +116,10 @@
 // for targets of evacuated zones alone.
 const ReasonEvacuated = "zone evacuated"
 
+// ReasonInvalid is the reason of a TaskReturned event of a task whose start order the
+// target did not understand.
+const ReasonInvalid = "invalid"
+
 // TaskReport is one event of one task.
 type TaskReport struct {
 	Home    Peer // Entry to send it to.
