Holder: a confined service is confined at once, and where its tasks come later

And a service that peers had confined before its first task came here was not: its pool was unknown. The sums no longer decay twice when a crash is known some time after it has happened, and a message can't make the time since the last crash overflow.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -89,17 +89,20 @@
 	}
 }
 
-// decayed returns the sums of a service at the given time.
+// decayed returns the sums of a service at the given time, or at that of their last
+// change if it is later: a crash is known some time after it has happened.
 func (a *Attributor) decayed(now time.Time, service medlargw.ServiceName) *sums {
 	s := a.own[service]
 	if s == nil {
 		s = &sums{at: now}
 		a.own[service] = s
 	}
-	factor := decay(now.Sub(s.at))
-	s.blame *= factor
-	s.exposure *= factor
-	s.at = now
+	if now.After(s.at) {
+		factor := decay(now.Sub(s.at))
+		s.blame *= factor
+		s.exposure *= factor
+		s.at = now
+	}
 	return s
 }
 
@@ -155,7 +158,6 @@
 			s.lastCrash = now
 		}
 	}
-	a.Update(now)
 }
 
 // SetPeer replaces the sums of another entry.
--- a/holder/bulkhead.go
+++ b/holder/bulkhead.go
@@ -36,6 +36,15 @@
 	h.log.Info("confined services changed", zap.Strings("services", names))
 }
 
+// recordService records the pool of a service, which may be confined by what peers have
+// seen before any task of it came here.
+func (h *Holder) recordService(service medlargw.ServiceName, pool medlargw.PoolName) {
+	h.services[service] = pool
+	if h.attributor.IsConfined(service) {
+		h.confinedPools[pool] = true
+	}
+}
+
 // admits reports whether a task may start on a target as far as crashes are concerned.
 // A suspect task runs alone; those of a confined service run on isolated targets, and
 // all others on the rest while there is such a service.
--- a/holder/crash.go
+++ b/holder/crash.go
@@ -114,6 +114,7 @@
 		shares[i] = r.blame
 	}
 	h.attributor.RecordCrash(now, suspects, shares)
+	h.updateConfined(now)
 }
 
 // breaksNear returns the number of targets whose connections broke at about a time.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -61,7 +61,7 @@
 	starts            map[medlargw.PoolName]*guarantor.Guarantor
 	startedWork       map[medlargw.PoolName]*averager.Averager   // Thousandths of a core times milliseconds.
 	answerTimes       *awaiter.Awaiter                           // Of start orders.
-	attributor        *attributor.Attributor                     // Of crashes to runs, shared with the coordinator.
+	attributor        *attributor.Attributor                     // Of crashes to runs.
 	isolator          isolator.Isolator                          // Of the targets that are set apart.
 	services          map[medlargw.ServiceName]medlargw.PoolName // Whose tasks were offered here, with their pools.
 	confinedPools     map[medlargw.PoolName]bool                 // With services whose tasks run on isolated targets only.
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -110,7 +110,7 @@
 		w := &task{home: m, offered: *o, due: now.Add(o.TimeToObjective), deadline: now.Add(o.TimeToDeadline)}
 		m.add(w)
 		h.enqueue(w)
-		h.services[o.Service] = o.Pool
+		h.recordService(o.Service, o.Pool)
 		added[i] = w
 	}
 	return added
--- a/messenger/resources.go
+++ b/messenger/resources.go
@@ -78,7 +78,7 @@
 		}
 		r.Crashes = append(r.Crashes, medlargw.ServiceCrashes{
 			Service: medlargw.ServiceName(c.GetService()), Blame: c.GetBlame(), Exposure: c.GetExposure(),
-			SinceLast: max(0, time.Duration(c.GetSinceMs())*time.Millisecond),
+			SinceLast: time.Duration(min(max(0, c.GetSinceMs()), maxSinceMs)) * time.Millisecond,
 		})
 	}
 	for _, service := range w.GetConfined() {
@@ -87,5 +87,8 @@
 	return r
 }
 
+// maxSinceMs bounds the time since the last crash in a message.
+const maxSinceMs = int64(time.Hour / time.Millisecond)
+
 // isAmount reports whether a value is a finite amount that is not negative.
 func isAmount(v float64) bool { return v >= 0 && v <= math.MaxFloat32 }
