Coordinator: a holder that has refused to queue a task is not asked again at once

The home chose the same holder again, and an offer to itself takes no time: the control goroutine went on without an end.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -174,3 +174,30 @@
 		t.Errorf("jobs after the second rejection: got %d and offer %d, want none", got, id)
 	}
 }
+
+// TestHolderThatQueuesNoSuspect guards against an entry that stands still: it offers a
+// task to its own queue, which refuses it, and offers it again at the same time. The
+// holder sets its targets apart for others, or has none left for suspects.
+func TestHolderThatQueuesNoSuspect(t *testing.T) {
+	h := newFixture(t)
+	id := h.submitStarted(1).Offer.Tasks[0].ID
+	e := crashed("t1", 0.9)
+	e.Home, e.ID = home, id
+	h.c.HandleReport(h.now, &medlargw.Report{From: medlargw.Member{Host: "h", Incarnation: holder.Incarnation}, Tasks: []medlargw.TaskReport{e}})
+	offers := 0
+	for at := time.Duration(0); at < 200*time.Millisecond; at += 20 * time.Millisecond {
+		for range 20 {
+			for _, o := range h.offers() {
+				if len(o.Offer.Tasks) > 0 {
+					offers++
+				}
+				h.answer(&o, medlargw.OfferRefused)
+			}
+		}
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.c.Tick(h.now)
+	}
+	if offers == 0 || offers > 10 {
+		t.Errorf("offers in 200ms: got %d, want 1 to 10", offers)
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -65,7 +65,8 @@
 	refusals     int       // Consecutive offers refused for lack of capacity.
 	refusedBy    []*holder // Holders that have refused it at refusedAt.
 	refusedAt    time.Time
-	rebalanced   bool // It was recalled from a queue for the free resources of another holder.
+	unqueuedBy   map[*holder]time.Time // When holders have refused to queue it.
+	rebalanced   bool                  // It was recalled from a queue for the free resources of another holder.
 	state        taskState
 	holder       *holder
 	formers      []*holder             // Former holders of its run, which may not have given it up.
@@ -88,6 +89,19 @@
 		t.refusedAt, t.refusedBy = now, nil
 	}
 	t.refusedBy = append(t.refusedBy, t.holder)
+	if t.queue {
+		if t.unqueuedBy == nil {
+			t.unqueuedBy = map[*holder]time.Time{}
+		}
+		t.unqueuedBy[t.holder] = now
+	}
+}
+
+// mayQueueAt reports whether the task may be offered to a holder's queue. One that has
+// just refused that is not asked again at once: a refusal by this entry takes no time.
+func (t *task) mayQueueAt(now time.Time, h *holder) bool {
+	at, refused := t.unqueuedBy[h]
+	return !refused || now.Sub(at) >= probeInterval
 }
 
 // refusedNow reports whether the holder has refused the task at this time, and the
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -133,7 +133,7 @@
 	var shortest time.Duration
 	for _, h := range c.byDistance {
 		p := h.poolFor(t)
-		if p == nil || p.TotalCores == 0 || !h.acceptsOffers() || c.mustWait(now, h) {
+		if p == nil || p.TotalCores == 0 || !h.acceptsOffers() || c.mustWait(now, h) || !t.mayQueueAt(now, h) {
 			continue
 		}
 		wait := max(0, p.NextEnd-now.Sub(h.resourcesAt)) + time.Duration(p.WorkAhead(m.Rank)/p.TotalCores)*time.Millisecond
