Attributor: a service is confined only where that costs less than its crashes

A service is confined from 0.06 crashes a second and target on (0.03 before), with which a fifth of the targets is down, and released below 0.02.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -37,11 +37,13 @@
 	// addition to that of its service, in the units of that.
 	suspectRate = 0.02
 	// minBlame is the blame from which a service is confined, minBlameShare its share of
-	// all blame, and minRate its crashes per second and target: with the time that a
-	// target takes to start again, a tenth of the targets is down.
+	// all blame, and minRate its crashes per second and target. With the time that a
+	// target takes to start again a fifth of the targets is down then, and confinement
+	// costs the others less. Below keptRate a confined service is released.
 	minBlame      = 2
 	minBlameShare = 0.5
-	minRate       = 0.03
+	minRate       = 0.06
+	keptRate      = 0.02
 	// minOtherExposure is the least share of the exposure that other services have when
 	// a service is confined. There is nothing to protect from a service that has all
 	// targets for itself.
@@ -210,7 +212,7 @@
 
 // Update decides which services are confined, and reports whether that has changed.
 // A service is confined when it crashes a large part of the targets, and released when
-// it has caused no crash for a while.
+// it has caused no crash for a while or only few.
 func (a *Attributor) Update(now time.Time) bool {
 	if len(a.confined) == 0 && !a.hasBlame(now) {
 		return false
@@ -221,7 +223,7 @@
 		switch {
 		case service == targets:
 		case a.confined[service]:
-			if c.SinceLast > a.quiet {
+			if c.SinceLast > a.quiet || c.Blame < keptRate*all[targets].Exposure {
 				delete(a.confined, service)
 				changed = true
 			}
