Holder: a target that has not answered claims is reached before it is claimed again

Cause: entries of the other zones take the targets of a zone without entries for theirs and repeat the claim each 2 s. When the links come back, a claim may reach a target before the entries hear of each other, and its holder, which lives, loses its runs. Two act in a hand-over, since reaching a target is taken for the proof that nobody holds it.

Ruled out: a claim with a token of zero as a question (an order with a fence number that two holders share); longer pauses (the chance stays).

--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -22,6 +22,7 @@
 	starts   metrics.Counter
 	stops    metrics.Counter
 
+	probes        metrics.Counter // Of targets whose claims were not answered.
 	expiredStarts metrics.Counter // Start orders that were too old to be sent.
 
 	renewals metrics.Counter
@@ -48,6 +49,7 @@
 		starts:   metrics.GetOrRegisterCounter("orders.start", r),
 		stops:    metrics.GetOrRegisterCounter("orders.stop", r),
 
+		probes:        metrics.GetOrRegisterCounter("orders.probe", r),
 		expiredStarts: metrics.GetOrRegisterCounter("orders.expired", r),
 
 		renewals: metrics.GetOrRegisterCounter("orders.renew", r),
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -168,6 +168,13 @@
 	return report, errors.Join(err, r.respond(ctx, t.Name))
 }
 
+func (r *fakeRunner) Reach(ctx context.Context, t *medlargw.Target) error {
+	if err := r.deliver(ctx, t.Name, 0, func() {}); err != nil {
+		return err
+	}
+	return r.respond(ctx, t.Name)
+}
+
 // fakeMessenger carries messages between the entries.
 type fakeMessenger struct {
 	sim  *simulation
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -20,7 +20,7 @@
 		fromCoord := c.coord.TakeActions(now)
 		fromHolder := c.holder.TakeActions()
 		if len(fromCoord.Offers)+len(fromCoord.Finished)+len(fromHolder.Starts)+len(fromHolder.Stops)+
-			len(fromHolder.Renewals)+len(fromHolder.Reports)+len(fromHolder.Transfers) == 0 {
+			len(fromHolder.Renewals)+len(fromHolder.Reports)+len(fromHolder.Transfers)+len(fromHolder.Probes) == 0 {
 			break
 		}
 		changed = true
@@ -85,6 +85,9 @@
 	for i := range a.Transfers {
 		c.sendTransfer(&a.Transfers[i])
 	}
+	for i := range a.Probes {
+		c.sendProbe(&a.Probes[i])
+	}
 }
 
 // send makes a call on another goroutine, and posts the event that it returns
@@ -150,6 +153,15 @@
 	})
 }
 
+// sendProbe looks whether a target accepts connections.
+func (c *Conductor) sendProbe(t *medlargw.Target) {
+	c.counters.probes.Inc(1)
+	c.send(c.settings.Order, c.settings.Order, func(ctx context.Context) event {
+		err := c.runner.Reach(ctx, t)
+		return func(now time.Time) { c.holder.ProbeAnswered(now, t.Name, err) }
+	})
+}
+
 func (c *Conductor) sendTransfer(t *medlargw.Transfer) {
 	c.log.Info("transferring targets", zap.String("to", string(t.To.Host)), zap.Int("targets", len(t.Targets)))
 	c.send(c.settings.Call, c.settings.Call, func(ctx context.Context) event {
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -177,7 +177,7 @@
 			break // The conductor would go on.
 		}
 		a, b := e.coord.TakeActions(now), e.holder.TakeActions()
-		if len(a.Offers)+len(a.Finished)+len(b.Starts)+len(b.Stops)+len(b.Renewals)+len(b.Reports)+len(b.Transfers) == 0 {
+		if len(a.Offers)+len(a.Finished)+len(b.Starts)+len(b.Stops)+len(b.Renewals)+len(b.Reports)+len(b.Transfers)+len(b.Probes) == 0 {
 			break
 		}
 		changed = true
@@ -209,6 +209,12 @@
 	for i := range a.Transfers {
 		e.sendTransfer(&a.Transfers[i])
 	}
+	for _, t := range a.Probes {
+		probed := func(err error) searchHandler {
+			return func(now time.Time) { e.holder.ProbeAnswered(now, t.Name, err) }
+		}
+		e.w.order(e, renewMessage, t.Name, e.settings.Order, func(respond func(searchHandler)) { respond(probed(nil)) }, probed)
+	}
 }
 
 func (e *searchEntry) sendStart(c *medlargw.StartCommand) {
--- a/holder/report.go
+++ b/holder/report.go
@@ -20,6 +20,11 @@
 func (h *Holder) renew(now time.Time, t *target) {
 	t.renewing = true
 	t.awaitsConfirm = false
+	if !t.claimed && t.failedRenewals > 1 {
+		t.reaching = true
+		h.actions.Probes = append(h.actions.Probes, t.info)
+		return
+	}
 	if !t.claimed {
 		t.token = h.tokens.next()
 		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{
@@ -124,6 +129,24 @@
 	h.place(now)
 }
 
+// ProbeAnswered handles whether a target accepts connections whose claims were not
+// answered. It may have been cut off from this entry together with its holder, of which
+// this entry hears only some time after: a claim at once would take the target from a
+// holder that lives.
+func (h *Holder) ProbeAnswered(now time.Time, name medlargw.TargetName, err error) {
+	t := h.targets[name]
+	if t == nil || !t.reaching {
+		return
+	}
+	t.reaching, t.renewing = false, false
+	if err != nil {
+		t.nextRenew = now.Add(claimRetry)
+		return
+	}
+	t.failedRenewals = 1
+	t.nextRenew = now.Add(transferWait)
+}
+
 // renewalFailed schedules the next attempt after a renewal that was not
 // answered or not carried out.
 func (h *Holder) renewalFailed(now time.Time, t *target, err error) {
--- a/holder/target.go
+++ b/holder/target.go
@@ -60,6 +60,7 @@
 	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
 
 	renewing       bool
+	reaching       bool          // It is being looked whether it accepts connections.
 	awaitsConfirm  bool          // The next renewal waits until homes have confirmed ends.
 	confirmWait    time.Duration // That wait; zero if it has not begun.
 	awaitedEnd     uint64        // Sequence number of the last end when that wait began.
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -216,7 +216,7 @@
 	t.lastEnd = transferred.AckedSequence
 	t.pendingEnds = nil
 	t.token = 0 // Invalidates a claim in flight, sent before the runs were known.
-	t.renewing = false
+	t.renewing, t.reaching = false, false
 	t.nextRenew = now
 	t.transferredAt = now
 	for i := range transferred.Runs {
--- a/run.go
+++ b/run.go
@@ -118,6 +118,8 @@
 	StartRun(ctx context.Context, t *Target, o StartOrder) (OrderReply, error)
 	StopRun(ctx context.Context, t *Target, o StopOrder) (OrderReply, error)
 	Renew(ctx context.Context, t *Target, r Renewal) (RunReport, error)
+	// Reach returns nil if the target accepts connections. It orders nothing.
+	Reach(ctx context.Context, t *Target) error
 }
 
 // StartCommand is a StartOrder to be sent.
@@ -146,4 +148,5 @@
 	Renewals  []RenewCommand
 	Reports   []TaskReport // Each to be sent to the home that it names, in this order.
 	Transfers []Transfer
+	Probes    []Target // Whether they accept connections.
 }
