Coordinator, holder: one place for what a confined job may use, and for kept targets

Three places chose between a holder's resources and those of its isolated targets; poolOf does now. isAdmitted repeated the conditions by which servedPools counts a target; both ask isKept. The count of simultaneous breaks is taken once a crash, not once a run.

--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -12,10 +12,7 @@
 	m := j.job
 	holders, waiting := c.request.Holders[:0], c.request.Waiting[:0]
 	for _, h := range c.byDistance {
-		if p := h.pool(m.Pool); p != nil && h.acceptsOffers() {
-			if h.confines(m) {
-				p = p.ForConfined()
-			}
+		if p := h.poolOf(m); p != nil && h.acceptsOffers() {
 			holders = append(holders, p)
 		}
 	}
@@ -73,11 +70,7 @@
 			continue
 		}
 		if h.acceptsOffers() {
-			if h.confines(m) {
-				r.Holders = append(r.Holders, p.ForConfined())
-			} else {
-				r.Holders = append(r.Holders, p)
-			}
+			r.Holders = append(r.Holders, h.poolOf(m))
 		}
 		if c.distance(h) > 0 && now.Sub(h.resourcesAt) < maxDemandAge {
 			r.Peers = append(r.Peers, p)
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -115,13 +115,22 @@
 	return slices.Contains(h.resources.Confined, m.Service)
 }
 
+// poolOf returns the reported resources that the tasks of a job may use, or nil if
+// there are none.
+func (h *holder) poolOf(m *medlargw.Job) *medlargw.PoolResources {
+	p := h.pool(m.Pool)
+	if p != nil && h.confines(m) {
+		return p.ForConfined()
+	}
+	return p
+}
+
 // poolFor returns the reported resources that a task may use, or nil if there are none.
 func (h *holder) poolFor(t *task) *medlargw.PoolResources {
-	p := h.pool(t.job.job.Pool)
-	if p != nil && (h.confines(t.job.job) || t.isSuspect() && p.IsolatedCores > 0) {
+	if p := h.pool(t.job.job.Pool); p != nil && t.isSuspect() && p.IsolatedCores > 0 {
 		return p.ForConfined()
 	}
-	return p
+	return h.poolOf(t.job.job)
 }
 
 // soonestStart returns the holder at which a queued task is expected to start
--- a/holder/bulkhead.go
+++ b/holder/bulkhead.go
@@ -74,8 +74,7 @@
 		return true
 	}
 	return slices.ContainsFunc(h.sorted, func(t *target) bool {
-		return t.info.Pool == w.offered.Pool && !t.releasing && !t.info.Draining && !t.evacuated &&
-			!t.delisted(now, h.settings.Unlisted) && h.isAdmittedTo(t, w)
+		return t.info.Pool == w.offered.Pool && t.isKept(now, &h.settings) && !t.evacuated && h.isAdmittedTo(t, w)
 	})
 }
 
--- a/holder/crash.go
+++ b/holder/crash.go
@@ -98,11 +98,11 @@
 		})
 	}
 	shares := h.attributor.Shares(at, suspects)
+	if h.breaksNear(at) > maxSingleBreaks {
+		clear(shares)
+	}
 	for i, r := range runs {
 		r.blame = shares[i]
-		if h.breaksNear(at) > maxSingleBreaks {
-			r.blame = 0
-		}
 	}
 	return runs, suspects
 }
--- a/holder/home.go
+++ b/holder/home.go
@@ -283,7 +283,7 @@
 	served, evacuated = map[medlargw.PoolName]bool{}, map[medlargw.PoolName]bool{}
 	for _, t := range h.sorted {
 		switch {
-		case t.releasing || t.info.Draining || t.delisted(now, h.settings.Unlisted):
+		case !t.isKept(now, &h.settings):
 		case t.evacuated:
 			evacuated[t.info.Pool] = true
 		default:
--- a/holder/target.go
+++ b/holder/target.go
@@ -206,6 +206,12 @@
 	return now.Sub(t.unlistedSince) > unlisted || t.failedRenewals > maxDelistedFailures
 }
 
+// isKept reports whether this entry will keep the target for new runs, evacuated or
+// not.
+func (t *target) isKept(now time.Time, s *medlargw.LeaseSettings) bool {
+	return !t.releasing && !t.info.Draining && !t.delisted(now, s.Unlisted)
+}
+
 // droppable reports whether a delisted target can be removed: it has no runs.
 func (t *target) droppable(now time.Time, unlisted time.Duration) bool {
 	return len(t.runs) == 0 && t.delisted(now, unlisted)
