--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -100,7 +100,12 @@
 		defer cancel()
 		due := time.Now().Add(limit)
 		timer := time.AfterFunc(limit, func() {
-			time.AfterFunc(min(max(c.Lag(), time.Since(due)), c.settings.Lag, extra), cancel)
+			late := min(max(c.Lag(), time.Since(due)), c.settings.Lag, extra)
+			if late <= 0 {
+				cancel()
+				return
+			}
+			time.AfterFunc(late, cancel)
 		})
 		defer timer.Stop()
 		if e := call(ctx); e != nil {
