--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -56,6 +56,7 @@
 	mu           sync.Mutex // Held while a list or a change of the membership is applied.
 	differ       *differ.Differ
 	evacuated    []medlargw.ZoneName // As last known.
+	recent       []medlargw.Peer     // Recent entries, as last read from the platform.
 
 	spawner *spawner.Spawner
 	done    chan struct{}
@@ -188,6 +189,22 @@
 	return true, nil
 }
 
+// setRecent takes the recent entries of a list that was read from the platform, and
+// reports whether they differ from the known ones.
+func (a *Assigner) setRecent(list *medlargw.HostList) bool {
+	recent := make([]medlargw.Peer, 0, len(list.Recent))
+	for _, e := range list.Recent {
+		recent = append(recent, medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr, Capacity: e.Capacity})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if slices.Equal(recent, a.recent) {
+		return false
+	}
+	a.recent = recent
+	return true
+}
+
 // completes reports whether the list has the version of the one in use, and
 // knows the evacuated zones, which that one lacks.
 func (a *Assigner) completes(list *medlargw.HostList) bool {
@@ -202,7 +219,7 @@
 		a.logEvacuations(list)
 		a.evacuated = list.Evacuated
 	}
-	a.listedAddrSetter.SetListedAddrs(addresses(list))
+	a.listedAddrSetter.SetListedAddrs(a.addresses(list))
 	a.updateGroup(a.members.Members())
 }
 
@@ -221,12 +238,18 @@
 	}
 }
 
-func addresses(list *medlargw.HostList) []netip.AddrPort {
-	var addrs []netip.AddrPort
-	for _, e := range list.Entries {
-		addrs = append(addrs, e.Addr)
+// addresses returns the addresses of the listed and of the recent entries, those of
+// this entry's zone first.
+func (a *Assigner) addresses(list *medlargw.HostList) []netip.AddrPort {
+	var near, far []netip.AddrPort
+	for _, e := range slices.Concat(list.Entries, list.Recent) {
+		if e.Zone == a.settings.Zone {
+			near = append(near, e.Addr)
+		} else {
+			far = append(far, e.Addr)
+		}
 	}
-	return addrs
+	return slices.Concat(near, far)
 }
 
 // MembersChanged updates the dispatcher's group after a change of the
@@ -243,6 +266,8 @@
 	if list := a.list.Load(); list != nil {
 		g := newGroup(list, members)
 		g.Evacuated = a.evacuated
+		g.RecentEntries = a.recent
+		g.HasFormerEnrolment = hasFormerEnrolment(list, &members[0])
 		if a.HostsAge() < staleAfter {
 			g.ListedEntries = listedPeers(list, members)
 		}
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -22,13 +22,49 @@
 func (f *fakes) SetGroup(g medlargw.Group)                        { f.groups = append(f.groups, g) }
 func (*fakes) SetListedAddrs([]netip.AddrPort)                    {}
 func (*fakes) GossipNow()                                         {}
-func (*fakes) Self() medlargw.Member                              { return medlargw.Member{Host: "a", Zone: "z"} }
+func (*fakes) Self() medlargw.Member {
+	return medlargw.Member{Host: "a", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:7720"), Incarnation: 1}
+}
 
 func (f *fakes) Members() []medlargw.Member { return []medlargw.Member{f.Self()} }
 
 // listedEntries returns the number of listed entries in the last group.
 func (f *fakes) listedEntries() int { return len(f.groups[len(f.groups)-1].ListedEntries) }
 
+// TestGroupAfterAStart reads lists that tell of a former process of this host, and lists
+// of peers, which don't. What was read once about the recent entries must stay.
+func TestGroupAfterAStart(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.2:7720")
+	elsewhere := netip.MustParseAddrPort("10.0.0.9:7720")
+	tests := []struct {
+		name  string
+		entry medlargw.EntryHost
+		want  bool
+	}{
+		{"former process", medlargw.EntryHost{Name: "a", Zone: "z", Addr: addr, Incarnation: 7}, true},
+		{"this process", medlargw.EntryHost{Name: "a", Zone: "z", Addr: addr, Incarnation: 1}, false},
+		{"process of an older build", medlargw.EntryHost{Name: "a", Zone: "z", Addr: addr}, false},
+		{"host of the same name at another address", medlargw.EntryHost{Name: "a", Zone: "z", Addr: elsewhere, Incarnation: 7}, false},
+		{"another host", medlargw.EntryHost{Name: "b", Zone: "z", Addr: addr, Incarnation: 7}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			recent := []medlargw.EntryHost{{Name: "a", Zone: "z", Addr: addr}, {Name: "b", Zone: "z", Addr: elsewhere}}
+			f := &fakes{list: medlargw.HostList{Version: 3, Entries: []medlargw.EntryHost{test.entry}, Recent: recent}}
+			a := New(zap.NewNop(), nil, medlargw.Settings{Zone: "z"}, f)
+			a.groupSetter, a.listedAddrSetter, a.gossiper, a.members = f, f, f, f
+			a.readList(t.Context())
+			if got := f.groups[0].HasFormerEnrolment; got != test.want {
+				t.Errorf("former enrolment: got %v, want %v", got, test.want)
+			}
+			a.applyList(&medlargw.HostList{Version: 4})
+			if got := len(f.groups[len(f.groups)-1].RecentEntries); got != len(recent) {
+				t.Errorf("recent entries after a list of a peer: got %d, want %d", got, len(recent))
+			}
+		})
+	}
+}
+
 // TestListedAfterAnOutage asserts that the listed entries count again as soon
 // as the platform answers, even if its list is the same as before the outage: a
 // list with an unchanged version is not applied, so that the read itself must
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -60,3 +60,11 @@
 	}
 	return all
 }
+
+// hasFormerEnrolment reports whether the list has an enrolment of this entry's host
+// that another process made.
+func hasFormerEnrolment(list *medlargw.HostList, self *medlargw.Member) bool {
+	return slices.ContainsFunc(list.Entries, func(e medlargw.EntryHost) bool {
+		return e.Name == self.Host && e.Addr == self.Addr && e.Incarnation != 0 && e.Incarnation != self.Incarnation
+	})
+}
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -93,8 +93,12 @@
 		return false
 	}
 	a.recordZoneRead(time.Now())
-	if a.applyList(&list) {
+	recentChanged := a.setRecent(&list)
+	switch {
+	case a.applyList(&list):
 		a.gossiper.GossipNow()
+	case recentChanged:
+		a.MembersChanged(nil)
 	}
 	return true
 }
--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -74,6 +74,9 @@
 	pending    int            // Jobs without an outcome.
 	relay      time.Duration  // Setting of the entries; zero hands no job over.
 	quiet      time.Duration  // Setting of the entries; zero confines no service.
+
+	addrs  map[string]netip.AddrPort // Of hosts that keep theirs when they start again.
+	recent []medlargw.Peer           // Of the groups.
 }
 
 // runCluster runs a test on a cluster with the given hosts and with five
@@ -96,7 +99,7 @@
 // start.
 func runClusterWith(t *testing.T, seed uint64, hosts []string, prepare, test func(cl *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		cl := &cluster{sim: newSimulation(t, seed), outcomes: map[string]int{}, quiet: leaseSettings().Quiet}
+		cl := &cluster{sim: newSimulation(t, seed), outcomes: map[string]int{}, quiet: leaseSettings().Quiet, addrs: map[string]netip.AddrPort{}}
 		prepare(cl)
 		for i, host := range hosts {
 			for j := range 5 {
@@ -133,16 +136,24 @@
 		all := cl.alive()
 		for _, from := range all {
 			for _, to := range all {
-				if from != to && !cl.sim.linkDown(from.host, to.host) {
-					to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{
-						FreeResources: from.conductor.FreeResources(), Lag: from.conductor.Lag(),
-					})
+				if from != to {
+					cl.heartbeat(from, to)
 				}
 			}
 		}
 	}
 }
 
+// heartbeat sends one heartbeat.
+func (cl *cluster) heartbeat(from, to *entry) {
+	if cl.sim.linkDown(from.host, to.host) {
+		return
+	}
+	to.conductor.HeartbeatReceived(medlargw.Member{Incarnation: from.peer.Incarnation}, medlargw.Digest{
+		FreeResources: from.conductor.FreeResources(), Lag: from.conductor.Lag(),
+	})
+}
+
 // zoneOf returns the zone of a host, which is the first letter of its name.
 func zoneOf(host string) string { return host[:1] }
 
@@ -154,6 +165,9 @@
 	cl.sim.isEntryHost[host] = true
 	cl.sim.mu.Unlock()
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7000)
+	if former, ok := cl.addrs[host]; ok {
+		addr = former
+	}
 	settings := medlargw.Settings{
 		Host: medlargw.HostName(host), Zone: medlargw.ZoneName(zoneOf(host)),
 		Listen: medlargw.ListenSettings{Peers: addr}, Lease: leaseSettings(),
@@ -210,7 +224,7 @@
 		if e.stopped {
 			continue
 		}
-		g := medlargw.Group{}
+		g := medlargw.Group{RecentEntries: cl.recent}
 		for _, other := range cl.entries {
 			if !other.stopped && !cl.sim.linkDown(e.host, other.host) {
 				p := other.peer
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -344,7 +344,7 @@
 func (c *Conductor) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
 	c.relays.handleHeartbeat(c.clock.Now(), from.Incarnation, d.Lag, d.FreeResources.Clock)
 	c.post(func(now time.Time) {
-		c.holder.HandleHeartbeat(now, c.uptime(now), d.FreeResources.Clock)
+		c.holder.HandleHeartbeat(now, from.Incarnation, c.uptime(now), d.FreeResources.Clock)
 		c.coord.HandleHeartbeat(now, from.Incarnation, d.Lag, d.Heard)
 		c.coord.SetFreeResources(now, from.Incarnation, d.FreeResources)
 		c.holder.SetPeerCrashes(now, from.Incarnation, d.FreeResources.Crashes)
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -30,6 +30,8 @@
 
 	silentCrashes bool // Targets that crash neither close nor refuse connections.
 
+	claims *claims // Nil to record none.
+
 	linkRate    float64 // Of each entry host and direction, in bytes per second; zero is unlimited.
 	isEntryHost map[string]bool
 	hostLinks   map[string]hostLinks
@@ -165,6 +167,9 @@
 		return medlargw.RunReport{}, err
 	}
 	report, err := r.sim.targets.Renew(ctx, t.Name, n)
+	if err == nil && report.Status == medlargw.OrderDone && r.sim.claims != nil {
+		r.sim.claims.add(t.Name, r.host)
+	}
 	return report, errors.Join(err, r.respond(ctx, t.Name))
 }
 
--- a/conductor/message_test.go
+++ b/conductor/message_test.go
@@ -120,7 +120,7 @@
 				renewals = nil
 			default:
 				c.HandleHeartbeat(now, anyMember(t).Incarnation, anyDuration(t), []medlargw.Sighting{{Incarnation: 2, Age: anyDuration(t)}})
-				h.HandleHeartbeat(now, time.Second, anyDuration(t))
+				h.HandleHeartbeat(now, anyMember(t).Incarnation, time.Second, anyDuration(t))
 				c.SetFreeResources(now, 2, anyFree(t))
 			}
 			h.Tick(now)
--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -59,7 +59,7 @@
 						receiver.hear(k.peer, k.at)
 					}
 				}
-				receiver.holder.HandleHeartbeat(now, receiver.uptime(now), resources.Clock)
+				receiver.holder.HandleHeartbeat(now, peer.Incarnation, receiver.uptime(now), resources.Clock)
 				receiver.coord.HandleHeartbeat(now, peer.Incarnation, lag, sightings)
 				receiver.coord.SetFreeResources(now, peer.Incarnation, resources)
 			})
--- /dev/null
+++ b/conductor/start_test.go
@@ -0,0 +1,122 @@
+package conductor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// claims records which hosts have claimed each target, and when first.
+type claims struct {
+	mu    sync.Mutex
+	first map[medlargw.TargetName]time.Time
+	hosts map[medlargw.TargetName][]string
+}
+
+func (c *claims) add(target medlargw.TargetName, host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.first == nil {
+		c.first, c.hosts = map[medlargw.TargetName]time.Time{}, map[medlargw.TargetName][]string{}
+	}
+	if _, claimed := c.first[target]; !claimed {
+		c.first[target] = time.Now()
+	}
+	if !slices.Contains(c.hosts[target], host) {
+		c.hosts[target] = append(c.hosts[target], host)
+	}
+}
+
+// TestFirstSecondAfterStartOfAll loses all entries at once and starts them again, each
+// at another moment. They know from the platform who was there before. Each target must
+// be claimed soon, by one entry only, and no run be lost to another holder.
+func TestFirstSecondAfterStartOfAll(t *testing.T) {
+	const (
+		maxWait    = 100 * time.Millisecond // From the owner's first group to its claims.
+		maxStagger = 200 * time.Millisecond // Between the first and the last start.
+	)
+	tests := []struct {
+		name     string
+		off      time.Duration
+		enrolled bool   // The enrolments of the former processes have not ended.
+		replaced string // A host that does not come back, and another one in its place.
+		deaf     string // A host that hears its peers late.
+	}{
+		{"enrolments not ended", 500 * time.Millisecond, true, "", ""},
+		{"enrolments ended", 1600 * time.Millisecond, false, "", ""},
+		{"one host replaced", 1600 * time.Millisecond, false, "b2", ""},
+		{"one host hears late", 1600 * time.Millisecond, false, "", "b1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runCluster(t, 11, policyHosts, func(cl *cluster) {
+				before := cl.alive()
+				var recent []medlargw.Peer
+				for _, e := range before {
+					p := e.peer
+					p.Incarnation = 0
+					recent = append(recent, p)
+					cl.addrs[e.host] = p.Addr
+				}
+				for _, e := range before {
+					cl.stop(e)
+				}
+				time.Sleep(test.off)
+				cl.sim.claims = &claims{}
+				owner := map[string]time.Time{} // First group of each host.
+				random := rand.New(rand.NewPCG(3, 5))
+				for i := range before {
+					host := before[i].host
+					if host == test.replaced {
+						host += "-new"
+					}
+					if host == test.deaf {
+						for _, other := range cl.alive() {
+							cl.sim.setLinkDown(other.host, host, true)
+							time.AfterFunc(maxStagger, func() { cl.sim.setLinkDown(other.host, host, false) })
+						}
+					}
+					e := cl.add(host)
+					owner[host] = time.Now()
+					g := medlargw.Group{Entries: []medlargw.Peer{e.peer}, RecentEntries: recent, Targets: cl.sim.targets.Targets(), HasFormerEnrolment: test.enrolled}
+					if test.enrolled {
+						g.ListedEntries = recent
+					}
+					e.conductor.SetGroup(g)
+					for j := range 3 {
+						cl.submit(e, fmt.Sprintf("first-%s-%d", host, j), 2, 200*time.Millisecond, 14000)
+					}
+					time.Sleep(time.Duration(random.Int64N(int64(maxStagger) / int64(len(before)))))
+				}
+				cl.recent = recent
+				time.Sleep(maxStagger)
+				cl.setGroups()
+				time.Sleep(3 * time.Second)
+				for _, target := range cl.sim.targets.Targets() {
+					by := cl.sim.claims.hosts[target.Name]
+					if len(by) == 0 {
+						t.Errorf("%s: got no claim, want one", target.Name)
+						continue
+					}
+					if len(by) > 1 {
+						t.Errorf("%s: got claims of %v, want one entry's", target.Name, by)
+					}
+					wait := cl.sim.claims.first[target.Name].Sub(owner[by[0]])
+					if wait > maxWait && test.replaced == "" {
+						t.Errorf("%s: got the claim of %s after %v, want at most %v", target.Name, by[0], wait, maxWait)
+					}
+				}
+				for _, e := range cl.alive() {
+					if got := e.counter("tasks.unknown"); got != 0 {
+						t.Errorf("runs lost by %s: got %d, want 0", e.host, got)
+					}
+				}
+			})
+		})
+	}
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -1,6 +1,9 @@
 // Package enroller registers this entry with the platform and renews the lease
 // of the registration. The other entries find it there, and know that it is
 // alive even if it is cut off from them but not from the platform.
+//
+// A second registration outlasts the entry. From it, an entry that starts learns which
+// entries there were before all of them stopped.
 package enroller
 
 import (
@@ -23,11 +26,20 @@
 	// renewInterval is the time between two renewals.
 	renewInterval       = leaseTTL / 3
 	platformCallTimeout = renewInterval
+	// recentTTL is the time for which a stopped entry is remembered. All entries may be
+	// away for as long as that.
+	recentTTL = time.Minute
+	// recentDelay is the time after the start before the entry is remembered. The
+	// platform and the processor have other work in the first second.
+	recentDelay = 2 * time.Second
 	// initialRetryDelay is the mean delay after the first of consecutive failed
 	// calls. A call that times out and a retry after it fit into the lease.
 	initialRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay bounds the delay after a failed call.
 	maxRetryDelay = 2 * time.Second
+	// recentRetryDelay is the delay after any failed call for the recent entries, which
+	// are needed only after the loss of all entries.
+	recentRetryDelay = recentTTL / 6
 	// retryJitter is the share by which a delay varies, so that the entries do not
 	// all call the platform at the same time after an outage.
 	retryJitter = 0.3
@@ -39,7 +51,8 @@
 	registry  *registrar.Registrar
 	enrolment medlargw.Enrolment
 	members   medlargw.Members
-	lease     uint64 // Zero when the entry is not enrolled.
+	current   registration // Ends with the entry.
+	recent    registration // Outlasts the entry.
 
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
@@ -51,9 +64,23 @@
 	_ medlargw.PreStopper = (*Enroller)(nil)
 )
 
+// registration is one registration of the entry under a lease.
+type registration struct {
+	list     string // Of the platform, for logs.
+	register func(ctx context.Context, m medlargw.Member, ttl time.Duration) (uint64, error)
+	ttl      time.Duration
+	minRetry time.Duration // Mean delay after the first of consecutive failed calls.
+	maxRetry time.Duration
+	lease    uint64 // Zero when the entry is not registered.
+}
+
 // New returns an enroller that has not started.
 func New(log *zap.Logger, reg *registrar.Registrar, enrolment medlargw.Enrolment) *Enroller {
-	return &Enroller{log: log.Named("enroller"), registry: reg, enrolment: enrolment, done: make(chan struct{})}
+	return &Enroller{
+		log: log.Named("enroller"), registry: reg, enrolment: enrolment, done: make(chan struct{}),
+		current: registration{list: "entries", register: enrolment.Enrol, ttl: leaseTTL, minRetry: initialRetryDelay, maxRetry: maxRetryDelay},
+		recent:  registration{list: "recent entries", register: enrolment.Remember, ttl: recentTTL, minRetry: recentRetryDelay, maxRetry: recentRetryDelay},
+	}
 }
 
 // Name returns "enroller".
@@ -68,20 +95,22 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	e.wg.Go(func() { e.keepEnrolled(ctx) })
+	e.wg.Go(func() { e.keepRegistered(ctx, &e.current, 0) })
+	e.wg.Go(func() { e.keepRegistered(ctx, &e.recent, recentDelay) })
 	return nil
 }
 
-// PreStop ends the renewals and the lease at the beginning of a planned stop.
+// PreStop ends the renewals, and the lease that ends with the entry, at the beginning
+// of a planned stop.
 func (e *Enroller) PreStop(ctx context.Context) error {
 	e.cancel()
 	e.wg.Wait()
-	if e.lease == 0 {
+	if e.current.lease == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
-	return e.enrolment.Revoke(ctx, e.lease)
+	return e.enrolment.Revoke(ctx, e.current.lease)
 }
 
 // Stop ends the renewals.
@@ -95,58 +124,69 @@
 // Done is closed when the renewals have ended.
 func (e *Enroller) Done() <-chan struct{} { return e.done }
 
-// keepEnrolled enrols the entry and renews its lease until the context ends.
-// After a failure it calls again with exponential backoff.
-func (e *Enroller) keepEnrolled(ctx context.Context) {
-	retry := newRetryBackOff()
+// keepRegistered registers the entry after a delay, and renews the lease until the
+// context ends. After a failure it calls again with exponential backoff.
+func (e *Enroller) keepRegistered(ctx context.Context, r *registration, delay time.Duration) {
+	retry := newRetryBackOff(r.minRetry, r.maxRetry)
 	for {
-		delay := renewInterval
-		if err := e.enrolOrRenew(ctx); err == nil {
+		if !sleep(ctx, delay) {
+			return
+		}
+		delay = r.ttl / 3
+		if err := e.registerOrRenew(ctx, r); err == nil {
 			retry.Reset()
 		} else {
 			delay = retry.NextBackOff()
 			if ctx.Err() == nil {
-				e.log.Warn("not enrolled at the platform", zap.Error(err), zap.Duration("retry", delay))
+				e.log.Warn("not enrolled at the platform", zap.String("list", r.list), zap.Error(err), zap.Duration("retry", delay))
 			}
 		}
-		timer := time.NewTimer(delay)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		}
 	}
 }
 
-func newRetryBackOff() *backoff.ExponentialBackOff {
+// sleep waits for a time, and returns false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func newRetryBackOff(initial, limit time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = initialRetryDelay
-	b.MaxInterval = maxRetryDelay
+	b.InitialInterval = initial
+	b.MaxInterval = limit
 	b.RandomizationFactor = retryJitter
 	b.Multiplier = 2
 	b.Reset()
 	return b
 }
 
-// enrolOrRenew renews the lease, or enrols the entry if it has none or the lease
-// has ended.
-func (e *Enroller) enrolOrRenew(ctx context.Context) error {
+// registerOrRenew renews the lease, or registers the entry if it has none or the
+// lease has ended.
+func (e *Enroller) registerOrRenew(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
-	if e.lease != 0 {
-		err := e.enrolment.Renew(ctx, e.lease)
+	if r.lease != 0 {
+		err := e.enrolment.Renew(ctx, r.lease)
 		if !errors.Is(err, medlargw.ErrNotFound) {
 			return err
 		}
-		e.log.Warn("enrolment had ended")
-		e.lease = 0
+		e.log.Warn("enrolment had ended", zap.String("list", r.list))
+		r.lease = 0
 	}
-	lease, err := e.enrolment.Enrol(ctx, e.members.Self(), leaseTTL)
+	lease, err := r.register(ctx, e.members.Self(), r.ttl)
 	if err != nil {
 		return err
 	}
-	e.lease = lease
-	e.log.Info("enrolled at the platform", zap.Uint64("lease", lease))
+	r.lease = lease
+	e.log.Info("enrolled at the platform", zap.String("list", r.list), zap.Uint64("lease", lease))
 	return nil
 }
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -72,6 +72,10 @@
 	return nil
 }
 
+func (p *fakePlatform) Remember(ctx context.Context, m medlargw.Member, ttl time.Duration) (uint64, error) {
+	return p.Enrol(ctx, m, ttl)
+}
+
 func (p *fakePlatform) Revoke(context.Context, uint64) error { return nil }
 
 // TestRenewalRetriedWithinLease checks that one failed or unanswered renewal does
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,11 +14,6 @@
 // from its live former owner before it claims the target itself.
 const transferWait = 600 * time.Millisecond
 
-// discoveryTime is the time after the first assignment in which an entry claims
-// no targets, so that it first learns of the entries that started at the same
-// time.
-const discoveryTime = 300 * time.Millisecond
-
 // settleTime is the time after the first assignment in which an entry claims no
 // targets of other zones, because the entries there may still be starting.
 const settleTime = 2 * time.Second
@@ -38,8 +34,9 @@
 	if h.firstAssigned.IsZero() {
 		h.firstAssigned = now
 	}
+	h.discoverer.Update(now, &g)
 	before := h.candidates
-	h.candidates = candidatesOf(&g)
+	h.candidates = candidatesOf(&g, h.discoverer.Silent(now))
 	h.isolator.Update(now, g.Targets)
 	former := h.apportion(&g, &before)
 	listed := make(map[medlargw.TargetName]bool, len(g.Targets))
@@ -56,6 +53,7 @@
 	}
 	h.forgetOwners(now, listed)
 	h.applyEvacuations(now)
+	h.claimOwned(now)
 }
 
 // forgetOwners forgets the owners of targets that have left the host list for a while.
@@ -157,7 +155,7 @@
 			if !known && h.knowsZone(now, info.Zone) {
 				wait = 0 // The target is new: it has no holder that could transfer it.
 			}
-			t.nextRenew = now.Add(max(wait, h.firstAssigned.Add(discoveryTime).Sub(now)))
+			t.nextRenew = now.Add(max(wait, h.discoverer.EarliestClaim().Sub(now)))
 			h.addTarget(now, t)
 		}
 		t.releasing = false
@@ -172,11 +170,16 @@
 // this entry may hold the targets that this entry owns now, and transfers them
 // once it knows of this entry. Claims that were due before this entry heard of
 // such a peer wait for that.
-func (h *Holder) HandleHeartbeat(now time.Time, uptime, peerUptime time.Duration) {
-	if h.postponedClaims || peerUptime < uptime+settleTime {
+func (h *Holder) HandleHeartbeat(now time.Time, from medlargw.Incarnation, uptime, peerUptime time.Duration) {
+	h.discoverer.Hear(now, from, uptime, peerUptime)
+	if h.postponedClaims || !h.discoverer.HasOlderPeer() {
+		h.claimOwned(now)
 		return
 	}
 	h.postponedClaims = true
+	if !h.firstAssigned.IsZero() {
+		h.SetGroup(now, h.group) // Without the entries that only count while none has run for long.
+	}
 	earliest := now.Add(transferWait)
 	for _, t := range h.sorted {
 		if !t.claimed && !t.renewing && t.nextRenew.Before(earliest) {
@@ -185,10 +188,25 @@
 	}
 }
 
-// knowsZone reports whether this entry has known the owners of the targets of a zone
-// for long enough.
+// claimOwned claims the targets of this entry's zone once it is known that no living
+// entry holds them.
+func (h *Holder) claimOwned(now time.Time) {
+	if h.claimedOwned || h.postponedClaims || !h.discoverer.IsComplete() {
+		return
+	}
+	h.claimedOwned = true
+	h.log.Info("claiming targets", zap.Duration("after", now.Sub(h.firstAssigned)), zap.Int("targets", len(h.sorted)))
+	for _, t := range h.sorted {
+		if t.info.Zone == h.self.Zone && !t.claimed && !t.renewing && t.failedRenewals == 0 {
+			h.renew(now, t)
+		}
+	}
+}
+
+// knowsZone reports whether this entry knows the owners of the targets of a zone
+// well enough.
 func (h *Holder) knowsZone(now time.Time, zone medlargw.ZoneName) bool {
-	return zone == h.self.Zone && now.Sub(h.firstAssigned) >= settleTime
+	return zone == h.self.Zone && (now.Sub(h.firstAssigned) >= settleTime || h.discoverer.IsComplete())
 }
 
 // claimDelay returns how long to wait for a transfer by the former owner. If
@@ -225,8 +243,8 @@
 
 // candidatesOf returns the entries of a group that may hold targets. An entry
 // that is silent but still has a lease at the platform counts in its zone: it
-// may be unreachable from this entry only.
-func candidatesOf(g *medlargw.Group) candidates {
+// may be unreachable from this entry only. So do the given silent entries.
+func candidatesOf(g *medlargw.Group, silent []medlargw.Peer) candidates {
 	c := candidates{byZone: map[medlargw.ZoneName][]medlargw.Peer{}, leaving: map[medlargw.ZoneName]bool{}}
 	known := make(map[medlargw.HostName]bool, len(g.Entries))
 	for _, p := range g.Entries {
@@ -238,8 +256,9 @@
 		c.all = append(c.all, p)
 		c.byZone[p.Zone] = append(c.byZone[p.Zone], p)
 	}
-	for _, p := range g.ListedEntries {
+	for _, p := range slices.Concat(g.ListedEntries, silent) {
 		if !known[p.Host] {
+			known[p.Host] = true
 			c.byZone[p.Zone] = append(c.byZone[p.Zone], p)
 		}
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -32,6 +32,7 @@
 	"medlargw.example/medlargw/attributor"
 	"medlargw.example/medlargw/averager"
 	"medlargw.example/medlargw/awaiter"
+	"medlargw.example/medlargw/discoverer"
 	"medlargw.example/medlargw/guarantor"
 	"medlargw.example/medlargw/isolator"
 	"medlargw.example/medlargw/pacer"
@@ -54,7 +55,9 @@
 	group             medlargw.Group
 	evacuated         map[medlargw.ZoneName]bool // Zones whose targets get no new tasks.
 	firstAssigned     time.Time                  // Zero before the first assignment.
+	discoverer        *discoverer.Discoverer     // Of the other entries, after the start.
 	postponedClaims   bool                       // The first claims wait for transfers.
+	claimedOwned      bool                       // The first claims were sent without waiting.
 	lastAssigned      time.Time
 	resourcesSequence uint64
 	minShares         map[int]float64 // Of the starts, by rank.
@@ -93,6 +96,7 @@
 		startedWork: map[medlargw.PoolName]*averager.Averager{},
 
 		apportioner: apportioner.New(),
+		discoverer:  discoverer.New(self),
 		answerTimes: awaiter.New(minOrderWait, settings.Order),
 	}
 }
@@ -125,8 +129,10 @@
 // due.
 func (h *Holder) Tick(now time.Time) {
 	h.expireHomes(now)
-	if !h.firstAssigned.IsZero() && now.Sub(h.firstAssigned) >= settleTime && h.lastAssigned.Sub(h.firstAssigned) < settleTime {
-		h.SetGroup(now, h.group) // Claims the targets of zones without an entry.
+	h.discoverer.Review(now)
+	h.claimOwned(now)
+	if h.mustReassign(now) {
+		h.SetGroup(now, h.group)
 	}
 	for _, t := range slices.Clone(h.sorted) {
 		h.tickTarget(now, t)
@@ -137,6 +143,17 @@
 	h.place(now)
 }
 
+// mustReassign reports whether the owners have changed with time alone: silent entries
+// no longer count after the start, or the targets of zones without an entry may be
+// claimed.
+func (h *Holder) mustReassign(now time.Time) bool {
+	if h.firstAssigned.IsZero() {
+		return false
+	}
+	settled := now.Sub(h.firstAssigned) >= settleTime && h.lastAssigned.Sub(h.firstAssigned) < settleTime
+	return settled || len(h.discoverer.Silent(h.lastAssigned)) > len(h.discoverer.Silent(now))
+}
+
 func (h *Holder) tickTarget(now time.Time, t *target) {
 	switch {
 	case t.droppable(now, h.settings.Unlisted):
--- a/holder/order.go
+++ b/holder/order.go
@@ -176,7 +176,10 @@
 func (h *Holder) handleFenced(now time.Time, t *target) {
 	h.tokens.rejected()
 	if !t.claimed {
-		t.nextRenew = now // Tries the claim again with a higher token.
+		t.nextRenew = now
+		if !t.releasing {
+			h.renew(now, t) // Tries the claim again with a higher token.
+		}
 		return
 	}
 	if t.transferring {
--- a/holder/restart_test.go
+++ b/holder/restart_test.go
@@ -38,7 +38,7 @@
 			for uptime := time.Duration(0); uptime < 2*time.Second; uptime += 10 * time.Millisecond {
 				now := start.Add(uptime)
 				if uptime == 150*time.Millisecond && test.peerUptime > 0 {
-					h.HandleHeartbeat(now, uptime, test.peerUptime)
+					h.HandleHeartbeat(now, 2, uptime, test.peerUptime)
 					g.Entries = append(g.Entries, medlargw.Peer{Host: "peer", Zone: "other", Incarnation: 2})
 					h.SetGroup(now, g)
 				}
@@ -56,6 +56,37 @@
 	}
 }
 
+// restarted returns a holder whose entry was there before all entries stopped. The
+// others were too, and none of them is heard. The former process is enrolled or not.
+func restarted(enrolled bool) (*holder.Holder, medlargw.Group) {
+	h := holder.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), self, pacer.New(0))
+	own := medlargw.Peer{Host: self.Host, Zone: self.Zone, Addr: self.Addr}
+	g := medlargw.Group{
+		Entries:            []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Addr: self.Addr, Incarnation: self.Incarnation}},
+		RecentEntries:      []medlargw.Peer{own},
+		HasFormerEnrolment: enrolled,
+		Targets:            []medlargw.Target{{Name: "t", Zone: self.Zone, Pool: "pool", Resources: medlargw.Resources{Cores: 32000}}},
+	}
+	return h, g
+}
+
+// TestRejectedClaimIsRepeatedAtOnce rejects the first claims of an entry that has
+// started again: the target has seen the tokens of its former process. Each claim must
+// be repeated without waiting for the next tick, and with a higher token.
+func TestRejectedClaimIsRepeatedAtOnce(t *testing.T) {
+	h, g := restarted(true)
+	h.SetGroup(start, g)
+	var last uint64
+	for n := range 5 {
+		renewals := h.TakeActions().Renewals
+		if len(renewals) != 1 || renewals[0].Renewal.FenceToken <= last {
+			t.Fatalf("claim %d: got %+v, want one with a token above %d", n, renewals, last)
+		}
+		last = renewals[0].Renewal.FenceToken
+		h.RenewAnswered(start, start, &renewals[0], &medlargw.RunReport{Status: medlargw.OrderFenced}, nil)
+	}
+}
+
 // TestTransferHasNoPayloads checks that the runs of a planned stop are handed over
 // without the payloads, which their targets have.
 func TestTransferHasNoPayloads(t *testing.T) {
--- a/loan.go
+++ b/loan.go
@@ -11,6 +11,11 @@
 	Entries           []Peer   // Live and leaving ones, this entry included.
 	HasUnknownEntries bool     // The host list has entries of this zone that this entry has no state of yet.
 	ListedEntries     []Peer   // Entries in the host list; empty if the list is out of date.
+	RecentEntries     []Peer   // As in HostList, without incarnations; this entry included.
+
+	// HasFormerEnrolment means that the platform still listed a former process of this
+	// host when this entry first read the list.
+	HasFormerEnrolment bool
 
 	// Zones whose targets get no new tasks, sorted.
 	Evacuated []ZoneName
--- a/member.go
+++ b/member.go
@@ -115,6 +115,9 @@
 	// Enrol adds the entry to the list and returns the ID of the lease. The
 	// platform removes the entry when the lease has not been renewed for the TTL.
 	Enrol(ctx context.Context, m Member, ttl time.Duration) (uint64, error)
+	// Remember adds the entry to the list of recent entries, likewise, and returns the
+	// ID of that lease.
+	Remember(ctx context.Context, m Member, ttl time.Duration) (uint64, error)
 	// Renew renews the lease. It returns ErrNotFound if the lease has ended.
 	Renew(ctx context.Context, lease uint64) error
 	// Revoke ends the lease and so removes the entry from the list.
--- a/target.go
+++ b/target.go
@@ -35,6 +35,9 @@
 	Addr      netip.AddrPort // Where it serves the other entries.
 	AdminAddr netip.AddrPort // Where it serves operators.
 	Capacity  int64          // Of the host, as in Member.
+
+	// Of the entry that is enrolled; zero is unknown. Peers don't pass it on.
+	Incarnation Incarnation
 }
 
 // HostList is the platform's list of hosts. It may be out of date.
@@ -45,6 +48,10 @@
 	Entries []EntryHost
 	History HostHistory
 
+	// Entries that were enrolled recently, whether they still are or not. Only a list
+	// that was read from the platform has them, and they don't change its version.
+	Recent []EntryHost
+
 	// Zones whose targets get no new tasks until the operators take the request
 	// back, sorted. Nil is unknown: the list comes from a peer of an older build.
 	Evacuated []ZoneName
--- a/tracker/addrs.go
+++ b/tracker/addrs.go
@@ -9,9 +9,12 @@
 	"medlargw.example/medlargw"
 )
 
-// firstProbes is the number of addresses that an entry without peers probes in one
-// round: some of them may be those of hosts that are gone.
-const firstProbes = 3
+// Numbers of addresses that an entry probes in one round. Some of them may be those of
+// hosts that are gone.
+const (
+	firstProbes = 12 // In the first round with addresses.
+	laterProbes = 3  // Afterwards, while it has no peers.
+)
 
 // dueAddrs returns the addresses to send a heartbeat to in this round: the
 // peers of this entry's zone without a recent exchange, one peer of another
@@ -35,8 +38,12 @@
 		all = append(all, p.member.Addr)
 	}
 	probes := 1
-	if len(v.peers) == 0 {
-		probes = firstProbes
+	switch {
+	case !v.hasProbed && len(v.probeAddrs) > 0:
+		v.hasProbed = true
+		return append(all, v.probeAddrs[:min(firstProbes, len(v.probeAddrs))]...)
+	case len(v.peers) == 0:
+		probes = laterProbes
 	}
 	for range probes {
 		if addr, ok := v.nextProbeAddr(); ok && !slices.Contains(all, addr) {
@@ -132,7 +139,9 @@
 func (v *view) setProbeAddrs(addrs []netip.AddrPort) {
 	v.probeAddrs = v.probeAddrs[:0]
 	for _, addr := range addrs {
-		v.addProbeAddr(addr)
+		if addr.IsValid() && addr != v.self.Addr && !slices.Contains(v.probeAddrs, addr) && len(v.probeAddrs) < maxPeers {
+			v.probeAddrs = append(v.probeAddrs, addr)
+		}
 	}
 	for _, p := range v.sortedPeers() {
 		if p.member.State == medlargw.MemberGone && p.member.Successor == "" {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -54,6 +54,7 @@
 	lastAnyFetch time.Time                    // Last fetch of any peer's view.
 	snapshot     atomic.Pointer[[]medlargw.Member]
 
+	wake    chan struct{} // Starts a round.
 	started chan struct{}
 	spawner *spawner.Spawner
 	done    chan struct{}
@@ -81,6 +82,7 @@
 		settings:    settings,
 		incarnation: incarnation,
 		lastFetch:   map[netip.AddrPort]time.Time{},
+		wake:        make(chan struct{}, 1),
 		started:     make(chan struct{}),
 		spawner:     spawner.New(),
 		done:        make(chan struct{}),
@@ -152,12 +154,20 @@
 // Members returns all known entries, this one first.
 func (t *Tracker) Members() []medlargw.Member { return *t.snapshot.Load() }
 
-// SetListedAddrs sets the addresses of the host list at which to look for
-// entries.
+// SetListedAddrs sets the addresses of the host list at which to look for entries,
+// those of this entry's zone first. It looks there at once when the first ones come.
 func (t *Tracker) SetListedAddrs(addrs []netip.AddrPort) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.view.setProbeAddrs(slices.Concat(t.settings.Peers, addrs))
+	first := !t.view.hasProbed
+	t.mu.Unlock()
+	if !first || len(addrs) == 0 {
+		return
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
 }
 
 // publishSnapshot replaces the snapshot of the members. The caller holds the
@@ -194,6 +204,7 @@
 		factor := 1 + intervalJitter*(2*rand.Float64()-1) //nolint:gosec // Spreads load, not used for security.
 		select {
 		case <-time.After(time.Duration(float64(t.settings.Group.Beat) * factor)):
+		case <-t.wake:
 		case <-ctx.Done():
 			return
 		}
