--- a/admission.go
+++ b/admission.go
@@ -53,6 +53,7 @@
 	Arrived     time.Time
 	LatestStart time.Time // Latest start with which it meets its objective.
 	Deadline    time.Time
+	Learning    bool             // Whether the home has just started, and knows few of the holders' resources.
 	Evacuated   bool             // Whether all targets of the pool are in evacuated zones.
 	LinkWait    time.Duration    // Time until the home's network link can take its tasks.
 	Holders     []*PoolResources // The latest reports of the holders that accept offers.
@@ -77,10 +78,12 @@
 
 // InvitationRequest is a refused job whose caller is to be told when to come back.
 type InvitationRequest struct {
-	Pool    PoolName
-	Rank    int
-	Work    int64            // Of all tasks, in thousandths of a core times milliseconds.
-	Wait    time.Duration    // Expected time until a start, were the job admitted now.
-	Holders []*PoolResources // The latest reports of the holders that accept offers.
-	Peers   []*PoolResources // The recent reports of all other entries, as homes.
+	Pool PoolName
+	Rank int
+	Work int64         // Of all tasks, in thousandths of a core times milliseconds.
+	Wait time.Duration // Expected time until a start, were the job admitted now.
+
+	Learning bool             // As in AdmissionRequest.
+	Holders  []*PoolResources // The latest reports of the holders that accept offers.
+	Peers    []*PoolResources // The recent reports of all other entries, as homes.
 }
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -1,5 +1,8 @@
 // Package admitter decides whether a home admits a job.
 //
+// A home that has just started, and knows few of the holders' resources, admits all
+// jobs that can end before their deadlines.
+//
 // A job for which a holder reports free resources is admitted. Otherwise it has
 // to wait, and is refused for one of these reasons:
 //
@@ -93,7 +96,7 @@
 	}
 	adm, known := assess(now, r)
 	switch {
-	case !known || adm.Wait == 0:
+	case !known || adm.Wait == 0 || r.Learning:
 	case adm.Prospect != medlargw.ProspectOnTime:
 		adm.Refusal = medlargw.RefusalWait
 	case isCongested(now, r):
@@ -124,6 +127,7 @@
 	case now.After(r.LatestStart):
 		adm.Refusal = medlargw.RefusalTooLate
 	case r.Owed: // What waits before it does not tell when it starts.
+	case r.Learning: // What the few known holders report does not tell either.
 	case now.Sub(r.Arrived) < max(minStartDecisionTime, time.Duration(startDecisionShare*float64(objective))):
 	case !known || adm.Prospect != medlargw.ProspectOnTime:
 		adm.Refusal = medlargw.RefusalWait
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -20,11 +20,16 @@
 	}
 }
 
-// full returns a holder without free resources whose queue takes the given time.
-func full(rank int, queue time.Duration) *medlargw.PoolResources {
+// full returns a holder without free resources whose queue takes the given time, and at
+// which more work of its rank arrives than it can serve.
+func full(rank int, queue time.Duration) *medlargw.PoolResources { return asked(rank, queue, 0.85) }
+
+// asked returns a holder without free resources whose queue takes the given time, and at
+// which new jobs of the rank ask for that share of its cores.
+func asked(rank int, queue time.Duration, share float64) *medlargw.PoolResources {
 	return &medlargw.PoolResources{
 		Pool: "pool", TotalCores: 100000, Free: []medlargw.Resources{{Cores: 4000}},
-		Waiting: []medlargw.RankWork{{Rank: rank, Work: 80000 * queue.Milliseconds()}},
+		Waiting: []medlargw.RankWork{{Rank: rank, Work: 80000 * queue.Milliseconds(), Arriving: int64(share * 100000 * 1000)}},
 	}
 }
 
@@ -38,6 +43,12 @@
 	return medlargw.WaitingJob{Rank: rank, Since: start.Add(-waited), TimeToObjective: 380 * time.Millisecond}
 }
 
+// learning returns the request of a home that has just started.
+func learning(r *medlargw.AdmissionRequest) *medlargw.AdmissionRequest {
+	r.Learning = true
+	return r
+}
+
 func TestAdmit(t *testing.T) {
 	const longer = 2 * time.Second
 	tests := []struct {
@@ -73,6 +84,11 @@
 			name: "queues that stand", request: request(1, full(1, 50*time.Millisecond)), waiting: []medlargw.WaitingJob{waiting(1, 40*time.Millisecond)},
 			want: medlargw.Admission{Wait: 50 * time.Millisecond, Refusal: medlargw.RefusalCongestion},
 		},
+		{
+			name: "too little known after the start", request: learning(request(1, full(1, longer))),
+			waiting: []medlargw.WaitingJob{waiting(0, time.Second)}, refused: time.Millisecond,
+			want: medlargw.Admission{Wait: longer, Prospect: medlargw.ProspectUseless},
+		},
 		{
 			name: "less urgent jobs wait", request: request(1, full(1, 50*time.Millisecond)), waiting: []medlargw.WaitingJob{waiting(2, time.Second)},
 			want: medlargw.Admission{Wait: 50 * time.Millisecond},
@@ -130,19 +146,22 @@
 
 func TestReview(t *testing.T) {
 	tests := []struct {
-		name   string
-		age    time.Duration
-		holder *medlargw.PoolResources
-		want   medlargw.RefusalReason
+		name    string
+		age     time.Duration
+		request *medlargw.AdmissionRequest
+		want    medlargw.RefusalReason
 	}{
-		{"holders have not answered yet", 70 * time.Millisecond, full(1, time.Second), medlargw.RefusalNone},
-		{"expected to start in time", 100 * time.Millisecond, full(1, 50*time.Millisecond), medlargw.RefusalNone},
-		{"chance lost", 100 * time.Millisecond, full(1, 100*time.Millisecond), medlargw.RefusalWait},
-		{"latest start passed with room elsewhere", 181 * time.Millisecond, free(), medlargw.RefusalTooLate},
+		{"holders have not answered yet", 70 * time.Millisecond, request(1, full(1, time.Second)), medlargw.RefusalNone},
+		{"expected to start in time", 100 * time.Millisecond, request(1, full(1, 50*time.Millisecond)), medlargw.RefusalNone},
+		{"chance lost", 100 * time.Millisecond, request(1, full(1, 100*time.Millisecond)), medlargw.RefusalWait},
+		{"latest start passed with room elsewhere", 181 * time.Millisecond, request(1, free()), medlargw.RefusalTooLate},
+		{"no target known", 100 * time.Millisecond, request(1), medlargw.RefusalWait},
+		{"no target known yet after the start", 100 * time.Millisecond, learning(request(1)), medlargw.RefusalNone},
+		{"latest start passed after the start", 181 * time.Millisecond, learning(request(1)), medlargw.RefusalTooLate},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := admitter.New().Review(start.Add(test.age), request(1, test.holder)).Refusal; got != test.want {
+			if got := admitter.New().Review(start.Add(test.age), test.request).Refusal; got != test.want {
 				t.Errorf("refusal: got %q, want %q", got, test.want)
 			}
 		})
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -26,11 +26,44 @@
 	c.request = medlargw.AdmissionRequest{
 		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
-		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+		Learning: c.isLearning(now, m.Pool), Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
 
+const (
+	// learningTime is the longest time after the first group in which this entry has
+	// yet to learn of the holders' resources.
+	learningTime = 500 * time.Millisecond
+	// knownShare is the share of the listed resources of a pool that holders report
+	// from which what they report tells how long jobs have to wait.
+	knownShare = 0.5
+)
+
+// isLearning reports whether this entry has just started and knows few of the
+// resources of a pool.
+func (c *Coordinator) isLearning(now time.Time, pool medlargw.PoolName) bool {
+	if c.firstGroupAt.IsZero() {
+		return true
+	}
+	if c.learned[pool] || now.Sub(c.firstGroupAt) >= learningTime {
+		return false
+	}
+	var reported, listed int64
+	for _, h := range c.byDistance {
+		if p := h.pool(pool); p != nil && h.acceptsOffers() {
+			reported += p.TotalCores
+		}
+	}
+	for i := range c.targets {
+		if t := &c.targets[i]; t.Pool == pool && !t.Draining {
+			listed += t.Resources.Cores
+		}
+	}
+	c.learned[pool] = reported > 0 && float64(reported) >= knownShare*float64(listed)
+	return !c.learned[pool]
+}
+
 // SetMinShares replaces the minimum shares of the starts, by rank.
 func (c *Coordinator) SetMinShares(shares map[int]float64) { c.admitter.SetMinShares(shares) }
 
@@ -63,7 +96,9 @@
 // invitationRequest returns the request of a job that is refused.
 func (c *Coordinator) invitationRequest(now time.Time, j *job, adm *medlargw.Admission) *medlargw.InvitationRequest {
 	m := j.job
-	r := &medlargw.InvitationRequest{Pool: m.Pool, Rank: m.Rank, Work: j.work(), Wait: adm.Wait}
+	r := &medlargw.InvitationRequest{
+		Pool: m.Pool, Rank: m.Rank, Work: j.work(), Wait: adm.Wait, Learning: c.isLearning(now, m.Pool),
+	}
 	for _, h := range c.byDistance {
 		p := h.pool(m.Pool)
 		if p == nil {
--- a/coordinator/admit_test.go
+++ b/coordinator/admit_test.go
@@ -23,7 +23,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			h := newFixture(t)
 			busy := freeResources(2, 0)
-			busy.Pools[0].Waiting = []medlargw.RankWork{{Rank: 0, Work: 64000 * 50}}
+			busy.Pools[0].Waiting = []medlargw.RankWork{{Rank: 0, Work: 64000 * 50, Arriving: 64000 * 1000}}
 			h.c.SetFreeResources(h.now, holder.Incarnation, busy)
 			h.c.Submit(h.now, job(1))
 			all := h.offers()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -46,9 +46,11 @@
 	// Pools all of whose targets are in evacuated zones.
 	evacuated map[medlargw.PoolName]bool
 	// The host list, and the positions of the targets in it.
-	targets     []medlargw.Target
-	targetIndex map[medlargw.TargetName]int
-	hasLosses   bool // Tasks may have runs that ended with targets which may have crashed.
+	targets      []medlargw.Target
+	targetIndex  map[medlargw.TargetName]int
+	firstGroupAt time.Time                  // Zero before.
+	learned      map[medlargw.PoolName]bool // Pools of which enough of the holders' resources was known once.
+	hasLosses    bool                       // Tasks may have runs that ended with targets which may have crashed.
 
 	estimator medlargw.Estimator
 	nextJob   uint64
@@ -85,6 +87,7 @@
 		inviter:     inviter.New(),
 		tasks:       map[medlargw.TaskID]*task{},
 		formerTasks: map[medlargw.TaskID]*task{},
+		learned:     map[medlargw.PoolName]bool{},
 		holders:     map[medlargw.Incarnation]*holder{},
 	}
 }
@@ -122,6 +125,9 @@
 // left the group counts as lost only when it stops answering: this entry's view
 // of the members may be out of date.
 func (c *Coordinator) SetGroup(now time.Time, g medlargw.Group) {
+	if c.firstGroupAt.IsZero() {
+		c.firstGroupAt = now
+	}
 	present := map[medlargw.Incarnation]bool{}
 	for _, p := range g.Entries {
 		present[p.Incarnation] = true
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -332,7 +332,9 @@
 // ones are not.
 func TestCongestedRankIsRefused(t *testing.T) {
 	h := newFixture(t)
-	h.c.SetFreeResources(h.now, holder.Incarnation, freeResources(2, 0))
+	busy := freeResources(2, 0)
+	busy.Pools[0].Waiting = []medlargw.RankWork{{Rank: 0, Arriving: 64000 * 1000}} // As much as the holder can serve.
+	h.c.SetFreeResources(h.now, holder.Incarnation, busy)
 	refused := func() int {
 		n := 0
 		a := h.c.TakeActions(h.now)
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -32,7 +32,9 @@
 		c.offerTo(t, h, true)
 		return
 	}
-	t.job.setWaits(now)
+	if !c.isLearning(now, t.job.job.Pool) {
+		t.job.setWaits(now)
+	}
 }
 
 func (c *Coordinator) offerTo(t *task, h *holder, queue bool) {
--- a/inviter/inviter.go
+++ b/inviter/inviter.go
@@ -93,6 +93,9 @@
 	}
 	drain = max(drain, minDrainShare*cores*1000)
 	s := v.state(r.Pool, r.Rank)
+	if r.Learning {
+		return minDelay // The work ahead and the drain are not known.
+	}
 	delay := maxDelay
 	if drain > 0 {
 		rate := max(usableShare*drain-fresh, minReturnShare*drain)
--- a/inviter/inviter_test.go
+++ b/inviter/inviter_test.go
@@ -37,6 +37,12 @@
 	}{
 		{"little waits", nil, refused(1, 0), time.Second},
 		{"no targets known", nil, &medlargw.InvitationRequest{Pool: "pool"}, 30 * time.Second},
+		{"too little known after the start", nil, &medlargw.InvitationRequest{Pool: "pool", Work: 1e9, Learning: true}, time.Second},
+		{
+			"after callers who were refused when too little was known",
+			[]*medlargw.InvitationRequest{{Pool: "pool", Rank: 1, Work: 1e9, Learning: true}},
+			refused(1, 0), time.Second,
+		},
 		{"it would wait longer", nil, &medlargw.InvitationRequest{Pool: "pool", Wait: 3 * time.Second, Holders: holders()}, 3 * time.Second},
 		{"after callers of its rank", []*medlargw.InvitationRequest{refused(1, 4*time.Second)}, refused(1, 0), 5 * time.Second},
 		{"after more urgent callers", []*medlargw.InvitationRequest{refused(0, 4*time.Second)}, refused(1, 0), 5 * time.Second},
