--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -11,6 +11,9 @@
 //     the holders were asked: the queues stand, whatever the reports say;
 //   - a more urgent job was refused a moment ago. The resources that a less urgent
 //     one would take are those that the next urgent job lacks.
+//
+// The last two apply only while the jobs of its rank and of more urgent ones ask for
+// more than the holders can serve. A queue that a short burst leaves is drained.
 package admitter
 
 import (
@@ -99,6 +102,7 @@
 	case !known || adm.Wait == 0 || r.Learning:
 	case adm.Prospect != medlargw.ProspectOnTime:
 		adm.Refusal = medlargw.RefusalWait
+	case !isOverloaded(r): // What waits is a burst, which the targets drain.
 	case isCongested(now, r):
 		adm.Refusal = medlargw.RefusalCongestion
 	case a.urgentRefused(now, r):
@@ -166,6 +170,18 @@
 	return false
 }
 
+// isOverloaded reports whether the jobs of the rank and of more urgent ones have asked
+// for more than the holders can serve, over about the last second.
+func isOverloaded(r *medlargw.AdmissionRequest) bool {
+	var arriving, cores int64
+	for _, p := range r.Holders {
+		arriving += p.ArrivingAhead(r.Rank)
+		cores += p.TotalCores
+	}
+	const perSecond = int64(time.Second / time.Millisecond)
+	return float64(arriving) >= packingEfficiency*float64(cores*perSecond)
+}
+
 // isHopeless reports whether a job that starts at the given time can hardly end
 // by its deadline.
 func isHopeless(start time.Time, r *medlargw.AdmissionRequest) bool {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -84,6 +84,16 @@
 			name: "queues that stand", request: request(1, full(1, 50*time.Millisecond)), waiting: []medlargw.WaitingJob{waiting(1, 40*time.Millisecond)},
 			want: medlargw.Admission{Wait: 50 * time.Millisecond, Refusal: medlargw.RefusalCongestion},
 		},
+		{
+			name:    "queues that a burst has left",
+			request: request(1, asked(1, 50*time.Millisecond, 0.75)), waiting: []medlargw.WaitingJob{waiting(1, 40*time.Millisecond)},
+			want: medlargw.Admission{Wait: 50 * time.Millisecond},
+		},
+		{
+			name:    "a burst in which urgent jobs were refused a moment ago",
+			request: request(1, asked(1, 50*time.Millisecond, 0.75)), refused: 150 * time.Millisecond,
+			want: medlargw.Admission{Wait: 50 * time.Millisecond},
+		},
 		{
 			name: "too little known after the start", request: learning(request(1, full(1, longer))),
 			waiting: []medlargw.WaitingJob{waiting(0, time.Second)}, refused: time.Millisecond,
--- a/conductor/overload_test.go
+++ b/conductor/overload_test.go
@@ -184,3 +184,43 @@
 		})
 	}
 }
+
+// TestShortBurstKeepsPatientJobs answers a fifth of a second of twice the
+// demand that the targets can serve, after which they drain its queues in less time than
+// the least urgent jobs can wait: none of these may be refused.
+func TestShortBurstKeepsPatientJobs(t *testing.T) {
+	const (
+		burst = 2 * time.Second
+		calm  = burst + 200*time.Millisecond
+		until = 5 * time.Second
+	)
+	patient := len(kinds) - 1
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, policyHosts, func(cl *cluster) {
+				var cores int64
+				for _, target := range cl.sim.targets.Targets() {
+					cores += target.Resources.Cores
+				}
+				g := newGenerator(seed, until, cores)
+				g.add(0, burst, 0.6)
+				g.add(burst, calm, 2)
+				g.add(calm, until, 0.6)
+				slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
+				refused, all := 0, 0
+				for _, r := range cl.runLoad(g.jobs) {
+					if r.job.kind != patient {
+						continue
+					}
+					all++
+					if r.outcome.Code == medlargw.CodeOverloaded {
+						refused++
+					}
+				}
+				if refused > 0 || all == 0 {
+					t.Errorf("refused jobs of %s: got %d of %d, want none", kinds[patient].name, refused, all)
+				}
+			})
+		})
+	}
+}
--- a/resources.go
+++ b/resources.go
@@ -119,6 +119,18 @@
 	return work
 }
 
+// ArrivingAhead returns the work of new jobs of the rank and of more urgent ones at the
+// home, per second, in thousandths of a core times milliseconds.
+func (p *PoolResources) ArrivingAhead(rank int) int64 {
+	var work int64
+	for _, w := range p.Waiting {
+		if w.Rank <= rank {
+			work += w.Arriving
+		}
+	}
+	return work
+}
+
 // HolderResources summarizes the free resources and the waiting work of a
 // holder. Of two from one incarnation of the holder, the one with the higher
 // Sequence is newer.
