--- a/holder/home.go
+++ b/holder/home.go
@@ -90,6 +90,9 @@
 // time.
 func (w *task) latestStart() time.Time { return w.due.Add(-w.offered.Estimate) }
 
+// isLate reports whether the task can no longer end by its due time.
+func (w *task) isLate(now time.Time) bool { return now.After(w.latestStart()) }
+
 // byPrecedence orders waiting tasks by the rank of their class, then by their
 // latest start.
 func byPrecedence(a, b *task) int {
--- a/holder/place.go
+++ b/holder/place.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 const maxCredit = 2
 
 // place starts the waiting tasks that fit, while the network link can take their
-// payloads. Tasks that can still end by their due time go first, and of these the
-// ones of a class that is owed a start; late tasks get the remaining resources.
+// payloads: first those of a class that is owed a start and that can still end by their
+// due time, then the others by rank. Within a rank, late tasks come last. They go before
+// less urgent ones, since the rest of their jobs has run or is running.
 func (h *Holder) place(now time.Time) {
 	if len(h.waiting) == 0 {
 		return
@@ -25,18 +27,16 @@
 	}
 	h.reserve(now)
 	if len(h.minShares) > 0 {
-		h.placeWaiting(now, false, h.isOwed)
-	}
-	for _, late := range []bool{false, true} {
-		h.placeWaiting(now, late, nil)
+		h.placeWaiting(now, func(w *task) bool { return !w.isLate(now) && h.isOwed(w) })
 	}
+	h.placeWaiting(now, nil)
 }
 
-// placeWaiting starts the waiting tasks that fit, that are late or not, and that
-// the filter accepts when it is their turn; nil accepts all.
-func (h *Holder) placeWaiting(now time.Time, late bool, filter func(w *task) bool) {
-	for _, w := range slices.Clone(h.waiting) {
-		if now.After(w.latestStart()) != late || filter != nil && !filter(w) {
+// placeWaiting starts the waiting tasks that fit, and that the filter accepts when it
+// is their turn; nil accepts all.
+func (h *Holder) placeWaiting(now time.Time, filter func(w *task) bool) {
+	for _, w := range h.byTurn(now) {
+		if filter != nil && !filter(w) {
 			continue
 		}
 		if w.home.silent(now, &h.settings) {
@@ -45,13 +45,33 @@
 		if h.pacer.Busy(now) {
 			return
 		}
-		if t := h.pickTarget(now, w, late); t != nil {
+		if t := h.pickTarget(now, w, w.isLate(now)); t != nil {
 			h.dequeue(w)
 			h.startRun(now, t, w)
 		}
 	}
 }
 
+// byTurn returns the waiting tasks in the order in which they start.
+func (h *Holder) byTurn(now time.Time) []*task {
+	all := slices.Clone(h.waiting)
+	slices.SortStableFunc(all, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.offered.Rank, b.offered.Rank), compareBools(a.isLate(now), b.isLate(now)))
+	})
+	return all
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // SetMinShares replaces the minimum shares of the starts, by rank.
 func (h *Holder) SetMinShares(shares map[int]float64) {
 	h.minShares = shares
