--- a/holder/place.go
+++ b/holder/place.go
@@ -17,7 +17,8 @@
 // place starts the waiting tasks that fit, while the network link can take their
 // payloads: first those of a class that is owed a start and that can still end by their
 // due time, then the others by rank. Within a rank, late tasks come last. They go before
-// less urgent ones, since the rest of their jobs has run or is running.
+// less urgent ones, since the rest of their jobs has run or is running. Where classes have
+// minimum shares of the starts, late tasks come after all others.
 func (h *Holder) place(now time.Time) {
 	if len(h.waiting) == 0 {
 		return
@@ -56,7 +57,11 @@
 func (h *Holder) byTurn(now time.Time) []*task {
 	all := slices.Clone(h.waiting)
 	slices.SortStableFunc(all, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.offered.Rank, b.offered.Rank), compareBools(a.isLate(now), b.isLate(now)))
+		byRank, byLateness := cmp.Compare(a.offered.Rank, b.offered.Rank), compareBools(a.isLate(now), b.isLate(now))
+		if len(h.minShares) > 0 {
+			return cmp.Or(byLateness, byRank)
+		}
+		return cmp.Or(byRank, byLateness)
 	})
 	return all
 }
