--- a/conductor/start_test.go
+++ b/conductor/start_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -120,3 +121,95 @@
 		})
 	}
 }
+
+// restartEach stops all entries at once and starts them again after a while, one after
+// the other. They know from the platform who was there before, and look for them at
+// once.
+func (cl *cluster) restartEach(off, stagger time.Duration) {
+	lost := cl.alive()
+	for _, e := range lost {
+		p := e.peer
+		p.Incarnation = 0
+		cl.recent = append(cl.recent, p)
+		cl.addrs[e.host] = p.Addr
+		cl.stop(e)
+	}
+	time.Sleep(off)
+	for _, e := range lost {
+		again := cl.add(e.host)
+		again.conductor.SetGroup(medlargw.Group{
+			Entries: []medlargw.Peer{again.peer}, RecentEntries: cl.recent, Targets: cl.sim.targets.Targets(),
+		})
+		time.Sleep(5 * time.Millisecond)
+		cl.setGroups()
+		for _, other := range cl.alive() {
+			if other != again {
+				cl.heartbeat(again, other)
+				cl.heartbeat(other, again)
+			}
+		}
+		time.Sleep(max(0, stagger/time.Duration(len(lost))-10*time.Millisecond))
+	}
+}
+
+// TestCallersAfterLossOfAll loses all entries for more than a second. The callers of
+// the last half second before their return are there when the first entry is back, and
+// the others as usual. What the targets can serve from then on must be served.
+func TestCallersAfterLossOfAll(t *testing.T) {
+	const (
+		lost      = 2 * time.Second
+		off       = 1200 * time.Millisecond
+		stagger   = 130 * time.Millisecond
+		back      = lost + off
+		held      = 550 * time.Millisecond // Callers from before the return that come then.
+		within    = 200 * time.Millisecond // Within which they come.
+		until     = back + 3*time.Second
+		minPayoff = 0.85 // Of the ideal, of the callers in the first second, as at other loads above the capacity.
+	)
+	var earned, possible, available float64
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, policyHosts, func(cl *cluster) {
+				targets := cl.sim.targets.Targets()
+				var cores int64
+				for i := range targets {
+					cores += targets[i].Resources.Cores
+				}
+				g := newGenerator(seed, until, cores)
+				g.add(0, lost, 0.7)
+				g.add(back-held, until, 0.7)
+				for i := range g.jobs {
+					if at := g.jobs[i].at; at >= lost && at < back {
+						g.jobs[i].at = back + (at-back+held)*within/held
+					}
+				}
+				slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
+				go func() {
+					time.Sleep(lost)
+					cl.restartEach(off, stagger)
+				}()
+				late := slices.IndexFunc(g.jobs, func(j loadJob) bool { return j.at >= back })
+				best := ideal(g.jobs[late:], func() []*baselineTarget { return baselineTargets(&scenario{}, targets) })
+				for i, r := range cl.runLoad(g.jobs)[late:] {
+					if r.job.at >= back+time.Second {
+						break
+					}
+					if r.outcome.Complete {
+						earned += r.job.payoffAt(r.age)
+					}
+					available += r.job.payoffAt(0)
+					if best[i].end > 0 {
+						possible += best[i].payoffAt(best[i].end - best[i].at)
+					}
+				}
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+	t.Logf("earned %.3f of what was asked for, ideal %.3f", earned/available, possible/available)
+	if got := earned / possible; got < minPayoff {
+		t.Errorf("payoff of the first second: got %.3f of the ideal, want at least %.2f", got, minPayoff)
+	}
+}
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -198,6 +198,7 @@
 	h.log.Info("claiming targets", zap.Duration("after", now.Sub(h.firstAssigned)), zap.Int("targets", len(h.sorted)))
 	for _, t := range h.sorted {
 		if t.info.Zone == h.self.Zone && !t.claimed && !t.renewing && t.failedRenewals == 0 {
+			t.unheld = true
 			h.renew(now, t)
 		}
 	}
--- a/holder/ends.go
+++ b/holder/ends.go
@@ -44,6 +44,9 @@
 // addPendingEnd records an end that was processed. The task is nil if the run is
 // unknown.
 func (t *target) addPendingEnd(now time.Time, end medlargw.RunEnd, w *task) {
+	if w == nil && t.unheld {
+		return // Nobody is left who could tell its home.
+	}
 	p := pendingEnd{end: end, task: w, expiresAt: t.claimedAt.Add(unknownEndWait)}
 	if w != nil || now.Before(p.expiresAt) {
 		t.pendingEnds = append(t.pendingEnds, p)
--- a/holder/restart_test.go
+++ b/holder/restart_test.go
@@ -87,6 +87,46 @@
 	}
 }
 
+// TestEndsThatNobodyKnows guards against targets that answer late after a start of all
+// entries. They list ends of runs that no living entry knows. While such an end is not
+// acknowledged, the target answers each renewal at once, and the holder pauses between
+// them, so that it hears late of each other end.
+func TestEndsThatNobodyKnows(t *testing.T) {
+	tests := []struct {
+		name      string
+		restarted bool
+		want      uint64 // Sequence number that the renewal after the claim acknowledges.
+	}{
+		{"no living entry", true, 3},
+		{"a living entry may transfer the runs", false, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h, g := restarted(true)
+			if !test.restarted {
+				g.RecentEntries, g.HasFormerEnrolment = nil, false
+			}
+			h.SetGroup(start, g)
+			now := start.Add(time.Second)
+			h.Tick(now)
+			claim := h.TakeActions().Renewals
+			if len(claim) != 1 {
+				t.Fatalf("claims: got %d, want 1", len(claim))
+			}
+			h.RenewAnswered(now, now, &claim[0], &medlargw.RunReport{
+				Clock: time.Second, IncarnationStart: start,
+				Ended: []medlargw.RunEnd{{Sequence: 3, Run: medlargw.RunID{Task: "a", Attempt: 1}}},
+			}, nil)
+			now = now.Add(50 * time.Millisecond)
+			h.Tick(now)
+			renewals := h.TakeActions().Renewals
+			if len(renewals) != 1 || renewals[0].Renewal.AckedSequence != test.want {
+				t.Errorf("renewals after the claim: got %+v, want one that acknowledges %d", renewals, test.want)
+			}
+		})
+	}
+}
+
 // TestTransferHasNoPayloads checks that the runs of a planned stop are handed over
 // without the payloads, which their targets have.
 func TestTransferHasNoPayloads(t *testing.T) {
--- a/holder/target.go
+++ b/holder/target.go
@@ -73,6 +73,7 @@
 	crashed        bool      // Its process has ended unplanned since it last answered.
 	refusedAt      time.Time // When the target first refused a connection since it last answered; zero is not.
 	addedAt        time.Time // When this entry became its owner.
+	unheld         bool      // It was claimed knowing that no living entry holds it.
 
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
 	isolated      bool      // It is set apart for tasks that are likely to crash it.
