--- a/holder/assign.go
+++ b/holder/assign.go
@@ -152,6 +152,7 @@
 		if t == nil {
 			t = newTarget(*info)
 			wait := h.claimDelay(former.Incarnation, known)
+			t.unheld = known && wait == 0
 			if !known && h.knowsZone(now, info.Zone) {
 				wait = 0 // The target is new: it has no holder that could transfer it.
 			}
