--- a/holder/assign.go
+++ b/holder/assign.go
@@ -150,14 +150,7 @@
 	switch {
 	case found && owner.Incarnation == h.self.Incarnation:
 		if t == nil {
-			t = newTarget(*info)
-			wait := h.claimDelay(former.Incarnation, known)
-			t.unheld = known && wait == 0
-			if !known && h.knowsZone(now, info.Zone) {
-				wait = 0 // The target is new: it has no holder that could transfer it.
-			}
-			t.nextRenew = now.Add(max(wait, h.discoverer.EarliestClaim().Sub(now)))
-			h.addTarget(now, t)
+			t = h.addOwned(now, info, former.Incarnation, known)
 		}
 		t.releasing = false
 	case t != nil && found:
@@ -166,11 +159,24 @@
 	}
 }
 
-// HandleHeartbeat handles a sign of life of a peer, which names the time since the
-// peer's start. The uptime is that of this entry. A peer that started well before
-// this entry may hold the targets that this entry owns now, and transfers them
-// once it knows of this entry. Claims that were due before this entry heard of
-// such a peer wait for that.
+// addOwned adds a target that this entry owns now, and schedules its claim, given the
+// former owner if that is known.
+func (h *Holder) addOwned(now time.Time, info *medlargw.Target, former medlargw.Incarnation, known bool) *target {
+	t := newTarget(*info)
+	wait := h.claimDelay(former, known)
+	t.unheld = known && wait == 0
+	if !known && h.knowsZone(now, info.Zone) {
+		wait = 0 // The target is new: it has no holder that could transfer it.
+	}
+	t.nextRenew = now.Add(max(wait, h.discoverer.EarliestClaim().Sub(now)))
+	h.addTarget(now, t)
+	return t
+}
+
+// HandleHeartbeat handles a sign of life of a peer, given the time since the peer's
+// start and since that of this entry. A peer that started well before this entry may
+// hold the targets that this entry owns now, and transfers them once it knows of this
+// entry. Claims that were due before this entry heard of such a peer wait for that.
 func (h *Holder) HandleHeartbeat(now time.Time, from medlargw.Incarnation, uptime, peerUptime time.Duration) {
 	h.discoverer.Hear(now, from, uptime, peerUptime)
 	if h.postponedClaims || !h.discoverer.HasOlderPeer() {
@@ -198,7 +204,7 @@
 	h.claimedOwned = true
 	h.log.Info("claiming targets", zap.Duration("after", now.Sub(h.firstAssigned)), zap.Int("targets", len(h.sorted)))
 	for _, t := range h.sorted {
-		if t.info.Zone == h.self.Zone && !t.claimed && !t.renewing && t.failedRenewals == 0 {
+		if t.info.Zone == h.self.Zone && t.awaitsClaim() {
 			t.unheld = true
 			h.renew(now, t)
 		}
--- a/holder/target.go
+++ b/holder/target.go
@@ -104,6 +104,11 @@
 	t.unlistedSince = time.Time{}
 }
 
+// awaitsClaim reports whether the target was not claimed yet and is to be.
+func (t *target) awaitsClaim() bool {
+	return !t.claimed && !t.releasing && !t.renewing && t.failedRenewals == 0
+}
+
 // addRun adds a run and takes its resources.
 func (t *target) addRun(r *run) {
 	t.runs[r.id] = r
--- a/tracker/addrs.go
+++ b/tracker/addrs.go
@@ -37,16 +37,27 @@
 		p.lastSent = now
 		all = append(all, p.member.Addr)
 	}
-	probes := 1
-	switch {
-	case !v.hasProbed && len(v.probeAddrs) > 0:
+	for _, addr := range v.nextProbes() {
+		if !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	return all
+}
+
+// nextProbes returns the addresses to probe in this round.
+func (v *view) nextProbes() []netip.AddrPort {
+	if !v.hasProbed && len(v.probeAddrs) > 0 {
 		v.hasProbed = true
-		return append(all, v.probeAddrs[:min(firstProbes, len(v.probeAddrs))]...)
-	case len(v.peers) == 0:
-		probes = laterProbes
+		return v.probeAddrs[:min(firstProbes, len(v.probeAddrs))]
 	}
-	for range probes {
-		if addr, ok := v.nextProbeAddr(); ok && !slices.Contains(all, addr) {
+	n := 1
+	if len(v.peers) == 0 {
+		n = laterProbes
+	}
+	var all []netip.AddrPort
+	for range n {
+		if addr, ok := v.nextProbeAddr(); ok {
 			all = append(all, addr)
 		}
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -44,7 +44,7 @@
 	probeAddrs    []netip.AddrPort // Addresses to send heartbeats to while no live member is known there.
 	lastRemote    time.Time        // Last heartbeat to an entry of another zone.
 	nextProbe     int              // Position in probeAddrs, modulo its length, of the next address.
-	hasProbed     bool             // Listed addresses were probed while there were no peers.
+	hasProbed     bool             // The first listed addresses were probed.
 	lastTick      time.Time
 	lag           time.Duration // How late this entry acts.
 	maxLag        time.Duration // LeaseSettings.Lag.
