--- a/holder/place.go
+++ b/holder/place.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -55,26 +54,32 @@
 
 // byTurn returns the waiting tasks in the order in which they start.
 func (h *Holder) byTurn(now time.Time) []*task {
-	all := slices.Clone(h.waiting)
-	slices.SortStableFunc(all, func(a, b *task) int {
-		byRank, byLateness := cmp.Compare(a.offered.Rank, b.offered.Rank), compareBools(a.isLate(now), b.isLate(now))
-		if len(h.minShares) > 0 {
-			return cmp.Or(byLateness, byRank)
+	all := make([]*task, 0, len(h.waiting))
+	if len(h.minShares) > 0 {
+		return appendLateLast(all, now, h.waiting)
+	}
+	for rest := h.waiting; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].offered.Rank == rest[0].offered.Rank {
+			n++
 		}
-		return cmp.Or(byRank, byLateness)
-	})
+		all = appendLateLast(all, now, rest[:n])
+		rest = rest[n:]
+	}
 	return all
 }
 
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+// appendLateLast appends the tasks that are on time, and then the late ones.
+func appendLateLast(to []*task, now time.Time, tasks []*task) []*task {
+	var late []*task
+	for _, w := range tasks {
+		if w.isLate(now) {
+			late = append(late, w)
+		} else {
+			to = append(to, w)
+		}
 	}
-	return 1
+	return append(to, late...)
 }
 
 // SetMinShares replaces the minimum shares of the starts, by rank.
