--- a/admission.go
+++ b/admission.go
@@ -54,6 +54,7 @@
 	LatestStart time.Time // Latest start with which it meets its objective.
 	Deadline    time.Time
 	Learning    bool             // Whether the home has just started, and knows few of the holders' resources.
+	Starting    bool             // Whether the home has started in the last seconds.
 	Evacuated   bool             // Whether all targets of the pool are in evacuated zones.
 	LinkWait    time.Duration    // Time until the home's network link can take its tasks.
 	Holders     []*PoolResources // The latest reports of the holders that accept offers.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -12,8 +12,9 @@
 //   - a more urgent job was refused a moment ago. The resources that a less urgent
 //     one would take are those that the next urgent job lacks.
 //
-// The last two apply only while the jobs of its rank and of more urgent ones ask for
-// more than the holders can serve. A queue that a short burst leaves is drained.
+// In the first seconds after the start of the home, when the callers of before come all at
+// once, the last two apply only while the jobs of its rank and of more urgent ones ask for
+// more than the holders can serve.
 package admitter
 
 import (
@@ -102,7 +103,7 @@
 	case !known || adm.Wait == 0 || r.Learning:
 	case adm.Prospect != medlargw.ProspectOnTime:
 		adm.Refusal = medlargw.RefusalWait
-	case !isOverloaded(r): // What waits is a burst, which the targets drain.
+	case r.Starting && !isOverloaded(r): // The callers of before the start come at once; the targets drain that.
 	case isCongested(now, r):
 		adm.Refusal = medlargw.RefusalCongestion
 	case a.urgentRefused(now, r):
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -26,7 +26,7 @@
 	c.request = medlargw.AdmissionRequest{
 		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
-		Learning: c.isLearning(now, m.Pool), Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+		Learning: c.isLearning(now, m.Pool), Starting: now.Sub(c.firstGroupAt) < startTime, Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
@@ -35,6 +35,9 @@
 	// learningTime is the longest time after the first group in which this entry has
 	// yet to learn of the holders' resources.
 	learningTime = 500 * time.Millisecond
+	// startTime is the time after the first group in which callers of before the start
+	// of this entry come in addition to the others.
+	startTime = 2 * time.Second
 	// knownShare is the share of the listed resources of a pool that holders report
 	// from which what they report tells how long jobs have to wait.
 	knownShare = 0.5
