--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -194,7 +194,7 @@
 func (a *Assigner) setRecent(list *medlargw.HostList) bool {
 	recent := make([]medlargw.Peer, 0, len(list.Recent))
 	for _, e := range list.Recent {
-		recent = append(recent, medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr, Capacity: e.Capacity})
+		recent = append(recent, peerOf(e))
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/assigner/group.go
+++ b/assigner/group.go
@@ -50,7 +50,7 @@
 func listedPeers(list *medlargw.HostList, members []medlargw.Member) []medlargw.Peer {
 	var all []medlargw.Peer
 	for _, e := range list.Entries {
-		p := medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr, Capacity: e.Capacity}
+		p := peerOf(e)
 		for i := range members {
 			if members[i].Host == e.Name && members[i].Capacity != 0 {
 				p.Capacity = members[i].Capacity
@@ -61,6 +61,11 @@
 	return all
 }
 
+// peerOf returns a listed entry as a peer, without its incarnation.
+func peerOf(e medlargw.EntryHost) medlargw.Peer {
+	return medlargw.Peer{Host: e.Name, Zone: e.Zone, Addr: e.Addr, Capacity: e.Capacity}
+}
+
 // hasFormerEnrolment reports whether the list has an enrolment of this entry's host
 // that another process made.
 func hasFormerEnrolment(list *medlargw.HostList, self *medlargw.Member) bool {
--- a/conductor/load_test.go
+++ b/conductor/load_test.go
@@ -1,8 +1,10 @@
 package conductor_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -89,6 +91,26 @@
 	return &generator{rand: rand.New(rand.NewPCG(seed, 7)), jobsPerSecond: 0.85 * float64(cores) / work, until: until}
 }
 
+// totalCores returns the cores of all targets, in thousandths.
+func (cl *cluster) totalCores() int64 {
+	var cores int64
+	for _, target := range cl.sim.targets.Targets() {
+		cores += target.Resources.Cores
+	}
+	return cores
+}
+
+// burst returns a load of 0.6 of the capacity, and of twice the capacity from one time to
+// another, in order of arrival.
+func (cl *cluster) burst(seed uint64, from, to, until time.Duration) []loadJob {
+	g := newGenerator(seed, until, cl.totalCores())
+	g.add(0, from, 0.6)
+	g.add(from, to, 2)
+	g.add(to, until, 0.6)
+	slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
+	return g.jobs
+}
+
 // add generates jobs that arrive between two times, at a share of the full
 // capacity, of all kinds or only of the given one.
 func (g *generator) add(from, to time.Duration, share float64, only ...int) {
--- a/conductor/overload_test.go
+++ b/conductor/overload_test.go
@@ -1,10 +1,8 @@
 package conductor_test
 
 import (
-	"cmp"
 	"fmt"
 	"math"
-	"slices"
 	"testing"
 	"time"
 
@@ -54,16 +52,7 @@
 	for seed := range seeds() {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			runCluster(t, seed, policyHosts, func(cl *cluster) {
-				var cores int64
-				for _, target := range cl.sim.targets.Targets() {
-					cores += target.Resources.Cores
-				}
-				g := newGenerator(seed, until, cores)
-				g.add(0, burst, 0.6)
-				g.add(burst, calm, 2)
-				g.add(calm, until, 0.6)
-				slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
-				for _, r := range cl.runLoad(g.jobs) {
+				for _, r := range cl.runLoad(cl.burst(seed, burst, calm, until)) {
 					switch {
 					case r.job.at < burst:
 						before.add(&r)
@@ -116,11 +105,7 @@
 				for _, e := range cl.entries {
 					e.conductor.Configure(&medlargw.Config{Classes: []medlargw.Class{{Name: "build", Rank: build, MinShare: test.minShare}}})
 				}
-				var cores int64
-				for _, target := range cl.sim.targets.Targets() {
-					cores += target.Resources.Cores
-				}
-				g := newGenerator(1, 3*loadDuration, cores)
+				g := newGenerator(1, 3*loadDuration, cl.totalCores())
 				g.add(0, g.until, 2)
 				for _, r := range cl.runLoad(g.jobs) {
 					if r.job.at < time.Second || r.outcome.Code == medlargw.CodeOverloaded {
@@ -198,17 +183,8 @@
 	for seed := range seeds() {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			runCluster(t, seed, policyHosts, func(cl *cluster) {
-				var cores int64
-				for _, target := range cl.sim.targets.Targets() {
-					cores += target.Resources.Cores
-				}
-				g := newGenerator(seed, until, cores)
-				g.add(0, burst, 0.6)
-				g.add(burst, calm, 2)
-				g.add(calm, until, 0.6)
-				slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
 				refused, all := 0, 0
-				for _, r := range cl.runLoad(g.jobs) {
+				for _, r := range cl.runLoad(cl.burst(seed, burst, calm, until)) {
 					if r.job.kind != patient {
 						continue
 					}
--- a/conductor/policy_test.go
+++ b/conductor/policy_test.go
@@ -210,11 +210,7 @@
 
 func (s *scenario) runOnce(cl *cluster, seed uint64) *results {
 	targets := cl.sim.targets.Targets()
-	var cores int64
-	for i := range targets {
-		cores += targets[i].Resources.Cores
-	}
-	g := newGenerator(seed, loadDuration, cores)
+	g := newGenerator(seed, loadDuration, cl.totalCores())
 	s.load(g)
 	slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
 	for name, fault := range s.faults {
--- a/conductor/return_test.go
+++ b/conductor/return_test.go
@@ -1,7 +1,6 @@
 package conductor_test
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -61,20 +60,12 @@
 		maxPeak  = 1.15 // Demand in any later second relative to the first one of the burst; arrivals vary by chance.
 	)
 	runCluster(t, 1, policyHosts, func(cl *cluster) {
-		var cores int64
-		for _, target := range cl.sim.targets.Targets() {
-			cores += target.Resources.Cores
-		}
-		g := newGenerator(1, until, cores)
-		g.add(0, burst, 0.6)
-		g.add(burst, calm, 2)
-		g.add(calm, until, 0.6)
-		slices.SortStableFunc(g.jobs, func(a, b loadJob) int { return cmp.Compare(a.at, b.at) })
-		answered, asked := cl.returningCallers(g.jobs, patience)
+		jobs := cl.burst(1, burst, calm, until)
+		answered, asked := cl.returningCallers(jobs, patience)
 		var mean [3]time.Duration
 		var n, unanswered [3]int
-		for i := range g.jobs {
-			if j := &g.jobs[i]; j.at >= burst && j.at < calm {
+		for i := range jobs {
+			if j := &jobs[i]; j.at >= burst && j.at < calm {
 				n[j.kind]++
 				mean[j.kind] += answered[i]
 				if answered[i] == 0 {
@@ -83,7 +74,7 @@
 			}
 		}
 		for s := range asked {
-			asked[s] /= float64(cores)
+			asked[s] /= float64(cl.totalCores())
 		}
 		t.Logf("asked for in each second, of all cores: %.2f", asked)
 		first := asked[int(burst/time.Second)]
--- a/conductor/start_test.go
+++ b/conductor/start_test.go
@@ -56,17 +56,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runCluster(t, 11, policyHosts, func(cl *cluster) {
-				before := cl.alive()
-				var recent []medlargw.Peer
-				for _, e := range before {
-					p := e.peer
-					p.Incarnation = 0
-					recent = append(recent, p)
-					cl.addrs[e.host] = p.Addr
-				}
-				for _, e := range before {
-					cl.stop(e)
-				}
+				before := cl.stopAll()
+				recent := cl.recent
 				time.Sleep(test.off)
 				cl.sim.claims = &claims{}
 				owner := map[string]time.Time{} // First group of each host.
@@ -94,7 +85,6 @@
 					}
 					time.Sleep(time.Duration(random.Int64N(int64(maxStagger) / int64(len(before)))))
 				}
-				cl.recent = recent
 				time.Sleep(maxStagger)
 				cl.setGroups()
 				time.Sleep(3 * time.Second)
@@ -122,10 +112,9 @@
 	}
 }
 
-// restartEach stops all entries at once and starts them again after a while, one after
-// the other. They know from the platform who was there before, and look for them at
-// once.
-func (cl *cluster) restartEach(off, stagger time.Duration) {
+// stopAll stops all entries at once and returns them. Their hosts keep the addresses, and
+// are the recent entries of the groups from then on.
+func (cl *cluster) stopAll() []*entry {
 	lost := cl.alive()
 	for _, e := range lost {
 		p := e.peer
@@ -134,6 +123,14 @@
 		cl.addrs[e.host] = p.Addr
 		cl.stop(e)
 	}
+	return lost
+}
+
+// restartEach stops all entries at once and starts them again after a while, one after
+// the other. They know from the platform who was there before, and look for them at
+// once.
+func (cl *cluster) restartEach(off, stagger time.Duration) {
+	lost := cl.stopAll()
 	time.Sleep(off)
 	for _, e := range lost {
 		again := cl.add(e.host)
@@ -171,11 +168,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			runCluster(t, seed, policyHosts, func(cl *cluster) {
 				targets := cl.sim.targets.Targets()
-				var cores int64
-				for i := range targets {
-					cores += targets[i].Resources.Cores
-				}
-				g := newGenerator(seed, until, cores)
+				g := newGenerator(seed, until, cl.totalCores())
 				g.add(0, lost, 0.7)
 				g.add(back-held, until, 0.7)
 				for i := range g.jobs {
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -26,7 +26,8 @@
 	c.request = medlargw.AdmissionRequest{
 		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
-		Learning: c.isLearning(now, m.Pool), Starting: now.Sub(c.firstGroupAt) < startTime, Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+		Learning: c.isLearning(now, m.Pool), Starting: now.Sub(c.firstGroupAt) < startTime,
+		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
--- a/discoverer/discoverer.go
+++ b/discoverer/discoverer.go
@@ -97,12 +97,18 @@
 // Silent returns the recent entries that own targets although nothing was heard of
 // them since this entry started.
 func (d *Discoverer) Silent(now time.Time) []medlargw.Peer {
-	if d.older || d.startedAt.IsZero() || !d.starts(now) || !d.hasRestarted() {
+	if !d.countsRecent(now) {
 		return nil
 	}
 	return d.group.RecentEntries
 }
 
+// countsRecent reports whether the recent entries tell this entry what it owns: it was
+// one of them, has started just now, and no peer has run for longer.
+func (d *Discoverer) countsRecent(now time.Time) bool {
+	return !d.older && !d.startedAt.IsZero() && d.starts(now) && d.hasRestarted()
+}
+
 // starts reports whether this entry has been assigned targets for less than retention.
 func (d *Discoverer) starts(now time.Time) bool {
 	return d.startedAt.IsZero() || now.Sub(d.startedAt) < retention
@@ -118,7 +124,7 @@
 
 // Review updates what is known with the passing of time.
 func (d *Discoverer) Review(now time.Time) {
-	if d.complete || d.older || d.startedAt.IsZero() || !d.starts(now) || !d.hasRestarted() {
+	if d.complete || !d.countsRecent(now) {
 		return
 	}
 	switch {
--- a/loan.go
+++ b/loan.go
@@ -13,8 +13,8 @@
 	ListedEntries     []Peer   // Entries in the host list; empty if the list is out of date.
 	RecentEntries     []Peer   // As in HostList, without incarnations; this entry included.
 
-	// HasFormerEnrolment means that the platform still listed a former process of this
-	// host when this entry first read the list.
+	// HasFormerEnrolment means that the host list names a former process of this host as
+	// enrolled.
 	HasFormerEnrolment bool
 
 	// Zones whose targets get no new tasks, sorted.
--- a/resources.go
+++ b/resources.go
@@ -110,25 +110,24 @@
 // WorkAhead returns the waiting work that is served before a new task of the rank,
 // in thousandths of a core times milliseconds.
 func (p *PoolResources) WorkAhead(rank int) int64 {
-	var work int64
-	for _, w := range p.Waiting {
-		if w.Rank <= rank {
-			work += w.Work
-		}
-	}
-	return work
+	return p.sumAhead(rank, func(w *RankWork) int64 { return w.Work })
 }
 
 // ArrivingAhead returns the work of new jobs of the rank and of more urgent ones at the
 // home, per second, in thousandths of a core times milliseconds.
 func (p *PoolResources) ArrivingAhead(rank int) int64 {
-	var work int64
-	for _, w := range p.Waiting {
-		if w.Rank <= rank {
-			work += w.Arriving
+	return p.sumAhead(rank, func(w *RankWork) int64 { return w.Arriving })
+}
+
+// sumAhead returns the sum of an amount over the rank and the more urgent ones.
+func (p *PoolResources) sumAhead(rank int, amount func(w *RankWork) int64) int64 {
+	var sum int64
+	for i := range p.Waiting {
+		if w := &p.Waiting[i]; w.Rank <= rank {
+			sum += amount(w)
 		}
 	}
-	return work
+	return sum
 }
 
 // HolderResources summarizes the free resources and the waiting work of a
--- a/tracker/addrs.go
+++ b/tracker/addrs.go
@@ -150,7 +150,7 @@
 func (v *view) setProbeAddrs(addrs []netip.AddrPort) {
 	v.probeAddrs = v.probeAddrs[:0]
 	for _, addr := range addrs {
-		if addr.IsValid() && addr != v.self.Addr && !slices.Contains(v.probeAddrs, addr) && len(v.probeAddrs) < maxPeers {
+		if v.mayProbe(addr) {
 			v.probeAddrs = append(v.probeAddrs, addr)
 		}
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -235,11 +235,16 @@
 // addProbeAddr schedules a heartbeat to the address, ahead of the other
 // addresses to probe.
 func (v *view) addProbeAddr(addr netip.AddrPort) {
-	if addr.IsValid() && addr != v.self.Addr && !slices.Contains(v.probeAddrs, addr) && len(v.probeAddrs) < maxPeers {
+	if v.mayProbe(addr) {
 		v.probeAddrs = slices.Insert(v.probeAddrs, v.nextProbe%(len(v.probeAddrs)+1), addr)
 	}
 }
 
+// mayProbe reports whether the address can be added to those to probe.
+func (v *view) mayProbe(addr netip.AddrPort) bool {
+	return addr.IsValid() && addr != v.self.Addr && !slices.Contains(v.probeAddrs, addr) && len(v.probeAddrs) < maxPeers
+}
+
 // tick updates the states of members that are silent. A pause of this process
 // is not counted as silence of its peers.
 func (v *view) tick(now time.Time) {
