Hedger, assigner: a read of the host list is left outstanding and sent again

Cause: each call to the store ended after 0.4 s and began anew. At a store that takes longer for an answer no call ever succeeds, however long the entry tries; the store's work is thrown away, and each new call adds to it. Entries that run don't notice, and only a start needs an answer.

Change: package hedger leaves a call outstanding and sends copies after pauses that grow from 0.4 s, or twice the time of recent answers, to 2 s; the first answer counts, and six copies are outstanding at most. A silent connection is replaced after 0.4 s, as before, and an answer that takes 7 s is still heard. Reads are 1 s apart from start to start, and the list is as old as the sending of the answered copy, so that a late answer does not pass for a fresh one.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -22,6 +22,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/differ"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/spawner"
 )
@@ -42,6 +43,7 @@
 	registry         *registrar.Registrar
 	settings         medlargw.Settings
 	hosts            medlargw.HostLister
+	calls            *hedger.Hedger
 	groupSetter      groupSetter
 	listedAddrSetter listedAddrSetter
 	gossiper         medlargw.Gossiper
@@ -71,12 +73,13 @@
 )
 
 // New returns an assigner that has not started.
-func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, hosts medlargw.HostLister) *Assigner {
+func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, hosts medlargw.HostLister, calls *hedger.Hedger) *Assigner {
 	return &Assigner{
 		log:       log.Named("assigner"),
 		registry:  reg,
 		settings:  settings,
 		hosts:     hosts,
+		calls:     calls,
 		differ:    differ.New(),
 		createdAt: time.Now(),
 		spawner:   spawner.New(),
@@ -134,7 +137,8 @@
 	return 0
 }
 
-// HostsAge returns the time since an entry of the zone last read the list.
+// HostsAge returns the time since an entry of the zone sent the last read of the list
+// that was answered.
 func (a *Assigner) HostsAge() time.Duration {
 	return time.Since(a.createdAt) - time.Duration(a.lastZoneRead.Load())
 }
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/hedger"
 )
 
 // fakes implements the components that an assigner uses.
@@ -28,6 +30,13 @@
 
 func (f *fakes) Members() []medlargw.Member { return []medlargw.Member{f.Self()} }
 
+// newTestAssigner returns an assigner of an entry in zone z that uses the fakes.
+func newTestAssigner(f *fakes) *Assigner {
+	a := New(zap.NewNop(), nil, medlargw.Settings{Zone: "z"}, f, hedger.New(zap.NewNop(), metrics.NewRegistry()))
+	a.groupSetter, a.listedAddrSetter, a.gossiper, a.members = f, f, f, f
+	return a
+}
+
 // listedEntries returns the number of listed entries in the last group.
 func (f *fakes) listedEntries() int { return len(f.groups[len(f.groups)-1].ListedEntries) }
 
@@ -51,8 +60,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			recent := []medlargw.EntryHost{{Name: "a", Zone: "z", Addr: addr}, {Name: "b", Zone: "z", Addr: elsewhere}}
 			f := &fakes{list: medlargw.HostList{Version: 3, Entries: []medlargw.EntryHost{test.entry}, Recent: recent}}
-			a := New(zap.NewNop(), nil, medlargw.Settings{Zone: "z"}, f)
-			a.groupSetter, a.listedAddrSetter, a.gossiper, a.members = f, f, f, f
+			a := newTestAssigner(f)
 			a.readList(t.Context())
 			if got := f.groups[0].HasFormerEnrolment; got != test.want {
 				t.Errorf("former enrolment: got %v, want %v", got, test.want)
@@ -72,10 +80,10 @@
 func TestListedAfterAnOutage(t *testing.T) {
 	tests := []struct {
 		name string
-		heal func(a *Assigner)
+		heal func(ctx context.Context, a *Assigner)
 	}{
-		{"read here", func(a *Assigner) { a.readList(t.Context()) }},
-		{"read by a peer", func(a *Assigner) {
+		{"read here", func(ctx context.Context, a *Assigner) { a.readList(ctx) }},
+		{"read by a peer", func(_ context.Context, a *Assigner) {
 			a.HeartbeatReceived(medlargw.Member{Zone: "z"}, medlargw.Digest{HostsVersion: 3, HostsAge: 100 * time.Millisecond})
 		}},
 	}
@@ -83,8 +91,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakes{list: medlargw.HostList{Version: 3, Entries: []medlargw.EntryHost{{Name: "b", Zone: "z"}}}}
-				a := New(zap.NewNop(), nil, medlargw.Settings{Zone: "z"}, f)
-				a.groupSetter, a.listedAddrSetter, a.gossiper, a.members = f, f, f, f
+				a := newTestAssigner(f)
 				a.readList(t.Context())
 				if got := f.listedEntries(); got != 1 {
 					t.Errorf("entries of a fresh list: got %d, want 1", got)
@@ -94,7 +101,7 @@
 				if got := f.listedEntries(); got != 0 {
 					t.Errorf("entries of an old list: got %d, want 0", got)
 				}
-				test.heal(a)
+				test.heal(t.Context(), a)
 				if got := f.listedEntries(); got != 1 {
 					t.Errorf("entries after the outage: got %d, want 1", got)
 				}
--- a/assigner/changes_test.go
+++ b/assigner/changes_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"medlargw.example/medlargw"
 )
 
@@ -29,9 +27,7 @@
 
 // newAssigner returns an assigner that uses the list.
 func newAssigner(list medlargw.HostList) *Assigner {
-	f := &fakes{}
-	a := New(zap.NewNop(), nil, medlargw.Settings{Zone: "z"}, f)
-	a.groupSetter, a.listedAddrSetter, a.gossiper, a.members = f, f, f, f
+	a := newTestAssigner(&fakes{})
 	a.applyList(&list)
 	return a
 }
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -13,11 +13,12 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/accessor"
+	"medlargw.example/medlargw/hedger"
 )
 
 // Intervals, timeouts and counts for polling the list.
 const (
-	pollInterval        = time.Second // Between two reads by one reader, unless the settings say otherwise.
+	pollInterval        = time.Second // Between the starts of two reads by one reader, unless the settings say otherwise.
 	startupTime         = time.Second // Time after creation in which a reader polls every startupPollInterval to find the others.
 	startupPollInterval = 100 * time.Millisecond
 	staleAfter          = 2 * time.Second        // All entries of the zone read the list when none has read it for so long.
@@ -33,10 +34,12 @@
 	interval := cmp.Or(a.settings.Group.Read, pollInterval)
 	pause := interval
 	for {
+		startedAt := time.Now()
 		switch {
 		case !a.ReadsPlatform():
 			pause = pollInterval
 		case !a.readList(ctx):
+			startedAt = time.Now() // The pause follows the failure.
 			pause = min(max(2*pause, minRetryPause), maxRetryPause)
 		case time.Since(a.createdAt) < startupTime:
 			pause = min(startupPollInterval, interval)
@@ -44,7 +47,7 @@
 			pause = interval
 		}
 		select {
-		case <-time.After(withJitter(pause)):
+		case <-time.After(withJitter(pause) - time.Since(startedAt)):
 		case <-ctx.Done():
 			return
 		}
@@ -85,14 +88,14 @@
 // readList reads the list from the platform and applies it. It returns false if
 // the read failed.
 func (a *Assigner) readList(ctx context.Context) bool {
-	list, err := a.hosts.Hosts(ctx)
+	list, sentAt, err := hedger.Do(ctx, a.calls, "hosts", a.hosts.Hosts)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.log.Warn("reading the host list failed", zap.Error(err))
 		}
 		return false
 	}
-	a.recordZoneRead(time.Now())
+	a.recordZoneRead(sentAt)
 	recentChanged := a.setRecent(&list)
 	switch {
 	case a.applyList(&list):
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -25,6 +25,7 @@
 	"medlargw.example/medlargw/decider"
 	"medlargw.example/medlargw/dispatcher"
 	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/keeper"
 	"medlargw.example/medlargw/lender"
 	"medlargw.example/medlargw/limiter"
@@ -108,7 +109,7 @@
 		reg.Add(admin(reg, registry))
 	}
 	reg.Add(
-		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		assigner.New(b.Log, reg, b.Settings, b.Hosts, hedger.New(b.Log, b.Metrics)),
 		watcher.New(b.Log, reg, b.Store),
 		b.newMessenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
--- a/builder/leased.go
+++ b/builder/leased.go
@@ -7,6 +7,7 @@
 	"medlargw.example/medlargw/assigner"
 	"medlargw.example/medlargw/conductor"
 	"medlargw.example/medlargw/enroller"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/tracker"
 	"medlargw.example/medlargw/watcher"
@@ -23,7 +24,7 @@
 	incarnation := newIncarnation()
 	reg.Add(
 		conductor.New(b.Log, reg, &b.Settings, incarnation, clock, runner, b.Metrics),
-		assigner.New(b.Log, reg, b.Settings, b.Hosts),
+		assigner.New(b.Log, reg, b.Settings, b.Hosts, hedger.New(b.Log, b.Metrics)),
 		watcher.New(b.Log, reg, b.Store),
 		b.newMessenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/assigner"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 )
 
@@ -80,7 +82,7 @@
 	f := &follower{group: fs, entry: e}
 	reg := registrar.New(zap.NewNop())
 	reg.Add(e.conductor, &trackerFake{f}, &messengerFake{f})
-	f.assigner = assigner.New(fs.cl.logs.logger(e.host), reg, medlargw.Settings{Host: e.peer.Host, Zone: e.peer.Zone}, f)
+	f.assigner = assigner.New(fs.cl.logs.logger(e.host), reg, medlargw.Settings{Host: e.peer.Host, Zone: e.peer.Zone}, f, hedger.New(zap.NewNop(), metrics.NewRegistry()))
 	if err := f.assigner.Start(context.Background()); err != nil {
 		fs.cl.sim.t.Fatal(err)
 	}
