Enroller: one lease at a time, for as long as the platform's answers take

Cause: constants. The steps of an enrolment are calls of their own now, hedged like the reads; a lease lasts for four answers of the platform, 6 s at most, and 1.5 s again once the platform is as usual. A lease that would end before its record is written is replaced before.

Found beside it: a write that gets no answer and takes effect late bound the record to the lease of that attempt, while the entry renewed the lease of the next one. The record went with its lease, and the entry was not listed for the rest of its life.

--- a/builder/leased.go
+++ b/builder/leased.go
@@ -22,13 +22,14 @@
 	}
 	reg := registrar.New(b.Log)
 	incarnation := newIncarnation()
+	calls := hedger.New(b.Log, b.Metrics)
 	reg.Add(
 		conductor.New(b.Log, reg, &b.Settings, incarnation, clock, runner, b.Metrics),
-		assigner.New(b.Log, reg, b.Settings, b.Hosts, hedger.New(b.Log, b.Metrics)),
+		assigner.New(b.Log, reg, b.Settings, b.Hosts, calls),
 		watcher.New(b.Log, reg, b.Store),
 		b.newMessenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
-		enroller.New(b.Log, reg, enrolment),
+		enroller.New(b.Log, reg, enrolment, calls),
 	)
 	return reg
 }
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 )
 
@@ -23,17 +24,20 @@
 	// leaseTTL is the time without a renewal after which the platform no longer
 	// lists the entry. It bounds how long a crashed entry keeps its targets.
 	leaseTTL = 1500 * time.Millisecond
-	// renewInterval is the time between two renewals.
-	renewInterval       = leaseTTL / 3
-	platformCallTimeout = renewInterval
+	// maxLeaseTTL bounds the time to live of that lease while the platform is slow.
+	maxLeaseTTL = 4 * leaseTTL
+	// callsPerLease is the number of consecutive calls for which a lease must last. To
+	// register takes three: one for the lease, one for the entry, and a renewal.
+	callsPerLease = 4
+	// revokeTimeout bounds the time that a planned stop waits for the platform.
+	revokeTimeout = 500 * time.Millisecond
 	// recentTTL is the time for which a stopped entry is remembered. All entries may be
 	// away for as long as that.
 	recentTTL = time.Minute
 	// recentDelay is the time after the start before the entry is remembered. The
 	// platform and the processor have other work in the first second.
 	recentDelay = 2 * time.Second
-	// initialRetryDelay is the mean delay after the first of consecutive failed
-	// calls. A call that times out and a retry after it fit into the lease.
+	// initialRetryDelay is the mean delay after the first of consecutive failed calls.
 	initialRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay bounds the delay after a failed call.
 	maxRetryDelay = 2 * time.Second
@@ -50,6 +54,7 @@
 	log       *zap.Logger
 	registry  *registrar.Registrar
 	enrolment medlargw.Enrolment
+	calls     *hedger.Hedger
 	members   medlargw.Members
 	current   registration // Ends with the entry.
 	recent    registration // Outlasts the entry.
@@ -64,22 +69,35 @@
 	_ medlargw.PreStopper = (*Enroller)(nil)
 )
 
-// registration is one registration of the entry under a lease.
+// registration is one registration of the entry under a lease. There is one lease at a
+// time, so that no late write binds the record to a lease that is not renewed.
 type registration struct {
 	list     string // Of the platform, for logs.
-	register func(ctx context.Context, m medlargw.Member, ttl time.Duration) (uint64, error)
-	ttl      time.Duration
+	write    func(ctx context.Context, m medlargw.Member, lease uint64) error
+	minTTL   time.Duration
+	maxTTL   time.Duration
 	minRetry time.Duration // Mean delay after the first of consecutive failed calls.
 	maxRetry time.Duration
-	lease    uint64 // Zero when the entry is not registered.
+
+	lease      uint64 // Zero if there is none.
+	ttl        time.Duration
+	renewedAt  time.Time     // When the last call that renewed the lease was sent.
+	written    bool          // The entry is registered under the lease.
+	answerTime time.Duration // Longest of the recent answers.
 }
 
 // New returns an enroller that has not started.
-func New(log *zap.Logger, reg *registrar.Registrar, enrolment medlargw.Enrolment) *Enroller {
+func New(log *zap.Logger, reg *registrar.Registrar, enrolment medlargw.Enrolment, calls *hedger.Hedger) *Enroller {
 	return &Enroller{
-		log: log.Named("enroller"), registry: reg, enrolment: enrolment, done: make(chan struct{}),
-		current: registration{list: "entries", register: enrolment.Enrol, ttl: leaseTTL, minRetry: initialRetryDelay, maxRetry: maxRetryDelay},
-		recent:  registration{list: "recent entries", register: enrolment.Remember, ttl: recentTTL, minRetry: recentRetryDelay, maxRetry: recentRetryDelay},
+		log: log.Named("enroller"), registry: reg, enrolment: enrolment, calls: calls, done: make(chan struct{}),
+		current: registration{
+			list: "entries", write: enrolment.Enrol, minTTL: leaseTTL, maxTTL: maxLeaseTTL,
+			minRetry: initialRetryDelay, maxRetry: maxRetryDelay,
+		},
+		recent: registration{
+			list: "recent entries", write: enrolment.Remember, minTTL: recentTTL, maxTTL: recentTTL,
+			minRetry: recentRetryDelay, maxRetry: recentRetryDelay,
+		},
 	}
 }
 
@@ -108,7 +126,7 @@
 	if e.current.lease == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	return e.enrolment.Revoke(ctx, e.current.lease)
 }
@@ -128,13 +146,10 @@
 // context ends. After a failure it calls again with exponential backoff.
 func (e *Enroller) keepRegistered(ctx context.Context, r *registration, delay time.Duration) {
 	retry := newRetryBackOff(r.minRetry, r.maxRetry)
-	for {
-		if !sleep(ctx, delay) {
-			return
-		}
-		delay = r.ttl / 3
+	for sleep(ctx, delay) {
 		if err := e.registerOrRenew(ctx, r); err == nil {
 			retry.Reset()
+			delay = r.ttl/3 - time.Since(r.renewedAt)
 		} else {
 			delay = retry.NextBackOff()
 			if ctx.Err() == nil {
@@ -172,21 +187,86 @@
 // registerOrRenew renews the lease, or registers the entry if it has none or the
 // lease has ended.
 func (e *Enroller) registerOrRenew(ctx context.Context, r *registration) error {
-	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
-	defer cancel()
-	if r.lease != 0 {
-		err := e.enrolment.Renew(ctx, r.lease)
-		if !errors.Is(err, medlargw.ErrNotFound) {
+	if r.written && r.ttl > 2*r.suitableTTL() {
+		if _, err := e.call(ctx, r, "revoke", e.enrolment.Revoke); err != nil {
 			return err
 		}
-		e.log.Warn("enrolment had ended", zap.String("list", r.list))
-		r.lease = 0
+		r.forget()
+	}
+	if !r.written {
+		return e.register(ctx, r)
+	}
+	sentAt, err := e.call(ctx, r, "renew", e.enrolment.Renew)
+	switch {
+	case err == nil:
+		r.renewedAt = sentAt
+	case errors.Is(err, medlargw.ErrNotFound):
+		return e.register(ctx, r)
+	}
+	return err
+}
+
+// register adds the entry to the list, under a lease that lasts for some of the
+// platform's answers.
+func (e *Enroller) register(ctx context.Context, r *registration) error {
+	for r.lease == 0 {
+		if err := e.grant(ctx, r); err != nil {
+			return err
+		}
+		if r.ttl < r.suitableTTL() {
+			r.forget() // It would end before the entry is written.
+		}
+	}
+	write := func(ctx context.Context, lease uint64) error { return r.write(ctx, e.members.Self(), lease) }
+	if _, err := e.call(ctx, r, "write", write); err != nil {
+		return err
 	}
-	lease, err := r.register(ctx, e.members.Self(), r.ttl)
+	r.written = true
+	e.log.Info("enrolled at the platform", zap.String("list", r.list), zap.Uint64("lease", r.lease), zap.Duration("ttl", r.ttl))
+	return nil
+}
+
+// grant obtains a lease.
+func (e *Enroller) grant(ctx context.Context, r *registration) error {
+	ttl := r.suitableTTL()
+	lease, sentAt, err := hedger.Do(ctx, e.calls, "grant", func(ctx context.Context) (uint64, error) {
+		return e.enrolment.Grant(ctx, ttl)
+	})
 	if err != nil {
 		return err
 	}
-	r.lease = lease
-	e.log.Info("enrolled at the platform", zap.String("list", r.list), zap.Uint64("lease", lease))
+	r.addAnswer(sentAt)
+	r.lease, r.ttl, r.renewedAt = lease, ttl, sentAt
 	return nil
 }
+
+// call makes a call that concerns the lease, and forgets the lease if it has ended. It
+// returns the time at which the answered call was sent.
+func (e *Enroller) call(
+	ctx context.Context, r *registration, name string, send func(ctx context.Context, lease uint64) error,
+) (time.Time, error) {
+	_, sentAt, err := hedger.Do(ctx, e.calls, name, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, send(ctx, r.lease)
+	})
+	switch {
+	case err == nil:
+		r.addAnswer(sentAt)
+	case errors.Is(err, medlargw.ErrNotFound):
+		e.log.Warn("enrolment had ended", zap.String("list", r.list))
+		r.forget()
+	}
+	return sentAt, err
+}
+
+// forget drops the lease, which has ended or is left to end.
+func (r *registration) forget() { r.lease, r.written = 0, false }
+
+// suitableTTL returns the time to live of a lease that lasts for callsPerLease answers.
+func (r *registration) suitableTTL() time.Duration {
+	return min(max(r.minTTL, callsPerLease*r.answerTime), r.maxTTL)
+}
+
+// addAnswer records the answer to a call that was sent at the given time.
+func (r *registration) addAnswer(sentAt time.Time) {
+	r.answerTime = max(time.Since(sentAt), r.answerTime/2)
+}
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/enroller"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 )
 
@@ -24,59 +27,149 @@
 
 var errOutage = errors.New("store outage")
 
-// fakePlatform grants one lease and fails the calls in the given time spans.
+type fakeLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// fakePlatform fails the calls in the given time spans. Its answers take half of the
+// given time before and after a call takes effect.
 type fakePlatform struct {
+	started    time.Time
+	failing    [][2]time.Duration // Since started.
+	silent     bool               // Failing calls end with the caller's context.
+	answerTime func(age time.Duration) time.Duration
+	lateWrite  time.Duration // If above zero, the first write gets no answer and takes effect after this time.
+
 	mu          sync.Mutex
-	started     time.Time
-	failing     [][2]time.Duration // Since started.
-	silent      bool               // Failing calls end with the caller's context.
-	expires     time.Time
-	expiries    int // Leases that ended without a renewal in time.
+	leases      map[uint64]*fakeLease
+	enrolled    uint64 // The lease of the entry in the list.
+	expiries    int    // Renewals that came too late.
+	calls       int
 	failedCalls int
 }
 
-func (p *fakePlatform) call(ctx context.Context) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{
+		started: time.Now(), leases: map[uint64]*fakeLease{},
+		answerTime: func(time.Duration) time.Duration { return 0 },
+	}
+}
+
+func (p *fakePlatform) call(ctx context.Context, effect func() error) error {
 	age := time.Since(p.started)
-	for _, span := range p.failing {
-		if age < span[0] || age >= span[1] {
-			continue
-		}
+	failing := slices.ContainsFunc(p.failing, func(span [2]time.Duration) bool { return age >= span[0] && age < span[1] })
+	p.mu.Lock()
+	p.calls++
+	if failing {
 		p.failedCalls++
-		if p.silent {
-			<-ctx.Done()
-		}
+	}
+	p.mu.Unlock()
+	if failing && p.silent {
+		<-ctx.Done()
+	}
+	if failing {
 		return errOutage
 	}
-	return nil
+	took := p.answerTime(age)
+	time.Sleep(took / 2)
+	p.mu.Lock()
+	err := effect()
+	p.mu.Unlock()
+	time.Sleep(took / 2)
+	return err
+}
+
+// living returns a lease that has not ended. The caller holds the lock.
+func (p *fakePlatform) living(id uint64) (*fakeLease, error) {
+	l := p.leases[id]
+	if l == nil || !time.Now().Before(l.expires) {
+		return nil, medlargw.ErrNotFound
+	}
+	return l, nil
 }
 
-func (p *fakePlatform) Enrol(ctx context.Context, _ medlargw.Member, ttl time.Duration) (uint64, error) {
-	if err := p.call(ctx); err != nil {
-		return 0, err
+// listedFor returns the time to live of the lease of the entry, or zero if it is not in
+// the list, and the number of calls until now.
+func (p *fakePlatform) listedFor() (ttl time.Duration, calls int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, err := p.living(p.enrolled); err == nil {
+		ttl = l.ttl
 	}
-	p.expires = time.Now().Add(ttl)
-	return 1, nil
+	return ttl, p.calls
+}
+
+func (p *fakePlatform) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var id uint64
+	err := p.call(ctx, func() error {
+		id = uint64(len(p.leases) + 1)
+		p.leases[id] = &fakeLease{ttl, time.Now().Add(ttl)}
+		return nil
+	})
+	return id, err
 }
 
-func (p *fakePlatform) Renew(ctx context.Context, _ uint64) error {
-	if err := p.call(ctx); err != nil {
+func (p *fakePlatform) Enrol(ctx context.Context, _ medlargw.Member, id uint64) error {
+	write := func() error {
+		_, err := p.living(id)
+		if err == nil {
+			p.enrolled = id
+		}
 		return err
 	}
-	if time.Now().After(p.expires) {
-		p.expiries++
-		return medlargw.ErrNotFound
+	p.mu.Lock()
+	late := p.lateWrite
+	p.lateWrite = 0
+	p.mu.Unlock()
+	if late == 0 {
+		return p.call(ctx, write)
 	}
-	p.expires = time.Now().Add(1500 * time.Millisecond)
-	return nil
+	go func() {
+		time.Sleep(late)
+		_ = p.call(context.WithoutCancel(ctx), write)
+	}()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (p *fakePlatform) Remember(ctx context.Context, _ medlargw.Member, id uint64) error {
+	return p.call(ctx, func() error {
+		_, err := p.living(id)
+		return err
+	})
+}
+
+func (p *fakePlatform) Renew(ctx context.Context, id uint64) error {
+	return p.call(ctx, func() error {
+		l, err := p.living(id)
+		if err != nil {
+			p.expiries++
+			return err
+		}
+		l.expires = time.Now().Add(l.ttl)
+		return nil
+	})
 }
 
-func (p *fakePlatform) Remember(ctx context.Context, m medlargw.Member, ttl time.Duration) (uint64, error) {
-	return p.Enrol(ctx, m, ttl)
+func (p *fakePlatform) Revoke(ctx context.Context, id uint64) error {
+	return p.call(ctx, func() error {
+		delete(p.leases, id)
+		return nil
+	})
 }
 
-func (p *fakePlatform) Revoke(context.Context, uint64) error { return nil }
+// start starts an enroller at the platform.
+func (p *fakePlatform) start(t *testing.T) *enroller.Enroller {
+	t.Helper()
+	reg := registrar.New(zap.NewNop())
+	reg.Add(tracker{})
+	e := enroller.New(zap.NewNop(), reg, p, hedger.New(zap.NewNop(), metrics.NewRegistry()))
+	if err := e.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
 
 // TestRenewalRetriedWithinLease checks that one failed or unanswered renewal does
 // not end the lease, and that the calls in an outage become rarer.
@@ -96,13 +189,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := &fakePlatform{started: time.Now(), failing: tt.failing, silent: tt.silent}
-				reg := registrar.New(zap.NewNop())
-				reg.Add(tracker{})
-				e := enroller.New(zap.NewNop(), reg, p)
-				if err := e.Start(t.Context()); err != nil {
-					t.Fatal(err)
-				}
+				p := newFakePlatform()
+				p.failing, p.silent = tt.failing, tt.silent
+				e := p.start(t)
 				time.Sleep(15 * time.Second)
 				if err := e.Stop(t.Context()); err != nil {
 					t.Error(err)
@@ -117,3 +206,87 @@
 		})
 	}
 }
+
+// TestEnrolmentAtSlowPlatform guards against entries that are not listed while the
+// platform is slow, since their lease ends before its first renewal takes effect.
+func TestEnrolmentAtSlowPlatform(t *testing.T) {
+	const (
+		slowUntil = 30 * time.Second
+		usualTTL  = 1500 * time.Millisecond
+		maxCalls  = 80 // As at a platform that answers at once.
+	)
+	tests := []struct {
+		name     string
+		slowFrom time.Duration
+		took     time.Duration
+		listed   time.Duration // Latest time at which the entry is first listed.
+	}{
+		{"usual", 0, 0, 10 * time.Millisecond},
+		{"0.2 s from the start", 0, 200 * time.Millisecond, time.Second},
+		{"0.8 s from the start", 0, 800 * time.Millisecond, 4 * time.Second},
+		{"1.4 s from the start", 0, 1400 * time.Millisecond, 8 * time.Second},
+		{"0.8 s after a while", 5 * time.Second, 800 * time.Millisecond, 10 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFakePlatform()
+				p.answerTime = func(age time.Duration) time.Duration {
+					if age >= tt.slowFrom && age < slowUntil {
+						return tt.took
+					}
+					return 0
+				}
+				e := p.start(t)
+				var ttl time.Duration
+				var calls, flaps int
+				listedAt := slowUntil
+				for time.Since(p.started) < slowUntil {
+					time.Sleep(10 * time.Millisecond)
+					synctest.Wait()
+					was := ttl
+					if ttl, calls = p.listedFor(); was != 0 && ttl == 0 {
+						flaps++
+					}
+					if ttl != 0 {
+						listedAt = min(listedAt, time.Since(p.started))
+					}
+				}
+				if listedAt > tt.listed {
+					t.Errorf("listed after %v, want at most %v", listedAt, tt.listed)
+				}
+				if flaps > 0 {
+					t.Errorf("times that the entry left the list: got %d, want none", flaps)
+				}
+				if calls > maxCalls {
+					t.Errorf("calls: got %d, want at most %d", calls, maxCalls)
+				}
+				time.Sleep(15 * time.Second) // The platform is as usual again.
+				if got, _ := p.listedFor(); got != usualTTL {
+					t.Errorf("lease at the usual platform: got %v, want %v", got, usualTTL)
+				}
+				if err := e.Stop(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// TestLateWriteKeepsEntryListed guards against an entry that is not listed though it
+// renews its lease: a write that was not answered takes effect after its repetition,
+// and would bind the record to a lease that was given up.
+func TestLateWriteKeepsEntryListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePlatform()
+		p.lateWrite = 1200 * time.Millisecond
+		e := p.start(t)
+		time.Sleep(10 * time.Second)
+		if ttl, _ := p.listedFor(); ttl == 0 {
+			t.Error("got an entry that is not listed, want it listed")
+		}
+		if err := e.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/member.go
+++ b/member.go
@@ -109,16 +109,17 @@
 	Running int
 }
 
-// Enrolment registers this entry in the platform's list of entries, under a
-// lease.
+// Enrolment registers this entry in the platform's lists of entries, under leases. All
+// calls may be repeated; they return ErrNotFound if the lease has ended.
 type Enrolment interface {
-	// Enrol adds the entry to the list and returns the ID of the lease. The
-	// platform removes the entry when the lease has not been renewed for the TTL.
-	Enrol(ctx context.Context, m Member, ttl time.Duration) (uint64, error)
-	// Remember adds the entry to the list of recent entries, likewise, and returns the
-	// ID of that lease.
-	Remember(ctx context.Context, m Member, ttl time.Duration) (uint64, error)
-	// Renew renews the lease. It returns ErrNotFound if the lease has ended.
+	// Grant creates a lease and returns its ID. It ends when it has not been renewed for
+	// the TTL, counted from the arrival of the call.
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Enrol adds the entry to the list until the lease ends.
+	Enrol(ctx context.Context, m Member, lease uint64) error
+	// Remember adds the entry to the list of recent entries, likewise.
+	Remember(ctx context.Context, m Member, lease uint64) error
+	// Renew renews the lease.
 	Renew(ctx context.Context, lease uint64) error
 	// Revoke ends the lease and so removes the entry from the list.
 	Revoke(ctx context.Context, lease uint64) error
