Assigner: the pauses after refused reads grow from the shortest one

An entry that starts and whose first read of the host list is refused read again only after twice the usual interval, 2 s and more, in which it serves nobody: the pause after a failure was doubled from the interval between reads, so that the shortest pause of 0.2 s was never used.

The pause after a failure is a variable of its own now, reset by each read that succeeds.

--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -32,19 +32,19 @@
 // run polls the list, if this entry is to read it, until the context ends.
 func (a *Assigner) run(ctx context.Context) {
 	interval := cmp.Or(a.settings.Group.Read, pollInterval)
-	pause := interval
+	retryPause := minRetryPause
 	for {
-		startedAt := time.Now()
+		startedAt, pause := time.Now(), interval
 		switch {
 		case !a.ReadsPlatform():
 			pause = pollInterval
 		case !a.readList(ctx):
-			startedAt = time.Now() // The pause follows the failure.
-			pause = min(max(2*pause, minRetryPause), maxRetryPause)
+			startedAt, pause = time.Now(), retryPause // The pause follows the failure.
+			retryPause = min(2*retryPause, maxRetryPause)
 		case time.Since(a.createdAt) < startupTime:
-			pause = min(startupPollInterval, interval)
+			retryPause, pause = minRetryPause, min(startupPollInterval, interval)
 		default:
-			pause = interval
+			retryPause = minRetryPause
 		}
 		select {
 		case <-time.After(withJitter(pause) - time.Since(startedAt)):
--- /dev/null
+++ b/assigner/poll_test.go
@@ -0,0 +1,47 @@
+package assigner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// slowLister refuses the first reads, and answers the others after a time.
+type slowLister struct {
+	fakes
+	refusals int
+	took     time.Duration
+}
+
+func (l *slowLister) Hosts(context.Context) (medlargw.HostList, error) {
+	if l.refusals > 0 {
+		l.refusals--
+		return medlargw.HostList{}, errors.New("busy")
+	}
+	time.Sleep(l.took)
+	return l.list, nil
+}
+
+// TestRefusedReadIsRepeatedSoon guards against an entry that starts and waits for seconds
+// after the platform has refused a single read.
+func TestRefusedReadIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLister{refusals: 1}
+		l.list.Version = 3
+		a := newTestAssigner(&l.fakes)
+		a.hosts, a.settings.Host = l, l.Self().Host
+		began := time.Now()
+		a.spawner.Go(a.run)
+		for a.HostsVersion() == 0 && time.Since(began) < time.Minute {
+			time.Sleep(time.Millisecond)
+		}
+		if got, want := time.Since(began), 2*minRetryPause; got > want {
+			t.Errorf("list in use after %v, want at most %v", got, want)
+		}
+		a.spawner.Stop()
+	})
+}
