Assigner: only a fresh list tells of the former enrolment of this host

An entry that finds its former process enrolled claims its targets at once, since no peer has taken them while it is listed. A read is left outstanding since the commits before, so that an answer can be some seconds old; by then the enrolment has ended, peers hold the targets, and a claim with a higher token would end their runs. The listed entries have counted only while the list is fresh all along; the former enrolment follows that rule now.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -271,8 +271,8 @@
 		g := newGroup(list, members)
 		g.Evacuated = a.evacuated
 		g.RecentEntries = a.recent
-		g.HasFormerEnrolment = hasFormerEnrolment(list, &members[0])
 		if a.HostsAge() < staleAfter {
+			g.HasFormerEnrolment = hasFormerEnrolment(list, &members[0])
 			g.ListedEntries = listedPeers(list, members)
 		}
 		a.groupSetter.SetGroup(g)
--- a/assigner/poll_test.go
+++ b/assigner/poll_test.go
@@ -45,3 +45,32 @@
 		a.spawner.Stop()
 	})
 }
+
+// TestLateListProvesNoFormerEnrolment guards against targets that are claimed from a
+// living holder: a list that was read long ago tells of the former enrolment of this
+// host, which has ended since.
+func TestLateListProvesNoFormerEnrolment(t *testing.T) {
+	tests := []struct {
+		name string
+		took time.Duration
+		want bool
+	}{
+		{"fresh", staleAfter / 2, true},
+		{"late", 3 * staleAfter / 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &slowLister{took: test.took}
+				self := l.Self()
+				l.list = medlargw.HostList{Version: 3, Entries: []medlargw.EntryHost{{Name: self.Host, Zone: self.Zone, Addr: self.Addr, Incarnation: 7}}}
+				a := newTestAssigner(&l.fakes)
+				a.hosts = l
+				a.readList(t.Context())
+				if got := l.groups[len(l.groups)-1].HasFormerEnrolment; got != test.want {
+					t.Errorf("former enrolment: got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
