Spacer, watcher, assigner: a fetch from a slow peer stays outstanding

Package spacer lets a second fetch start after 0.7 s, from the peer that is heard next, and further ones after 1.4 and 2.8 s, while those before go on for 5 s. A peer that hangs costs what it cost before.

TestFetchFromPeers replaces TestFetchFromAPeerThatHangs, has its case and bound, and two more; before, the case in which all peers take 1.5 s was not in force after a minute.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -24,6 +24,7 @@
 	"medlargw.example/medlargw/differ"
 	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/spacer"
 	"medlargw.example/medlargw/spawner"
 )
 
@@ -54,7 +55,7 @@
 	encoded      atomic.Pointer[encodedList]       // The list as it was last sent to a peer.
 	lastZoneRead atomic.Int64                      // When an entry of the zone last read the list, in nanoseconds since createdAt.
 	createdAt    time.Time
-	fetching     atomic.Bool
+	fetches      spacer.Spacer
 	mu           sync.Mutex // Held while a list or a change of the membership is applied.
 	differ       *differ.Differ
 	evacuated    []medlargw.ZoneName // As last known.
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -25,7 +25,7 @@
 	minRetryPause       = 200 * time.Millisecond // Shortest pause after a failed read.
 	maxRetryPause       = 2 * time.Second        // Longest pause after a failed read.
 	readersPerZone      = 2
-	fetchTimeout        = time.Second
+	fetchTimeout        = 5 * time.Second
 	pauseJitter         = 0.2 // Share by which a pause varies.
 )
 
@@ -112,11 +112,11 @@
 	if from.Zone == a.settings.Zone {
 		a.recordZoneRead(time.Now().Add(-d.HostsAge))
 	}
-	if d.HostsVersion <= a.HostsVersion() || !a.fetching.CompareAndSwap(false, true) {
+	if d.HostsVersion <= a.HostsVersion() || !a.fetches.Start(time.Now()) {
 		return
 	}
 	a.spawner.Go(func(ctx context.Context) {
-		defer a.fetching.Store(false)
+		defer a.fetches.End()
 		a.fetchList(ctx, from.Addr, from.Zone != a.settings.Zone)
 	})
 }
--- a/watcher/fetch_test.go
+++ b/watcher/fetch_test.go
@@ -22,6 +22,7 @@
 	medlargw.Messenger
 	hangs netip.AddrPort // A fetch from this peer is never answered.
 	peer  *Watcher       // Answers the other fetches.
+	took  time.Duration  // Of the answers.
 }
 
 func (*parts) Configure(*medlargw.Config) {}
@@ -33,6 +34,10 @@
 		<-ctx.Done()
 		return medlargw.FetchReply{}, ctx.Err()
 	}
+	time.Sleep(p.took)
+	if ctx.Err() != nil {
+		return medlargw.FetchReply{}, ctx.Err()
+	}
 	return p.peer.HandleFetch(ctx, r)
 }
 
@@ -63,28 +68,42 @@
 	return w
 }
 
-// TestFetchFromAPeerThatHangs delivers the news of a configuration from a peer
-// that answers no fetch, and then from another peer each 100 ms. The configuration
-// must be in force well before the bound of the present installations.
-func TestFetchFromAPeerThatHangs(t *testing.T) {
+// TestFetchFromPeers delivers the news of a configuration from one peer, and then from
+// another one each 100 ms. It guards against a peer that hangs and keeps the entry from
+// asking another, and against answers that take longer than a fetch lasts: the
+// configuration must be in force before the bound of the present installations.
+func TestFetchFromPeers(t *testing.T) {
 	const bound = 2 * time.Second
-	synctest.Test(t, func(t *testing.T) {
-		first := medlargw.Member{Addr: netip.MustParseAddrPort("10.0.0.1:7700")}
-		second := medlargw.Member{Addr: netip.MustParseAddrPort("10.0.0.2:7700")}
-		w := newWatcher(&parts{hangs: first.Addr, peer: configured(t, 7)})
-		defer w.spawner.Stop()
-		news := medlargw.Digest{Generation: 7}
-		began := time.Now()
-		for w.Config() == nil && time.Since(began) < time.Minute {
-			if time.Since(began) == 0 {
-				w.HeartbeatReceived(first, news)
-			}
-			time.Sleep(100 * time.Millisecond)
-			w.HeartbeatReceived(second, news)
-			synctest.Wait()
-		}
-		if got := time.Since(began); got > bound {
-			t.Errorf("configuration in force: got after %v, want at most %v", got, bound)
-		}
-	})
+	first := medlargw.Member{Addr: netip.MustParseAddrPort("10.0.0.1:7700")}
+	second := medlargw.Member{Addr: netip.MustParseAddrPort("10.0.0.2:7700")}
+	tests := []struct {
+		name  string
+		hangs netip.AddrPort
+		took  time.Duration
+	}{
+		{"first hangs", first.Addr, 0},
+		{"all are slow", netip.AddrPort{}, 1500 * time.Millisecond},
+		{"first hangs, second is slow", first.Addr, 800 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWatcher(&parts{hangs: test.hangs, took: test.took, peer: configured(t, 7)})
+				defer w.spawner.Stop()
+				news := medlargw.Digest{Generation: 7}
+				began := time.Now()
+				for w.Config() == nil && time.Since(began) < time.Minute {
+					if time.Since(began) == 0 {
+						w.HeartbeatReceived(first, news)
+					}
+					time.Sleep(100 * time.Millisecond)
+					w.HeartbeatReceived(second, news)
+					synctest.Wait()
+				}
+				if got := time.Since(began); got > bound {
+					t.Errorf("configuration in force: got after %v, want at most %v", got, bound)
+				}
+			})
+		})
+	}
 }
--- a/watcher/peers.go
+++ b/watcher/peers.go
@@ -13,9 +13,8 @@
 	"medlargw.example/medlargw"
 )
 
-// fetchTimeout bounds one fetch from a peer. One that hangs must leave time to
-// fetch from another before the configuration has to be in force.
-const fetchTimeout = 700 * time.Millisecond
+// fetchTimeout bounds one fetch from a peer.
+const fetchTimeout = 5 * time.Second
 
 // errValueMissing is returned when a peer left out a value that is not cached
 // here.
@@ -58,11 +57,11 @@
 // HeartbeatReceived fetches the configuration of a peer that has a higher
 // generation.
 func (w *Watcher) HeartbeatReceived(from medlargw.Member, d medlargw.Digest) {
-	if d.Generation <= w.currentGeneration() || !w.fetching.CompareAndSwap(false, true) {
+	if d.Generation <= w.currentGeneration() || !w.fetches.Start(time.Now()) {
 		return
 	}
 	w.spawner.Go(func(ctx context.Context) {
-		defer w.fetching.Store(false)
+		defer w.fetches.End()
 		changed, err := w.fetch(ctx, from.Addr, w.currentGeneration())
 		if errors.Is(err, errValueMissing) {
 			changed, err = w.fetch(ctx, from.Addr, 0)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,6 +20,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/converter"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/spacer"
 	"medlargw.example/medlargw/spawner"
 )
 
@@ -52,7 +53,7 @@
 	gossiper       medlargw.Gossiper
 	messenger      medlargw.Messenger
 	current        atomic.Pointer[medlargw.Config]
-	fetching       atomic.Bool
+	fetches        spacer.Spacer
 
 	mu         sync.Mutex // Held while a generation is put into force.
 	rawHead    []byte     // As stored.
