Enroller: the revocation of a planned stop goes on until the stop ends

A host that starts again after a planned stop and finds its former process enrolled claims its targets at once, as nobody has taken them. They were transferred in the stop; the claims take them from their holders with higher tokens, and the runs there are lost.

Cause: PreStop gave the revocation 0.5 s, once.

TestSlowRevocationInPlannedStop failed before (listed 6 s after the stop began).

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -29,8 +29,6 @@
 	// callsPerLease is the number of consecutive calls for which a lease must last. To
 	// register takes three: one for the lease, one for the entry, and a renewal.
 	callsPerLease = 4
-	// revokeTimeout bounds the time that a planned stop waits for the platform.
-	revokeTimeout = 500 * time.Millisecond
 	// recentTTL is the time for which a stopped entry is remembered. All entries may be
 	// away for as long as that.
 	recentTTL = time.Minute
@@ -59,6 +57,7 @@
 	current   registration // Ends with the entry.
 	recent    registration // Outlasts the entry.
 
+	leave  context.CancelFunc // Begins a planned stop.
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 	done   chan struct{}
@@ -112,23 +111,22 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
-	e.wg.Go(func() { e.keepRegistered(ctx, &e.current, 0) })
-	e.wg.Go(func() { e.keepRegistered(ctx, &e.recent, recentDelay) })
+	registered, leave := context.WithCancel(ctx)
+	e.cancel, e.leave = cancel, leave
+	e.wg.Go(func() {
+		e.keepRegistered(registered, &e.current, 0)
+		e.revoke(ctx, &e.current)
+	})
+	e.wg.Go(func() { e.keepRegistered(registered, &e.recent, recentDelay) })
 	return nil
 }
 
-// PreStop ends the renewals, and the lease that ends with the entry, at the beginning
-// of a planned stop.
-func (e *Enroller) PreStop(ctx context.Context) error {
-	e.cancel()
-	e.wg.Wait()
-	if e.current.lease == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
-	defer cancel()
-	return e.enrolment.Revoke(ctx, e.current.lease)
+// PreStop ends the renewals at the beginning of a planned stop. The lease that ends with
+// the entry is revoked until Stop, however slow the platform is: the next process of this
+// host must not take it for one whose targets nobody has taken.
+func (e *Enroller) PreStop(context.Context) error {
+	e.leave()
+	return nil
 }
 
 // Stop ends the renewals.
@@ -159,6 +157,18 @@
 	}
 }
 
+// revoke ends the lease, unless the context ends before.
+func (e *Enroller) revoke(ctx context.Context, r *registration) {
+	retry := newRetryBackOff(r.minRetry, r.maxRetry)
+	for delay := time.Duration(0); r.lease != 0 && sleep(ctx, delay); delay = retry.NextBackOff() {
+		if _, err := e.call(ctx, r, "revoke", e.enrolment.Revoke); err == nil {
+			r.forget()
+		} else if ctx.Err() != nil {
+			e.log.Warn("enrolment not revoked before the stop", zap.String("list", r.list), zap.Error(err))
+		}
+	}
+}
+
 // sleep waits for a time, and returns false if the context ends before.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -33,7 +33,8 @@
 }
 
 // fakePlatform fails the calls in the given time spans. Its answers take half of the
-// given time before and after a call takes effect.
+// given time before and after a call takes effect. A call that its caller has left before
+// takes none.
 type fakePlatform struct {
 	started    time.Time
 	failing    [][2]time.Duration // Since started.
@@ -73,6 +74,9 @@
 	}
 	took := p.answerTime(age)
 	time.Sleep(took / 2)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	p.mu.Lock()
 	err := effect()
 	p.mu.Unlock()
@@ -290,3 +294,40 @@
 		}
 	})
 }
+
+// TestSlowRevocationInPlannedStop guards against a host that claims targets of living
+// holders as it starts again: its former process has transferred them, and is still
+// listed since the platform was slower than the revocation lasted.
+func TestSlowRevocationInPlannedStop(t *testing.T) {
+	const shortestStop = 2500 * time.Millisecond
+	tests := []struct {
+		name    string
+		took    time.Duration
+		failing [][2]time.Duration
+	}{
+		{"usual", 0, nil},
+		{"slow", 1200 * time.Millisecond, nil},
+		{"slow and refused at first", 400 * time.Millisecond, [][2]time.Duration{{10 * time.Second, 10900 * time.Millisecond}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFakePlatform()
+				p.failing = tt.failing
+				p.answerTime = func(time.Duration) time.Duration { return tt.took }
+				e := p.start(t)
+				time.Sleep(10 * time.Second)
+				if err := e.PreStop(t.Context()); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(shortestStop)
+				if ttl, _ := p.listedFor(); ttl != 0 {
+					t.Errorf("got an entry that is listed for %v after its planned stop, want none", ttl)
+				}
+				if err := e.Stop(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
