Accessor, watcher: entries set no limit to reads from the store

At a store that takes longer an entry that starts never has a host list, nor the declarations of a team, and so no configuration, until it hears a peer that does.

Reads of entries end with their contexts now; the host list and the declarations are hedged. Commands keep the limit of 5 s, as a person waits. The watch of the head keeps its 8 s: it is open already when the head changes, so an answer only has to be heard once.

--- a/accessor/accessor.go
+++ b/accessor/accessor.go
@@ -23,7 +23,8 @@
 // Limits of one call.
 const (
 	maxValueBytes = 2 << 20
-	callTimeout   = 5 * time.Second
+	writeTimeout  = 5 * time.Second
+	watchMargin   = 5 * time.Second // For the answer of the platform.
 	maxWatchTime  = 8 * time.Second // Then Watch returns, and the caller watches again.
 )
 
@@ -32,8 +33,9 @@
 
 // Accessor implements medlargw.Store and medlargw.HostLister.
 type Accessor struct {
-	base   string
-	client *http.Client
+	base        string
+	client      *http.Client
+	readTimeout time.Duration // Zero is unlimited.
 }
 
 var (
@@ -41,9 +43,18 @@
 	_ medlargw.HostLister = (*Accessor)(nil)
 )
 
-// New returns a client of the platform at the address.
-func New(addr netip.AddrPort) *Accessor {
-	return &Accessor{base: "http://" + addr.String(), client: &http.Client{Transport: &http.Transport{}}}
+// New returns a client of the platform at the address. Reads that take longer than the
+// timeout fail; with zero, they end with their contexts.
+func New(addr netip.AddrPort, readTimeout time.Duration) *Accessor {
+	return &Accessor{base: "http://" + addr.String(), client: &http.Client{Transport: &http.Transport{}}, readTimeout: readTimeout}
+}
+
+// boundRead returns the context of a read.
+func (a *Accessor) boundRead(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.readTimeout == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, a.readTimeout)
 }
 
 // Close closes the idle connections.
@@ -53,7 +64,7 @@
 
 // Get returns the value of a key, or medlargw.ErrNotFound.
 func (a *Accessor) Get(ctx context.Context, key string) (medlargw.KeyValue, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := a.boundRead(ctx)
 	defer cancel()
 	return a.getEntry(ctx, key, keyPath(key))
 }
@@ -61,7 +72,7 @@
 // Watch waits until the key's revision differs from the given one, and returns
 // the entry. After maxWatchTime it returns the entry unchanged.
 func (a *Accessor) Watch(ctx context.Context, key string, revision uint64) (medlargw.KeyValue, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWatchTime+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxWatchTime+watchMargin)
 	defer cancel()
 	query := "?after=" + strconv.FormatUint(revision, 10) + "&wait=" + maxWatchTime.String()
 	return a.getEntry(ctx, key, "/v1/watch/"+key+query)
@@ -78,7 +89,7 @@
 // Put writes a key if its revision is still the given one, and returns the new
 // revision. Revision zero creates the key.
 func (a *Accessor) Put(ctx context.Context, key string, value []byte, revision uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	_, written, err := a.call(ctx, http.MethodPut, keyPath(key), value, strconv.FormatUint(revision, 10))
 	if err != nil {
@@ -89,7 +100,7 @@
 
 // Delete removes a key if its revision is still the given one.
 func (a *Accessor) Delete(ctx context.Context, key string, revision uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	_, _, err := a.call(ctx, http.MethodDelete, keyPath(key), nil, strconv.FormatUint(revision, 10))
 	if err != nil {
@@ -106,7 +117,7 @@
 
 // List returns the entries whose key starts with the prefix.
 func (a *Accessor) List(ctx context.Context, prefix string) ([]medlargw.KeyValue, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := a.boundRead(ctx)
 	defer cancel()
 	body, _, err := a.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, "")
 	if err != nil {
@@ -125,7 +136,7 @@
 
 // Hosts returns the platform's host list.
 func (a *Accessor) Hosts(ctx context.Context) (medlargw.HostList, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := a.boundRead(ctx)
 	defer cancel()
 	body, _, err := a.call(ctx, http.MethodGet, "/v1/hosts", nil, "")
 	if err != nil {
--- a/accessor/contract_test.go
+++ b/accessor/contract_test.go
@@ -33,7 +33,7 @@
 	server := httptest.NewServer(served.Handler())
 	t.Cleanup(server.Close)
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-	remote := accessor.New(addr)
+	remote := accessor.New(addr, 0)
 	t.Cleanup(remote.Close)
 	return []implementation{
 		{name: "in memory", store: direct, hosts: direct, list: direct.SetHosts},
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -98,6 +98,7 @@
 		b.Metrics = metrics.NewRegistry()
 	}
 	registry := b.Metrics
+	calls := hedger.New(b.Log, registry)
 	report := reporter.New(b.Log, reg, registry, time.Now())
 	disp := dispatcher.New(b.Log, dec, b.Sender, registry, report)
 	disp.UseLender(reg, lender.New(&b.Settings, incarnation), &b.Settings)
@@ -109,8 +110,8 @@
 		reg.Add(admin(reg, registry))
 	}
 	reg.Add(
-		assigner.New(b.Log, reg, b.Settings, b.Hosts, hedger.New(b.Log, b.Metrics)),
-		watcher.New(b.Log, reg, b.Store),
+		assigner.New(b.Log, reg, b.Settings, b.Hosts, calls),
+		watcher.New(b.Log, reg, b.Store, calls),
 		b.newMessenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
 		keeper.New(b.Log, reg, b.Settings, mint),
@@ -155,7 +156,7 @@
 // setPlatformDefaults sets Store and Hosts, if they are nil, to an accessor of
 // the platform in the settings.
 func (b *Builder) setPlatformDefaults() {
-	platform := accessor.New(b.Settings.Store)
+	platform := accessor.New(b.Settings.Store, 0) // The components decide how long to wait.
 	if b.Store == nil {
 		b.Store = platform
 	}
--- a/builder/leased.go
+++ b/builder/leased.go
@@ -26,7 +26,7 @@
 	reg.Add(
 		conductor.New(b.Log, reg, &b.Settings, incarnation, clock, runner, b.Metrics),
 		assigner.New(b.Log, reg, b.Settings, b.Hosts, calls),
-		watcher.New(b.Log, reg, b.Store),
+		watcher.New(b.Log, reg, b.Store, calls),
 		b.newMessenger(reg),
 		tracker.New(b.Log, reg, b.Settings, incarnation),
 		enroller.New(b.Log, reg, enrolment, calls),
--- a/commander/check.go
+++ b/commander/check.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse address of the store: %w", err)
 	}
-	return accessor.New(addr), nil
+	return accessor.New(addr, readTimeout), nil
 }
 
 // readFiles reads the *.medlargw files below the directories, each file once.
--- a/commander/entries.go
+++ b/commander/entries.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -21,6 +22,9 @@
 // key.
 const adminKeyVariable = "MEDLARGW_ADMIN"
 
+// readTimeout bounds a read from the store.
+const readTimeout = 5 * time.Second
+
 // entryFlags are the flags with the addresses and the key of the entries.
 type entryFlags struct {
 	addresses []string
@@ -72,7 +76,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse address of the store: %w", err)
 	}
-	platform := accessor.New(store)
+	platform := accessor.New(store, readTimeout)
 	defer platform.Close()
 	list, err := platform.Hosts(ctx)
 	if err != nil {
--- a/rehearser/load.go
+++ b/rehearser/load.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return load, nil, fmt.Errorf("parse store address: %w", err)
 	}
-	list, err := accessor.New(store).Hosts(ctx)
+	list, err := accessor.New(store, listTimeout).Hosts(ctx)
 	if err != nil {
 		return load, nil, fmt.Errorf("read targets: %w", err)
 	}
@@ -123,6 +123,9 @@
 // kindFieldCount is the number of values in a kind flag.
 const kindFieldCount = 6
 
+// listTimeout bounds the read of the host list.
+const listTimeout = 5 * time.Second
+
 // parseKind parses the value of a kind flag.
 func parseKind(text string) (medlargw.JobKind, error) {
 	values := strings.Split(text, ",")
--- a/watcher/fetch_test.go
+++ b/watcher/fetch_test.go
@@ -7,10 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/converter"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/storer"
 )
@@ -42,7 +44,7 @@
 }
 
 func newWatcher(p *parts) *Watcher {
-	w := New(zap.NewNop(), registrar.New(zap.NewNop()), storer.New())
+	w := New(zap.NewNop(), registrar.New(zap.NewNop()), storer.New(), hedger.New(zap.NewNop(), metrics.NewRegistry()))
 	w.configReceiver, w.storeReader, w.gossiper, w.messenger = p, p, p, p
 	return w
 }
--- a/watcher/watch.go
+++ b/watcher/watch.go
@@ -10,6 +10,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/converter"
+	"medlargw.example/medlargw/hedger"
 )
 
 const (
@@ -69,7 +70,9 @@
 		return kv, nil
 	}
 	changed, err := w.apply(kv.Value, func(v medlargw.TeamVersion) ([]byte, error) {
-		e, err := w.store.Get(ctx, w.conv.TeamKey(v))
+		e, _, err := hedger.Do(ctx, w.calls, "team", func(ctx context.Context) (medlargw.KeyValue, error) {
+			return w.store.Get(ctx, w.conv.TeamKey(v))
+		})
 		return e.Value, err
 	})
 	if changed {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -19,6 +19,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/converter"
+	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
 	"medlargw.example/medlargw/spacer"
 	"medlargw.example/medlargw/spawner"
@@ -47,6 +48,7 @@
 	log            *zap.Logger
 	registry       *registrar.Registrar
 	store          medlargw.Store
+	calls          *hedger.Hedger
 	conv           converter.Converter
 	configReceiver configReceiver
 	storeReader    storeReader
@@ -71,11 +73,12 @@
 )
 
 // New returns a watcher that has not started.
-func New(log *zap.Logger, reg *registrar.Registrar, store medlargw.Store) *Watcher {
+func New(log *zap.Logger, reg *registrar.Registrar, store medlargw.Store, calls *hedger.Hedger) *Watcher {
 	return &Watcher{
 		log:        log.Named("watcher"),
 		registry:   reg,
 		store:      store,
+		calls:      calls,
 		teamValues: map[medlargw.TeamVersion]teamValue{},
 		spawner:    spawner.New(),
 		done:       make(chan struct{}),
