--- a/hedger/hedger_test.go
+++ b/hedger/hedger_test.go
@@ -98,8 +98,11 @@
 				if took > test.within || s.sent > test.maxSent {
 					t.Errorf("got %d copies in %v, want at most %d in %v", s.sent, took, test.maxSent, test.within)
 				}
-				if last := test.reactions[min(test.answer, len(test.reactions))-min(test.answer, 1)]; test.answer > 0 && time.Since(sentAt) != last.after {
-					t.Errorf("answered copy: got sent %v ago, want %v", time.Since(sentAt), last.after)
+				if test.answer > 0 {
+					answered := test.reactions[min(test.answer, len(test.reactions))-1]
+					if got, want := time.Since(sentAt), answered.after; got != want {
+						t.Errorf("answered copy: got sent %v ago, want %v", got, want)
+					}
 				}
 				if s.outstanding != 0 {
 					t.Errorf("outstanding copies after the answer: got %d, want none", s.outstanding)
