--- a/holder/home.go
+++ b/holder/home.go
@@ -147,6 +147,7 @@
 	report := medlargw.TaskReport{Home: w.home.peer, ID: w.offered.ID, Event: event, Reason: reason}
 	if r != nil {
 		report.Target = r.target.info.Name
+		h.logAbandonedEnd(now, r, event)
 		if !r.acked.IsZero() {
 			report.Elapsed = time.Duration(float64(now.Sub(r.acked)) / r.target.rater.Slowness())
 			h.attributor.RecordRun(now, w.offered.Service, now.Sub(r.acked))
--- a/holder/log.go
+++ b/holder/log.go
@@ -55,6 +55,25 @@
 		zap.String("target", string(e.report.Target)), zap.String("to", string(e.to)), zap.Duration("age", now.Sub(e.at)))
 }
 
+// logStart logs a start order with the home of its task. A caller that submits its
+// job again may have two homes for it.
+func (h *Holder) logStart(r *run) {
+	if line := h.log.Check(zap.DebugLevel, "run ordered"); line != nil {
+		home := &r.task.home.peer
+		line.Write(append(r.target.runFields(r.id), zap.String("home", string(home.Host)),
+			zap.Uint64("incarnation", uint64(home.Incarnation)), zap.Uint64("job", r.task.offered.Job))...)
+	}
+}
+
+// logAbandonedEnd logs the end of a run whose job was given up, with the time since
+// then.
+func (h *Holder) logAbandonedEnd(now time.Time, r *run, event medlargw.TaskEvent) {
+	if !r.abandonedAt.IsZero() {
+		h.log.Info("abandoned run ended", append(r.target.runFields(r.id), zap.Stringer("event", event), zap.String("reason", r.reason),
+			zap.Duration("since", now.Sub(r.abandonedAt)), zap.Duration("age", now.Sub(r.sent)))...)
+	}
+}
+
 // logEnd logs the end of a run whose home is unknown, unless this holder has
 // stopped it, and one that is read while the transfer of its target is in flight.
 func (h *Holder) logEnd(t *target, e *medlargw.RunEnd) {
--- a/holder/log_test.go
+++ b/holder/log_test.go
@@ -107,7 +107,7 @@
 			x.h.RenewAnswered(x.now, x.now, &x.renewal, nil, noAnswerError{})
 			x.now = x.now.Add(2 * time.Second)
 			x.h.Tick(x.now)
-		}, []string{"target does not answer", "run on a silent target task=b seen=0", "tasks of a home stopped home=home reason=home silent", "runs of a target counted as ended reason=lease ended seen=0"}},
+		}, []string{"target does not answer", "run on a silent target task=b seen=0", "tasks of a home stopped home=home reason=home silent", "runs of a target counted as ended reason=lease ended seen=0", "abandoned run ended task=b event=stopped reason=home silent seen=0"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/holder/place.go
+++ b/holder/place.go
@@ -148,6 +148,7 @@
 	order := medlargw.StartOrder{Run: r.id, Payload: w.offered.Payload, LeaseEnd: r.leaseEnd, FenceToken: t.token}
 	h.pacer.Add(now, medlargw.OrderBytes+len(order.Payload))
 	h.actions.Starts = append(h.actions.Starts, medlargw.StartCommand{Target: t.info, Order: order})
+	h.logStart(r)
 	h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
 		Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name,
 	})
@@ -190,7 +191,9 @@
 // abandonRun stops a run whose job was given up. Its home doesn't wait for the
 // proof of its end.
 func (h *Holder) abandonRun(now time.Time, r *run, reason string) {
-	r.abandoned = true
+	if r.abandonedAt.IsZero() {
+		r.abandonedAt = now
+	}
 	if !r.stopping {
 		h.stopRun(now, r, reason)
 	}
--- a/holder/target.go
+++ b/holder/target.go
@@ -34,7 +34,7 @@
 	transferred  bool // A transfer that may have arrived names the run.
 	cold         bool // The target was cold when the run was ordered.
 	stopping     bool
-	abandoned    bool // Its job was given up, and may be submitted again before the run has ended.
+	abandonedAt  time.Time // When its job was given up, which may be submitted again before the run has ended; zero is not.
 	stopSent     time.Time
 	stopAnswered time.Time // Zero until the target has confirmed the stop.
 	reason       string    // Why the run is stopped.
@@ -196,7 +196,7 @@
 // job again soon. If the stop is lost, the other runs on the target end too.
 func (t *target) mustLapse(now time.Time, s *medlargw.LeaseSettings) bool {
 	for _, r := range t.runs {
-		if r.abandoned && r.stopAnswered.IsZero() || r.task != nil && r.task.home.silent(now, s) {
+		if !r.abandonedAt.IsZero() && r.stopAnswered.IsZero() || r.task != nil && r.task.home.silent(now, s) {
 			return true
 		}
 	}
