Home: each message to a holder brings all cancels without an answer

Callers saw a task run twice at a time after they had submitted a job again, if their connection had ended: the home gives the job up and cancels its tasks, but the run goes on.

Cause: a cancel was in one message, and in another one only after that had failed (0.2 s, 0.4 s with lag). Keepalives in between kept the run alive. A holder without other tasks of the home got the next message up to 1 s later. The 2 s after which cancels are dropped counted from the first message that was not answered, not from the cancel.

Evidence, before: TestEachMessageBringsCancels: the keepalive 120 ms after the lost message has "Cancels:[]"; TestCancelBesideOlderOnes: "2.12s: got no cancel of task 2 for 160ms, want one". Both pass now.

Why it works: a holder that hears any message made after the job was given up learns of it. A cancel is removed when a message that has brought it is answered, or 2 s after it was made, when its holder has stopped the tasks by itself.

Not ruled out: that the lease which was granted before lasts too long; that is another fault.

--- /dev/null
+++ b/coordinator/cancel_test.go
@@ -0,0 +1,84 @@
+package coordinator_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// TestEachMessageBringsCancels guards against a run that goes on after its caller has
+// submitted the job again: the message that cancels it is lost, while others keep its
+// home alive for the holder.
+func TestEachMessageBringsCancels(t *testing.T) {
+	h := newFixture(t)
+	given, kept := job(1), job(1)
+	kept.RequestID = "kept"
+	h.c.Submit(h.now, given)
+	h.c.Submit(h.now, kept)
+	all := h.offers()
+	h.answer(&all[0], medlargw.OfferStarted)
+	id := all[0].Offer.Tasks[0].ID
+	h.now = h.now.Add(200 * time.Millisecond)
+	before := h.offers() // Was sent before, and its answer comes after the cancel.
+	h.c.Cancel(h.now, given)
+	h.offers() // Is lost, which is not known yet.
+	if len(before) != 1 {
+		t.Fatalf("keepalives: got %v, want one", before)
+	}
+	h.answer(&before[0], medlargw.OfferStarted)
+	var last *medlargw.OfferCommand
+	h.advance(130*time.Millisecond, func() {
+		for _, o := range h.offers() {
+			last = &o
+		}
+	})
+	if last == nil || !slices.Equal(last.Offer.Cancels, []medlargw.TaskID{id}) {
+		t.Fatalf("next message: got %+v, want one that cancels task %d", last, id)
+	}
+	h.answer(last, medlargw.OfferStarted)
+	h.advance(130*time.Millisecond, func() {
+		for _, o := range h.offers() {
+			if len(o.Offer.Cancels) > 0 {
+				t.Errorf("cancels after an answer: got %v, want none", o.Offer.Cancels)
+			}
+		}
+	})
+}
+
+// TestCancelBesideOlderOnes guards against a cancel that is not sent again because the
+// holder has not answered others for a while: it comes with messages that are hardly
+// longer apart than keepalives, for 1.8 s.
+func TestCancelBesideOlderOnes(t *testing.T) {
+	h := newFixture(t)
+	first, second := job(1), job(1)
+	second.RequestID = "second"
+	h.c.Submit(h.now, first)
+	h.c.Submit(h.now, second)
+	all := h.offers()
+	h.answer(&all[0], medlargw.OfferStarted)
+	id := all[0].Offer.Tasks[1].ID
+	h.c.Cancel(h.now, first)
+	begin := h.now
+	var cancelled bool
+	var sent time.Time
+	h.advance(3700*time.Millisecond, func() {
+		// Another entry hears the holder, so that it does not count as lost.
+		h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil)
+		if !cancelled && h.now.Sub(begin) >= 1900*time.Millisecond {
+			cancelled, sent = true, h.now
+			h.c.Cancel(h.now, second)
+		}
+		for _, o := range h.offers() {
+			if slices.Contains(o.Offer.Cancels, id) {
+				sent = h.now
+			}
+			h.c.HandleOfferReply(h.now, h.now, &o, &medlargw.OfferReply{}, errors.New("no answer"))
+		}
+		if cancelled && h.now.Sub(sent) > 140*time.Millisecond {
+			t.Fatalf("%v: got no cancel of task %d for %v, want one", h.now.Sub(begin), id, h.now.Sub(sent))
+		}
+	})
+}
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -33,14 +33,14 @@
 	forgetHolderAfter = 10 * time.Second
 	// minOfferRetry is the delay before the next message to a holder after one
 	// that was not answered. It doubles with each further one, up to
-	// LeaseSettings.Keep while tasks are there and else up to maxOfferRetry.
+	// LeaseSettings.Keep while tasks or cancels are there and else up to maxOfferRetry.
 	minOfferRetry = 20 * time.Millisecond
 	maxOfferRetry = time.Second
 	// maxClockAge is the age from which a known clock of a holder is replaced by
 	// any new one. A younger one is replaced only by one that took less time in
 	// transit.
 	maxClockAge = 5 * time.Second
-	// cancelRetryPeriod is the time for which unanswered cancels are resent.
+	// cancelRetryPeriod is the time for which an unanswered cancel is resent.
 	cancelRetryPeriod = 2 * time.Second
 )
 
@@ -67,8 +67,44 @@
 	absentSince  time.Time                 // When it left the group; zero while it is a member.
 	tasks        map[medlargw.TaskID]*task // Tasks offered to it, queued at it or running on its targets.
 	hasUpdates   bool                      // One of its tasks may have to be offered or recalled.
-	cancels      []medlargw.TaskID
-	unackedSince time.Time // When a message with cancels was first not answered.
+	// Cancels without an answer. They are part of each message, so that the holder knows
+	// of them once any message arrives that was sent later.
+	cancels    []pendingCancel
+	newCancels bool // Some were not sent, or a message with them has failed.
+}
+
+// pendingCancel is a task that its holder must stop and that it may not know of yet.
+type pendingCancel struct {
+	id    medlargw.TaskID
+	since time.Time
+}
+
+// cancel has the holder stop a task.
+func (h *holder) cancel(now time.Time, id medlargw.TaskID) {
+	h.cancels = append(h.cancels, pendingCancel{id: id, since: now})
+	h.newCancels = true
+}
+
+// cancelIDs returns the tasks of all cancels without an answer.
+func (h *holder) cancelIDs() []medlargw.TaskID {
+	var ids []medlargw.TaskID
+	for _, p := range h.cancels {
+		ids = append(ids, p.id)
+	}
+	return ids
+}
+
+// cancelsAnswered removes the cancels that an answered message has brought.
+func (h *holder) cancelsAnswered(ids []medlargw.TaskID) {
+	h.cancels = slices.DeleteFunc(h.cancels, func(p pendingCancel) bool { return slices.Contains(ids, p.id) })
+}
+
+// cancelsFailed sends the cancels again after a message with some was not answered.
+// Those that are older than cancelRetryPeriod are removed: a holder that gets no message
+// for that long stops the tasks by itself.
+func (h *holder) cancelsFailed(now time.Time) {
+	h.cancels = slices.DeleteFunc(h.cancels, func(p pendingCancel) bool { return now.Sub(p.since) >= cancelRetryPeriod })
+	h.newCancels = len(h.cancels) > 0
 }
 
 // pool returns the reported resources of the pool, or nil if there are none.
@@ -91,7 +127,7 @@
 // one with exponential backoff.
 func (h *holder) recordFailure(now time.Time, keep time.Duration) {
 	limit := keep
-	if len(h.tasks) == 0 {
+	if len(h.tasks)+len(h.cancels) == 0 {
 		limit = maxOfferRetry
 	}
 	h.retryAt = now.Add(min(minOfferRetry<<min(h.failures, 8), limit))
@@ -105,7 +141,6 @@
 	}
 	h.failures = 0
 	h.retryAt = time.Time{}
-	h.unackedSince = time.Time{}
 }
 
 // updateClock records the holder's clock in a message that has just arrived.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -205,7 +205,7 @@
 		zap.Duration("slack", j.latestStart().Sub(now)), zap.Int("tasks", len(j.tasks)),
 		zap.Duration("retry", after))
 	o := medlargw.RefusedOutcome(j.job, medlargw.CodeOverloaded, adm.Refusal.Message(), after)
-	c.finish(j, o, adm.Refusal)
+	c.finish(now, j, o, adm.Refusal)
 }
 
 // abort fails a job that cannot be completed, and cancels its remaining tasks.
@@ -227,11 +227,11 @@
 			o.Tasks[i].Execution = medlargw.ExecutionUnknown // The holder may have started the task.
 		}
 	}
-	c.finish(j, o, medlargw.RefusalNone)
+	c.finish(now, j, o, medlargw.RefusalNone)
 }
 
 // finish records the outcome of a job and cancels its remaining tasks.
-func (c *Coordinator) finish(j *job, o medlargw.Outcome, reason medlargw.RefusalReason) {
+func (c *Coordinator) finish(now time.Time, j *job, o medlargw.Outcome, reason medlargw.RefusalReason) {
 	j.ended = true
 	c.jobs = slices.DeleteFunc(c.jobs, func(other *job) bool { return other == j })
 	for _, t := range j.tasks {
@@ -240,7 +240,7 @@
 		}
 		if t.state != taskIdle && t.state != taskDone {
 			for _, h := range append(t.formers, t.holder) {
-				h.cancels = append(h.cancels, t.id)
+				h.cancel(now, t.id)
 			}
 		}
 		c.detach(t)
@@ -264,7 +264,7 @@
 	for i := range o.Tasks {
 		o.Tasks[i] = medlargw.TaskResult{ID: j.job.Tasks[i].ID, Execution: medlargw.ExecutionFinished}
 	}
-	c.finish(j, o, medlargw.RefusalNone)
+	c.finish(now, j, o, medlargw.RefusalNone)
 }
 
 // setState changes the state of a task, and the number of tasks in each state.
--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -59,17 +59,17 @@
 		return medlargw.Offer{}, false
 	}
 	due := c.keepaliveDue(now, h)
-	if !probe && !due && !h.hasUpdates && len(h.cancels) == 0 {
+	if !probe && !due && !h.hasUpdates && !h.newCancels {
 		return medlargw.Offer{}, false
 	}
-	o := medlargw.Offer{From: c.self, Holder: h.peer.Incarnation, Cancels: h.cancels, Protocol: h.resources.Protocol}
-	h.cancels = nil
+	o := medlargw.Offer{From: c.self, Holder: h.peer.Incarnation, Cancels: h.cancelIDs(), Protocol: h.resources.Protocol}
 	if h.hasUpdates {
 		c.addTasks(now, h, &o)
 	}
-	if !probe && !due && len(o.Tasks)+len(o.Recalls)+len(o.Cancels) == 0 {
+	if !probe && !due && len(o.Tasks)+len(o.Recalls) == 0 && !h.newCancels {
 		return o, false
 	}
+	h.newCancels = false
 	if h.peer.Incarnation != c.self.Incarnation {
 		c.pacer.Add(now, offerBytes(&o))
 	}
@@ -84,12 +84,13 @@
 }
 
 // keepaliveDue reports whether a holder must hear from this entry although
-// nothing has changed: it has tasks, or it has not answered the last message.
+// nothing has changed: it has tasks or has not answered cancels, or it has not answered
+// the last message.
 func (c *Coordinator) keepaliveDue(now time.Time, h *holder) bool {
 	if h.failures > 0 && h.absentSince.IsZero() {
 		return true
 	}
-	return len(h.tasks) > 0 && now.Sub(h.lastSent) >= c.settings.Keep
+	return len(h.tasks)+len(h.cancels) > 0 && now.Sub(h.lastSent) >= c.settings.Keep
 }
 
 // addTasks adds the tasks to be offered or recalled to the message.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -21,6 +21,7 @@
 		return
 	}
 	h.recordAnswer(sent)
+	h.cancelsAnswered(o.Offer.Cancels)
 	h.lastHeard = now
 	h.updateClock(now, reply.Clock)
 	if h.lost {
@@ -75,14 +76,8 @@
 			c.queryState(t)
 		}
 	}
-	if len(o.Cancels) == 0 {
-		return
-	}
-	if h.unackedSince.IsZero() {
-		h.unackedSince = now
-	}
-	if now.Sub(h.unackedSince) < cancelRetryPeriod {
-		h.cancels = append(h.cancels, o.Cancels...)
+	if len(o.Cancels) > 0 {
+		h.cancelsFailed(now)
 	}
 }
 
@@ -154,7 +149,7 @@
 		if t == nil {
 			c.logFormerOffer(from, e)
 			if e.Event == medlargw.TaskStarted { // The job has ended in the meantime.
-				from.cancels = append(from.cancels, e.ID)
+				from.cancel(now, e.ID)
 			}
 			continue
 		}
