Holder: leases end before the callers of a silent home submit again

Callers saw a task run twice at a time: the home of a job is lost, stands still or is cut off, the target does not answer the stop, and the caller submits the job at another entry 1.3 s later, while the run goes on.

Cause: no part knew of the 1.3 s. The lease was renewed for 0.8 s (0.816 s on a slow clock) until the home was silent for 0.5 s, counted from the arrival of its last message, which may be 0.4 s late. A queued task of a home that was about to be silent started too. A holder that had stood still took the next message of the home as if it had been heard all the while, and started tasks whose cancels are not sent any more.

The time is LeaseSettings.Resubmit now. A message of a home vouches for its runs until it was made, which its validity tells on the holder's clock. A lease ends RunOn after that at most, in renewals and in start orders, and a task starts only where the lease that is granted already ends in time. The runs of a silent home are stopped early enough for the other runs on the target; TestRunOfOtherHomeGoesOn checks that these go on.

TestEvacuationOfOneZone let 3 s pass without a message of the home, whose task waits; the home is heard each 0.1 s in that time now. What it asserts is unchanged.

Ruled out: a shorter silence or lease, which would end runs of homes that are late.

--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// offerValidity is the time within which an offer must arrive, in addition to
-	// the network delay of the answer that carried the holder's clock.
-	offerValidity = 400 * time.Millisecond
 	// probeInterval is the time between two requests for the free resources of
 	// holders while tasks wait. Heartbeats report it too late for tasks of about
 	// 50 ms.
@@ -235,7 +232,7 @@
 	switch {
 	case t.endedBy.IsZero():
 	case !j.job.Idempotent || t.endedBy.Add(j.estimate).After(j.job.Deadline):
-		if now.Sub(h.lastSent) > offerValidity+c.settings.Silence {
+		if now.Sub(h.lastSent) > medlargw.OfferValidity+c.settings.Silence {
 			c.abort(now, j, medlargw.CodeAttemptLost, "the holder of its targets is lost")
 		}
 	case !now.Before(t.endedBy):
@@ -249,7 +246,7 @@
 // selfStopDelay returns the time after the last offer by which a holder that
 // receives nothing more from this coordinator has stopped its tasks.
 func (c *Coordinator) selfStopDelay() time.Duration {
-	return offerValidity + c.settings.Silence + c.settings.Lease + c.settings.Stop + c.settings.Keep
+	return medlargw.OfferValidity + c.settings.Silence + c.settings.Lease + c.settings.Stop + c.settings.Keep
 }
 
 // markLost marks a holder as lost. Nothing is sent to it until there is a sign of
--- a/coordinator/offer.go
+++ b/coordinator/offer.go
@@ -78,7 +78,7 @@
 		h.retryAt = now.Add(c.settings.Keep) // One message at a time until it answers.
 	}
 	if !h.clockAt.IsZero() {
-		o.ValidUntil = h.clock + now.Sub(h.clockAt) + offerValidity
+		o.ValidUntil = h.clock + now.Sub(h.clockAt) + medlargw.OfferValidity
 	}
 	return o, true
 }
--- a/holder/evacuation_test.go
+++ b/holder/evacuation_test.go
@@ -82,7 +82,10 @@
 	targets := []medlargw.Target{{Name: "t", Zone: "z"}, {Name: "u", Zone: "other"}}
 	x.offer(1, 20000)
 	x.offerQueued(2)
-	x.now = x.now.Add(3 * time.Second) // The targets of zones without an entry are claimed late.
+	for range 30 { // The targets of zones without an entry are claimed after 3 s.
+		x.now = x.now.Add(100 * time.Millisecond)
+		x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+	}
 	x.setGroup(nil, targets...)
 	x.offerQueued(3)
 	if a := x.setGroup([]medlargw.ZoneName{"z"}, targets...); len(a.Reports) != 0 {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -33,6 +33,7 @@
 		Lease: 800 * time.Millisecond, Longest: time.Second, Drift: 0.025, Stop: 50 * time.Millisecond,
 		Poll: 100 * time.Millisecond, Order: 200 * time.Millisecond, Silence: 500 * time.Millisecond,
 		Unlisted: 2500 * time.Millisecond, Refused: 2 * time.Second, Lag: time.Second,
+		Resubmit: 1300 * time.Millisecond,
 	}
 	x := &fixture{t: t, now: start, h: holder.New(log, settings, self, pacer.New(0))}
 	x.h.SetGroup(x.now, medlargw.Group{
--- a/holder/home.go
+++ b/holder/home.go
@@ -20,6 +20,10 @@
 	peer      medlargw.Peer
 	lastHeard time.Time
 	heardLag  time.Duration // How late this entry acted at lastHeard.
+	own       bool          // It is this entry.
+	// When the latest message of the home was made, at the earliest. What it had given up
+	// by then, it has told in that message.
+	vouchedAt time.Time
 	tasks     map[medlargw.TaskID]*task
 	jobs      map[uint64]*jobTasks
 	ended     map[medlargw.TaskID]endedTask
@@ -56,6 +60,19 @@
 	return now.Sub(m.lastHeard) > s.Silence
 }
 
+// hear records a message that is valid until the given time on this entry's clock;
+// zero is unknown.
+func (m *home) hear(now time.Time, clock, validUntil, lag time.Duration) {
+	m.lastHeard, m.heardLag = now, lag
+	age := time.Duration(0)
+	if validUntil > 0 && !m.own {
+		age = max(0, clock-(validUntil-medlargw.OfferValidity))
+	}
+	if made := now.Add(-age); made.After(m.vouchedAt) {
+		m.vouchedAt = made
+	}
+}
+
 func (m *home) add(w *task) {
 	m.tasks[w.offered.ID] = w
 	s := m.jobs[w.offered.Job]
@@ -86,6 +103,15 @@
 	jobTasks *jobTasks
 }
 
+// leaseLeft returns the time from now for which the run of the task may have a lease,
+// on its target's clock.
+func (w *task) leaseLeft(now time.Time, s *medlargw.LeaseSettings) time.Duration {
+	if w.home.own {
+		return s.RunOn()
+	}
+	return max(0, s.RunOn()-now.Sub(w.home.vouchedAt))
+}
+
 // latestStart returns the latest start with which the task ends by its due
 // time.
 func (w *task) latestStart() time.Time { return w.due.Add(-w.offered.Estimate) }
@@ -107,9 +133,9 @@
 func (h *Holder) ensureHome(now time.Time, peer medlargw.Peer) *home {
 	m := h.homes[peer.Incarnation]
 	if m == nil {
-		m = &home{peer: peer, tasks: map[medlargw.TaskID]*task{}, jobs: map[uint64]*jobTasks{}, ended: map[medlargw.TaskID]endedTask{}}
+		m = &home{peer: peer, own: peer.Incarnation == h.self.Incarnation, tasks: map[medlargw.TaskID]*task{}, jobs: map[uint64]*jobTasks{}, ended: map[medlargw.TaskID]endedTask{}}
 		h.homes[peer.Incarnation] = m
-		m.lastHeard = now
+		m.lastHeard, m.vouchedAt = now, now
 	}
 	m.peer = peer
 	return m
@@ -184,10 +210,13 @@
 // another entry. While this entry lags, messages of the home may be there unread,
 // so the stop waits, unless the last message was read late too. From Silence on,
 // no task of the home starts and no lease of its runs is renewed in any case.
+//
+// The wait has an end by the time when the last message was made too: after RunOn from
+// then, runs of other homes on the same targets would end.
 func (h *Holder) expireHomes(now time.Time) {
 	for _, m := range h.sortedHomes() {
 		delay := max(0, min(h.lag, h.settings.Lag, maxStopDelay)-m.heardLag)
-		if now.Sub(m.lastHeard) > h.settings.Silence+delay && len(m.tasks) > 0 {
+		if now.Sub(m.lastHeard) > h.settings.Silence+delay || h.isOverdue(now, m) {
 			h.cancelAll(now, m, "home silent")
 		}
 		if now.Sub(m.prunedAt) > endedRetention/10 {
@@ -199,6 +228,12 @@
 	}
 }
 
+// isOverdue reports whether the tasks of a home must be stopped however late this entry
+// acts, because the last message of the home was made too long ago.
+func (h *Holder) isOverdue(now time.Time, m *home) bool {
+	return !m.own && now.Sub(m.vouchedAt) > h.settings.Silence+maxStopDelay
+}
+
 // pruneEnded removes the ended tasks that are past endedRetention.
 func (m *home) pruneEnded(now time.Time) {
 	m.prunedAt = now
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -20,8 +20,11 @@
 	}
 	stale := clock > o.ValidUntil
 	m := h.ensureHome(now, medlargw.Peer{Host: o.From.Host, Zone: o.From.Zone, Addr: o.From.Addr, Incarnation: o.From.Incarnation})
-	if !stale {
-		m.lastHeard, m.heardLag = now, h.lag // A late message does not prove that the home is alive now.
+	if !stale { // A late message does not prove that the home is alive now.
+		if h.isOverdue(now, m) {
+			h.cancelAll(now, m, "home silent") // It may have given up to tell this entry what it gave up.
+		}
+		m.hear(now, clock, o.ValidUntil, h.lag)
 	}
 	for _, id := range o.Cancels {
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
--- a/holder/place.go
+++ b/holder/place.go
@@ -108,6 +108,10 @@
 		if !h.admits(t, w) || slices.Contains(w.offered.Avoid, t.info.Name) {
 			continue
 		}
+		// A lease is never shortened.
+		if t.leaseEnd-t.clockLowerBound(now, h.settings.Drift) > w.leaseLeft(now, &h.settings) {
+			continue
+		}
 		if s.Consider(t.free.Cores, t.expectedSlowness(), t.slowness >= slowThreshold, t.isCold(now)) {
 			best = t
 		}
@@ -139,7 +143,7 @@
 		target:    t,
 		sent:      now,
 		cold:      t.isCold(now),
-		leaseEnd:  t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease,
+		leaseEnd:  t.clockLowerBound(now, h.settings.Drift) + min(t.leaseLeft(now, &h.settings), w.leaseLeft(now, &h.settings)),
 	}
 	w.run = r
 	t.addRun(r)
--- a/holder/report.go
+++ b/holder/report.go
@@ -37,15 +37,28 @@
 	if t.failedRenewals > 0 {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
-	// A target whose process may have ended gets no longer lease until it answers: the
-	// end of the last one is the proof that its runs have ended.
-	if now.Sub(t.lastAnswer) < h.settings.Lease/2 && t.closedAt.IsZero() && !t.mustLapse(now, &h.settings) {
-		renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + h.settings.Lease
-		t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
-	}
+	h.grantLease(now, t, &renewal)
 	h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{Target: t.info, Renewal: renewal})
 }
 
+// grantLease sets the end of the lease in a renewal, if the target may get one. A target
+// whose process may have ended gets no longer lease until it answers: the end of the last
+// one is the proof that its runs have ended.
+func (h *Holder) grantLease(now time.Time, t *target, renewal *medlargw.Renewal) {
+	if now.Sub(t.lastAnswer) >= h.settings.Lease/2 || !t.closedAt.IsZero() || t.mustLapse(now, &h.settings) {
+		return
+	}
+	left := t.leaseLeft(now, &h.settings)
+	if left <= 0 {
+		return
+	}
+	renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + left
+	t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
+	if left < h.settings.Lease {
+		renewal.MaxWait = min(renewal.MaxWait, h.settings.Poll) // The next one may bring the full lease.
+	}
+}
+
 const (
 	// maxPollFactor is the factor by which a target may wait longer before it
 	// reports while no run is overdue. The lease of a run that is started during
--- /dev/null
+++ b/holder/resubmit_test.go
@@ -0,0 +1,254 @@
+package holder_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// resubmit is the time after which a caller submits its job again, and stop the time
+// that a target takes to end a run whose lease has ended.
+const (
+	resubmit = 1300 * time.Millisecond
+	stop     = 50 * time.Millisecond
+)
+
+// lapse is a holder whose target carries out no stops. The clock of the target is
+// slow by 2%.
+type lapse struct {
+	*fixture
+	from     time.Time     // When the clock of the target showed one second.
+	leaseEnd time.Duration // The latest in any order, on the clock of the target.
+	runs     []medlargw.ActiveRun
+	ended    []medlargw.RunEnd
+	waiting  bool // A renewal waits for its answer.
+}
+
+func (w *lapse) clock() time.Duration {
+	return time.Second + time.Duration(0.98*float64(w.now.Sub(w.from)))
+}
+
+// take takes the actions of the holder and notes the leases in them.
+func (w *lapse) take() medlargw.HolderActions {
+	w.t.Helper()
+	a := w.takeActions()
+	for i := range a.Starts {
+		o := &a.Starts[i].Order
+		w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
+		w.runs = append(w.runs, medlargw.ActiveRun{Run: o.Run, Percent: 90})
+		w.h.StartAnswered(w.now, &a.Starts[i], medlargw.OrderReply{Clock: w.clock()}, nil)
+	}
+	for i := range a.Renewals {
+		w.waiting = true
+		w.leaseEnd = max(w.leaseEnd, a.Renewals[i].Renewal.LeaseEnd)
+	}
+	w.h.ConfirmReports(w.now, a.Reports)
+	return a
+}
+
+// until plays the holder until the lease has lapsed, for 4 s at most, and calls each
+// every 10 ms with the time since the call of until. It returns that time at the end.
+func (w *lapse) until(each func(at time.Duration)) time.Duration {
+	w.t.Helper()
+	begin := w.now
+	for ; w.now.Sub(begin) < 4*time.Second; w.now = w.now.Add(10 * time.Millisecond) {
+		each(w.now.Sub(begin))
+		w.h.Tick(w.now)
+		w.take()
+		if w.waiting {
+			w.waiting = false
+			w.h.RenewAnswered(w.now, w.now, &w.renewal, &medlargw.RunReport{Clock: w.clock(), IncarnationStart: start, Active: w.runs, Ended: w.ended}, nil)
+			w.take()
+		}
+		if w.leaseEnd > 0 && w.clock() > w.leaseEnd {
+			break
+		}
+	}
+	return w.now.Sub(begin)
+}
+
+// message returns a message that a home sent some time ago.
+func (w *lapse) message(home medlargw.Incarnation, ago time.Duration) (clock time.Duration, o *medlargw.Offer) {
+	clock = w.now.Sub(start)
+	return clock, &medlargw.Offer{
+		From:       medlargw.Member{Host: "home", Incarnation: home},
+		ValidUntil: clock - ago + 400*time.Millisecond,
+	}
+}
+
+func (w *lapse) hear(home medlargw.Incarnation, ago time.Duration, cancels ...medlargw.TaskID) {
+	clock, o := w.message(home, ago)
+	o.Cancels = cancels
+	w.h.HandleOffer(w.now, clock, o)
+}
+
+func (w *lapse) offerTask(home medlargw.Incarnation, id medlargw.TaskID) {
+	clock, o := w.message(home, 0)
+	o.Tasks = []medlargw.OfferedTask{{
+		ID: id, Run: medlargw.RunID{Task: string(rune('a' + id)), Attempt: 1}, Pool: "pool", Resources: medlargw.Resources{Cores: 14000},
+		Estimate: time.Second, TimeToObjective: 3 * time.Second, TimeToDeadline: 8 * time.Second, MayQueue: true,
+	}}
+	w.h.HandleOffer(w.now, clock, o)
+	w.take()
+}
+
+func (w *lapse) isRunning(id medlargw.TaskID) bool {
+	return slices.ContainsFunc(w.runs, func(a medlargw.ActiveRun) bool { return a.Run.Task == string(rune('a'+id)) })
+}
+
+// TestRunsEndBeforeResubmission guards against two runs of a task at the same time:
+// the home of a run is lost or gives its job up, the target carries out no stop, and
+// the caller submits the job at another entry 1.3 s later.
+func TestRunsEndBeforeResubmission(t *testing.T) {
+	const keep = 120 * time.Millisecond
+	every := func(at time.Duration) bool { return at%keep == 0 }
+	tests := []struct {
+		name string
+		play func(w *lapse) time.Duration // Returns the time from the loss of the caller to the end of the lease.
+	}{
+		{"home falls silent", func(w *lapse) time.Duration {
+			w.offerTask(7, 1)
+			return w.until(func(time.Duration) {})
+		}},
+		{"its last message was late", func(w *lapse) time.Duration {
+			w.offerTask(7, 1)
+			return w.until(func(at time.Duration) {
+				if at == 380*time.Millisecond {
+					w.hear(7, at)
+				}
+			})
+		}},
+		{"holder lags", func(w *lapse) time.Duration {
+			w.offerTask(7, 1)
+			w.h.SetLag(400 * time.Millisecond)
+			return w.until(func(time.Duration) {})
+		}},
+		{"two cancels are lost", func(w *lapse) time.Duration {
+			w.offerTask(7, 1)
+			return w.until(func(at time.Duration) {
+				if at == 490*time.Millisecond {
+					w.hear(7, 10*time.Millisecond, 1)
+				}
+			})
+		}},
+		{"home of a queued task is silent", func(w *lapse) time.Duration {
+			w.offerTask(8, 2)
+			w.offerTask(8, 3)
+			w.offerTask(7, 1)
+			if len(w.runs) != 2 {
+				w.t.Fatalf("runs: got %v, want two", w.runs)
+			}
+			end := w.until(func(at time.Duration) {
+				if every(at) {
+					w.hear(8, 0)
+				}
+				if at == 450*time.Millisecond { // The first task of the other home ends.
+					w.ended = []medlargw.RunEnd{{Sequence: 1, Run: w.runs[0].Run, Kind: medlargw.RunSucceeded}}
+					w.runs = w.runs[1:]
+				}
+			})
+			if !w.isRunning(1) {
+				return 0 // Its home has to be heard before it starts.
+			}
+			return end
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := &lapse{fixture: newFixture(t), waiting: true}
+			w.from = w.now
+			if got := test.play(w) + stop; got > resubmit {
+				t.Errorf("end of the runs after the loss of the caller: got %v, want at most %v", got, resubmit)
+			}
+		})
+	}
+}
+
+// TestRunOfOtherHomeGoesOn guards against the loss of runs whose home is well: the home
+// of another run on their target falls silent for a while or for good, and the target
+// answers the stop, or the home is late with all of its messages.
+func TestRunOfOtherHomeGoesOn(t *testing.T) {
+	const keep, tick = 120 * time.Millisecond, 10 * time.Millisecond
+	tests := []struct {
+		name   string
+		from   time.Duration // Begin of the silence.
+		to     time.Duration
+		late   time.Duration // Delay of all messages of the other home.
+		lag    time.Duration // Of this entry, from then on.
+		wanted bool          // Whether the run of the other home goes on.
+	}{
+		{"silent for a moment", time.Second, 1400 * time.Millisecond, 0, 0, true},
+		{"silent for a moment beside lag", time.Second, 1600 * time.Millisecond, 0, 400 * time.Millisecond, true},
+		{"late by 200 ms", 0, 0, 200 * time.Millisecond, 0, true},
+		{"silent for good", time.Second, time.Minute, 0, 0, false},
+		{"silent for good beside lag", time.Second, time.Minute, 0, 400 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := &lapse{fixture: newFixture(t), waiting: true}
+			w.from = w.now
+			w.offerTask(8, 2)
+			w.offerTask(7, 1)
+			var answerAt, stoppedAt time.Duration
+			for at := time.Duration(0); at < 3*time.Second; at += tick {
+				if at == test.from {
+					w.h.SetLag(test.lag)
+				}
+				if at%keep == 0 {
+					w.hear(8, 0)
+					if at < test.from || at >= test.to {
+						w.hear(7, test.late)
+					}
+				}
+				w.h.Tick(w.now)
+				a := w.take()
+				for i := range a.Stops {
+					stoppedAt = at
+					w.h.StopAnswered(w.now, &a.Stops[i], medlargw.OrderReply{Clock: w.clock()}, nil)
+					w.take()
+				}
+				if stoppedAt > 0 && at == stoppedAt+stop && w.isRunning(1) {
+					w.ended = []medlargw.RunEnd{{Sequence: 1, Run: w.runs[1].Run, Kind: medlargw.RunStopped}}
+					w.runs = w.runs[:1]
+				}
+				if w.waiting && (at >= answerAt || at == stoppedAt+stop) { // It waits for an end.
+					w.waiting = false
+					w.h.RenewAnswered(w.now, w.now, &w.renewal, &medlargw.RunReport{
+						Clock: w.clock(), IncarnationStart: start, Active: w.runs, Ended: w.ended,
+					}, nil)
+					w.take()
+					answerAt = at + w.renewal.Renewal.MaxWait
+				}
+				if w.clock() > w.leaseEnd {
+					t.Fatalf("lease after %v: got an end, want it to go on", at)
+				}
+				w.now = w.now.Add(tick)
+			}
+			if got := w.isRunning(1); got != test.wanted {
+				t.Errorf("run of the other home after 3 s: got %v, want %v", got, test.wanted)
+			}
+		})
+	}
+}
+
+// TestHolderThatStoodStill guards against the start of a task whose job was given up: a
+// holder stands still for longer than its home repeats the cancel, and handles a later
+// message of the home before its own timeouts.
+func TestHolderThatStoodStill(t *testing.T) {
+	w := &lapse{fixture: newFixture(t)}
+	w.from = w.now
+	for id := range medlargw.TaskID(3) {
+		w.offerTask(7, id+1)
+	}
+	w.now = w.now.Add(3 * time.Second)
+	w.hear(7, 0)
+	w.ended = []medlargw.RunEnd{
+		{Sequence: 1, Run: w.runs[0].Run, Kind: medlargw.RunStopped}, {Sequence: 2, Run: w.runs[1].Run, Kind: medlargw.RunStopped},
+	}
+	a := w.report(medlargw.RunReport{Clock: w.clock(), IncarnationStart: start, Ended: w.ended})
+	if len(a.Starts) != 0 {
+		t.Errorf("starts of a home that was silent for 3 s: got %v, want none", a.Starts)
+	}
+}
--- a/holder/target.go
+++ b/holder/target.go
@@ -203,6 +203,19 @@
 	return false
 }
 
+// leaseLeft returns the length of the longest lease that the target may get now. It
+// applies to all runs there, so that the run that must end first decides, unless its
+// stop was answered.
+func (t *target) leaseLeft(now time.Time, s *medlargw.LeaseSettings) time.Duration {
+	left := s.Lease
+	for _, r := range t.runs {
+		if r.task != nil && r.stopAnswered.IsZero() {
+			left = min(left, r.task.leaseLeft(now, s))
+		}
+	}
+	return left
+}
+
 // delisted reports whether the target has left the host list and is no longer
 // used.
 func (t *target) delisted(now time.Time, unlisted time.Duration) bool {
--- a/lease.go
+++ b/lease.go
@@ -21,6 +21,24 @@
 	Lag      time.Duration // Longest lag, of this entry or of a peer, that excuses silence; zero judges by silence alone.
 	Quiet    time.Duration // Time without a crash after which a service that crashes targets is no longer confined; zero confines none.
 	Refused  time.Duration // Pause before a target is claimed again that was lost to a higher fencing token.
+	Resubmit time.Duration // Time after which a caller without an outcome may submit its job again, at any entry.
+}
+
+const (
+	// noticeTime is the time within which a home that is on time learns that the
+	// connection of a caller has ended.
+	noticeTime = 150 * time.Millisecond
+	// clockRounding is the error of the end of a lease, since targets round their
+	// clocks.
+	clockRounding = 20 * time.Millisecond
+)
+
+// RunOn returns the longest time from a moment at which a home wanted its runs to the
+// end of their lease, on a target's clock. The runs of a job that is given up after
+// that moment, for whatever reason, then end before Resubmit has passed, even if
+// nothing reaches the holder or the target any more.
+func (s *LeaseSettings) RunOn() time.Duration {
+	return time.Duration(float64(s.Resubmit-noticeTime-clockRounding-s.Stop) * (1 - s.Drift))
 }
 
 // BytesPerMegabit is the number of bytes in a megabit, the unit of link rates in
@@ -56,5 +74,7 @@
 		Lag:     time.Second,
 		Quiet:   2500 * time.Millisecond,
 		Refused: 2 * time.Second,
+		// What the operators of the callers state.
+		Resubmit: 1300 * time.Millisecond,
 	}
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -173,6 +173,7 @@
 		Lag:      p.Duration("lag", defaults.Lag, 0, maximum),
 		Quiet:    p.Duration("quiet", defaults.Quiet, 0, maximum),
 		Refused:  p.Duration("refused", defaults.Refused, minimum, maximum),
+		Resubmit: p.Duration("resubmit", defaults.Resubmit, minimum, maximum),
 	}
 	if l.Lease > l.Longest {
 		p.Report("lease", "got %s, want at most the longest, %s", l.Lease, l.Longest)
@@ -180,6 +181,9 @@
 	if l.Silence < 2*l.Keep {
 		p.Report("silence", "got %s, want at least two keeps, %s", l.Silence, 2*l.Keep)
 	}
+	if l.RunOn() < l.Lease {
+		p.Report("resubmit", "got %s, which leaves %s for a lease, want at least %s", l.Resubmit, l.RunOn(), l.Lease)
+	}
 	return l
 }
 
--- a/offer.go
+++ b/offer.go
@@ -15,6 +15,11 @@
 	AckBytes         = 200 // The answer to a report, with the headers of HTTP.
 )
 
+// OfferValidity is the time within which an offer must arrive, in addition to the
+// delay of the message that carried the holder's clock. So an offer was made no earlier
+// than OfferValidity before Offer.ValidUntil.
+const OfferValidity = 400 * time.Millisecond
+
 // TaskID identifies an offered task within one incarnation of its home.
 type TaskID uint64
 
