Holder: the lease of a run that was taken over waits for its home

Callers saw a task run twice at a time: a target is handed over while the home of a run is silent, or while the home's cancel is on its way to the former holder. The new holder renews the lease as if the home had just been heard.

Cause: a transfer starts the silence of a home anew, and the home tells the former holder that the job is given up as long as it does not know of the takeover.

The new holder renews no lease of such a run until the home knows: it has acknowledged the takeover and a message made after that has arrived, or the home has asked for the run, which it does at once when it learns of the takeover. Without that the run is stopped after LeaseSettings.Silence, so that the other runs on the target go on. The former holder renews the lease once more with the transfer. No message has a new field; homes of an older build acknowledge and send keepalives.

Evidence, TestLeaseAfterTakeover before: "lease renewed: got true, want false" in "home is silent", "home does not know" and "home has confirmed"; TestLeaseBeforeTransfer "got 1 transfers and renewals []"; TestHomeAsksForRunThatWasTakenOver "got none that asks for the run". All pass now.

The fixture of the holder's tests keeps the renewal in flight apart from the extra one, which TestFencedDuringLostTransfer would answer otherwise; its checks are unchanged.

--- a/coordinator/cancel_test.go
+++ b/coordinator/cancel_test.go
@@ -82,3 +82,23 @@
 		}
 	})
 }
+
+// TestHomeAsksForRunThatWasTakenOver guards against the end of a run that was handed
+// over: its new holder renews the lease once the home shows that it knows.
+func TestHomeAsksForRunThatWasTakenOver(t *testing.T) {
+	h := newFixture(t)
+	next := medlargw.Peer{Host: "next", Zone: "z", Incarnation: 3}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, next}})
+	id := h.submitStarted(1).Offer.Tasks[0].ID
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: "next", Incarnation: next.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskStarted}},
+	})
+	for _, o := range h.offers() {
+		if o.To.Incarnation == next.Incarnation && slices.Contains(o.Offer.Recalls, id) {
+			h.answer(&o, medlargw.OfferStarted)
+			return
+		}
+	}
+	t.Error("messages to the new holder: got none that asks for the run, want one")
+}
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -156,12 +156,16 @@
 		if t.holder != from && (e.Event == medlargw.TaskUnknown || e.Event == medlargw.TaskStopped && slices.Contains(t.formers, from)) {
 			continue // The task has moved to another holder since, which tells its end.
 		}
-		if t.holder != from {
+		moved := t.holder != from
+		if moved {
 			c.logMoved(t, from, e)
 		}
 		from.attach(t)
 		t.endedBy = time.Time{}
 		c.applyEvent(now, t, e)
+		if moved && t.holder == from && t.state == taskStarted {
+			t.recall() // The holder renews the lease of the run once it knows that this entry knows.
+		}
 	}
 }
 
--- a/holder/ends.go
+++ b/holder/ends.go
@@ -80,6 +80,9 @@
 func (h *Holder) ConfirmReports(now time.Time, reports []medlargw.TaskReport) {
 	for i := range reports {
 		e := &reports[i]
+		if e.TakenOver {
+			h.confirmTakeover(now, e)
+		}
 		t := h.targets[e.Target]
 		if t == nil || !e.Event.Terminal() {
 			continue
@@ -93,6 +96,18 @@
 	}
 }
 
+// confirmTakeover records that a home knows that this entry has the run of a task. What
+// it gives up from then on, it tells this entry.
+func (h *Holder) confirmTakeover(now time.Time, e *medlargw.TaskReport) {
+	m := h.homes[e.Home.Incarnation]
+	if m == nil {
+		return
+	}
+	if w := m.tasks[e.ID]; w != nil {
+		w.confirm(now)
+	}
+}
+
 // scheduleRenewal sends the next renewal after an answered one. While ends wait
 // for the confirmation of their homes, the renewal is delayed.
 func (h *Holder) scheduleRenewal(now time.Time, t *target) {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -51,7 +51,7 @@
 func (x *fixture) takeActions() medlargw.HolderActions {
 	x.t.Helper()
 	a := x.h.TakeActions()
-	if len(a.Renewals) == 1 {
+	if len(a.Renewals) == 1 && !a.Renewals[0].Extra {
 		x.renewal = a.Renewals[0]
 	}
 	return a
--- a/holder/home.go
+++ b/holder/home.go
@@ -101,12 +101,35 @@
 	deadline time.Time
 	run      *run // Nil while the task waits.
 	jobTasks *jobTasks
+	// When the task was taken over with its run; zero is never. The home may not know
+	// that yet, and may have given the task up.
+	takenOver time.Time
+	confirmed time.Time // When the home is first known to have known that; zero is not yet.
+}
+
+// isVouched reports whether the home would have told this entry that the task is given
+// up. A home that does not know of the takeover tells the former holder.
+func (w *task) isVouched() bool {
+	if w.takenOver.IsZero() || w.home.own && !w.confirmed.IsZero() {
+		return true
+	}
+	return !w.confirmed.IsZero() && !w.home.vouchedAt.Before(w.confirmed)
+}
+
+// confirm records that the home knew at a time that this entry has the run.
+func (w *task) confirm(at time.Time) {
+	if w.confirmed.IsZero() || at.Before(w.confirmed) {
+		w.confirmed = at
+	}
 }
 
 // leaseLeft returns the time from now for which the run of the task may have a lease,
 // on its target's clock.
 func (w *task) leaseLeft(now time.Time, s *medlargw.LeaseSettings) time.Duration {
-	if w.home.own {
+	switch {
+	case !w.isVouched():
+		return 0
+	case w.home.own:
 		return s.RunOn()
 	}
 	return max(0, s.RunOn()-now.Sub(w.home.vouchedAt))
@@ -218,6 +241,8 @@
 		delay := max(0, min(h.lag, h.settings.Lag, maxStopDelay)-m.heardLag)
 		if now.Sub(m.lastHeard) > h.settings.Silence+delay || h.isOverdue(now, m) {
 			h.cancelAll(now, m, "home silent")
+		} else {
+			h.expireTakenOver(now, m)
 		}
 		if now.Sub(m.prunedAt) > endedRetention/10 {
 			m.pruneEnded(now)
@@ -234,6 +259,16 @@
 	return !m.own && now.Sub(m.vouchedAt) > h.settings.Silence+maxStopDelay
 }
 
+// expireTakenOver stops the runs that were taken over LeaseSettings.Silence ago and
+// that their home has not vouched for since.
+func (h *Holder) expireTakenOver(now time.Time, m *home) {
+	for _, w := range sortedTasks(m) {
+		if w.run != nil && !w.isVouched() && now.Sub(w.takenOver) > h.settings.Silence {
+			h.abandonRun(now, w.run, "home silent since the takeover")
+		}
+	}
+}
+
 // pruneEnded removes the ended tasks that are past endedRetention.
 func (m *home) pruneEnded(now time.Time) {
 	m.prunedAt = now
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -30,6 +30,9 @@
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: h.cancel(now, m, id)})
 	}
 	for _, id := range o.Recalls {
+		if w := m.tasks[id]; w != nil && !stale {
+			w.confirm(m.vouchedAt)
+		}
 		state := h.recall(now, m, id)
 		h.logEnded(now, m, id, state)
 		reply.States = append(reply.States, medlargw.OfferedState{ID: id, State: state})
--- a/holder/resubmit_test.go
+++ b/holder/resubmit_test.go
@@ -233,6 +233,66 @@
 	}
 }
 
+// TestLeaseAfterTakeover guards against two runs of a task at the same time: a holder
+// takes a target over whose run was given up. The home told the former holder, and does
+// not know of the takeover. The new holder renews the lease once the home has confirmed
+// the takeover and sent a message after that, and stops the run if it does not.
+func TestLeaseAfterTakeover(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed bool
+		heard     bool
+		recalled  bool
+		want      bool
+	}{
+		{"home is silent", false, false, false, false},
+		{"home does not know", false, true, false, false},
+		{"home has confirmed", true, false, false, false},
+		{"home has confirmed and is heard", true, true, false, true},
+		{"home asks for the run", false, false, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := &lapse{fixture: newFixture(t)}
+			w.from = w.now
+			w.runs = []medlargw.ActiveRun{{Run: medlargw.RunID{Task: "b", Attempt: 1}, Percent: 90}}
+			tr := transferred(w.renewal.Renewal.FenceToken+1<<32, w.runs[0].Run)
+			tr.Targets[0].Runs[0].Task.TimeToDeadline = 8 * time.Second
+			w.handOver(tr)
+			reports := w.h.TakeActions().Reports
+			var renewed bool
+			var stops int
+			for at := range 60 { // 600 ms
+				if at == 10 && test.confirmed {
+					w.h.ConfirmReports(w.now, reports)
+				}
+				if at == 10 && test.recalled {
+					clock, o := w.message(7, 0)
+					o.Recalls = []medlargw.TaskID{1}
+					w.h.HandleOffer(w.now, clock, o)
+				}
+				if at > 10 && at%10 == 0 && test.heard {
+					w.hear(7, 0)
+				}
+				w.h.Tick(w.now)
+				a := w.takeActions()
+				stops += len(a.Stops)
+				for i := range a.Renewals {
+					renewed = renewed || a.Renewals[i].Renewal.LeaseEnd > 0
+				}
+				w.h.RenewAnswered(w.now, w.now, &w.renewal, &medlargw.RunReport{Clock: w.clock(), IncarnationStart: start, Active: w.runs}, nil)
+				w.now = w.now.Add(10 * time.Millisecond)
+			}
+			if renewed != test.want {
+				t.Errorf("lease renewed: got %v, want %v", renewed, test.want)
+			}
+			if got := stops == 0; got != test.want {
+				t.Errorf("stops: got %d, want none %v", stops, test.want)
+			}
+		})
+	}
+}
+
 // TestHolderThatStoodStill guards against the start of a task whose job was given up: a
 // holder stands still for longer than its home repeats the cancel, and handles a later
 // message of the home before its own timeouts.
@@ -252,3 +312,27 @@
 		t.Errorf("starts of a home that was silent for 3 s: got %v, want none", a.Starts)
 	}
 }
+
+// TestLeaseBeforeTransfer guards against the end of runs that are handed over: the new
+// holder renews their lease only once their homes know, so that the former one renews it
+// with the transfer.
+func TestLeaseBeforeTransfer(t *testing.T) {
+	x := newFixture(t)
+	x.startRun(1)
+	x.now = x.now.Add(300 * time.Millisecond)
+	x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+	x.takeActions()
+	x.h.SetGroup(x.now, medlargw.Group{
+		Entries: []medlargw.Peer{{Host: "next", Zone: "z", Incarnation: 5}},
+		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
+	})
+	x.h.Tick(x.now)
+	a := x.h.TakeActions()
+	if len(a.Transfers) != 1 || len(a.Renewals) != 1 {
+		t.Fatalf("actions: got %d transfers and renewals %v, want one each", len(a.Transfers), a.Renewals)
+	}
+	// The clock of the target showed one second 300 ms ago.
+	if got, want := a.Renewals[0].Renewal.LeaseEnd, 2090*time.Millisecond; got < want {
+		t.Errorf("lease with the transfer: got an end at %v, want %v at least", got, want)
+	}
+}
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -46,6 +46,9 @@
 			transferred.Runs = append(transferred.Runs, w.transferred(now)) // The new holder reads its end again.
 		}
 	}
+	if len(transferred.Runs) > 0 {
+		h.extendLease(now, t)
+	}
 	t.transferring = true
 	t.transferred = transferred
 	t.transferredTo = t.releaseTo.Host
@@ -54,6 +57,15 @@
 	return false
 }
 
+// extendLease sends a renewal beside the one in flight. The new holder of a target can
+// only renew the lease once the homes of the runs know of it.
+func (h *Holder) extendLease(now time.Time, t *target) {
+	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()}
+	if h.grantLease(now, t, &renewal); renewal.LeaseEnd > 0 {
+		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{Target: t.info, Extra: true, Renewal: renewal})
+	}
+}
+
 // transferred returns the run of a task in the form in which it is handed over.
 func (w *task) transferred(now time.Time) medlargw.TransferredRun {
 	o := w.offered
@@ -197,6 +209,7 @@
 		return nil
 	}
 	w := &task{home: home, offered: m.Task, due: now.Add(m.Task.TimeToObjective), deadline: now.Add(m.Task.TimeToDeadline)}
+	w.takenOver = now
 	home.add(w)
 	return w
 }
