Conductor: events after a pause inside the loop are judged by their own time

This is one way to it, shown in virtual time; that it was the one of the record is not shown.

Cause: the control goroutine applied all queued events with the time at which it had woken up. If the process stood still between two events, or in one, the events behind it were judged by the time before the pause: an offer past its validity was accepted; the clock in a target's answer was paired with a time up to the whole pause too early, so that the lease there counted as ended too early and the task started on another target beside the first run; and a start order that was decided before the pause was sent after it, since its age counted from the sending. A pause of more than 1 s was seen only at the next wake-up, after these events.

The clock is now read after each event is taken from the queue, with the check for a pause before the event is applied, so that a message is never older than the time by which it is judged. A start order names the time of its decision, and is not sent when that is longer ago than an order may take. Reports that are sent again use the time of the loop too. A pause between reading the clock and applying one event remains; what it can decide is covered by the age of the start order, and by leases and validities that are computed from the earlier time.

Ruled out as dangerous: the times with which the loop sends offers and renewals. They are earlier than the sending, which shortens validity, lease and proofs.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -175,16 +175,14 @@
 		}
 		select {
 		case e := <-c.events:
-			now := c.readClock()
-			c.recordLateness(now, now.Sub(e.posted))
+			now := c.readClock(e.posted)
 			c.updateLink(now)
 			e.apply(now)
-			c.drainEvents(now)
-			c.flush(now)
+			c.flush(c.drainEvents(now))
 		case due := <-ticker.C:
-			now := c.readClock()
+			now := c.readClock(time.Time{})
 			c.recordLateness(now, time.Since(due))
-			c.drainEvents(now) // Answers that wait here are no silence.
+			now = c.drainEvents(now) // Answers that wait here are no silence.
 			c.holder.Tick(now)
 			c.updateLink(now)
 			c.coord.Tick(now)
@@ -206,29 +204,36 @@
 }
 
 // drainEvents processes the events that are already queued, for at most a tick:
-// keepalives must be sent in time.
-func (c *Conductor) drainEvents(now time.Time) {
-	for {
+// keepalives must be sent in time. It returns the time at which it applied the last
+// one, or the given time if there is none.
+func (c *Conductor) drainEvents(start time.Time) time.Time {
+	now := start
+	for now.Sub(start) <= busyTick {
 		select {
 		case e := <-c.events:
-			at := c.clock.Now()
-			c.recordLateness(at, at.Sub(e.posted))
+			// The process may have been suspended since the last event: one that has
+			// waited for that long must not be judged by the time before.
+			now = c.readClock(e.posted)
 			e.apply(now)
-			if at.Sub(now) > busyTick {
-				return
-			}
 		default:
-			return
+			return now
 		}
 	}
+	return now
 }
 
-// readClock returns the current time. If the process was stalled for too long,
-// it fails the jobs of this entry.
-func (c *Conductor) readClock() time.Time {
+// readClock returns the current time, at which the event posted at the given time is
+// handled; zero is no event. If the process was stalled for too long, it fails the
+// jobs of this entry.
+func (c *Conductor) readClock(posted time.Time) time.Time {
 	now := c.clock.Now()
-	c.recordLateness(now, now.Sub(c.lastWake)-idleTick) // A suspended process, which the ticker does not see.
-	if gap := now.Sub(c.lastWake); gap > stallThreshold {
+	gap := now.Sub(c.lastWake)
+	late := gap - idleTick // A suspended process, which the ticker does not see.
+	if !posted.IsZero() {
+		late = max(late, now.Sub(posted))
+	}
+	c.recordLateness(now, late)
+	if gap > stallThreshold {
 		c.log.Warn("the process stood still", zap.Duration("gap", gap))
 		c.coord.AbortAll(now, "the entry stood still")
 		c.holder.Tick(now)
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -14,7 +14,7 @@
 // flush executes the actions of the state machines until there are none left,
 // and publishes the resulting state.
 func (c *Conductor) flush(now time.Time) {
-	c.retryReports()
+	c.retryReports(now)
 	changed := false
 	for {
 		fromCoord := c.coord.TakeActions(now)
@@ -122,11 +122,10 @@
 
 func (c *Conductor) sendStart(cmd *medlargw.StartCommand) {
 	c.counters.starts.Inc(1)
-	created := c.clock.Now()
 	c.send(c.settings.Order, c.settings.Order, func(ctx context.Context) event {
 		// The run may have been stopped since, and the target may have started again and
 		// know nothing of that.
-		if age := c.clock.Now().Sub(created); age > c.settings.Order {
+		if age := c.clock.Now().Sub(cmd.DecidedAt); age > c.settings.Order {
 			c.counters.expiredStarts.Inc(1)
 			err := fmt.Errorf("start order of %s is %v old: %w", cmd.Order.Run.Task, age, medlargw.ErrNotSent)
 			return func(now time.Time) { c.holder.StartAnswered(now, cmd, medlargw.OrderReply{}, err) }
@@ -272,11 +271,11 @@
 }
 
 // retryReports sends the events again whose reports were not acknowledged.
-func (c *Conductor) retryReports() {
+func (c *Conductor) retryReports(now time.Time) {
 	if len(c.unacked) == 0 {
 		return
 	}
 	events := c.unacked
 	c.unacked = nil
-	c.sendReports(c.clock.Now(), events)
+	c.sendReports(now, events)
 }
--- a/holder/place.go
+++ b/holder/place.go
@@ -151,7 +151,7 @@
 	t.leaseEnd = max(t.leaseEnd, r.leaseEnd)
 	order := medlargw.StartOrder{Run: r.id, Payload: w.offered.Payload, LeaseEnd: r.leaseEnd, FenceToken: t.token}
 	h.pacer.Add(now, medlargw.OrderBytes+len(order.Payload))
-	h.actions.Starts = append(h.actions.Starts, medlargw.StartCommand{Target: t.info, Order: order})
+	h.actions.Starts = append(h.actions.Starts, medlargw.StartCommand{Target: t.info, Order: order, DecidedAt: now})
 	h.logStart(r)
 	h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
 		Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name,
--- a/run.go
+++ b/run.go
@@ -124,8 +124,9 @@
 
 // StartCommand is a StartOrder to be sent.
 type StartCommand struct {
-	Target Target
-	Order  StartOrder
+	Target    Target
+	Order     StartOrder
+	DecidedAt time.Time // Of the event after which it is sent.
 }
 
 // StopCommand is a StopOrder to be sent.
