Receiver, conductor: refuse jobs whose requests were read late

A caller whose connection breaks submits its job again 1.3 s later, at any entry. An entry that stood still or had no processor time in the meantime read the first request afterwards, took it for a new one with its whole deadline, and started it: the job had two homes, and its tasks were alive twice as attempt 1 until the closed connection was noticed.

The check lies in the control goroutine so that a pause after the reading counts too. A request whose connection is closed already starts nothing. Arrival and deadline are those of the request, not of its reading. A request for a job that is running or has ended here still joins that one and is never told "not run".

The time between accepting a connection and its first bytes is not used: it is the same for a connection that a caller opens in advance. Bytes that a link holds up are dated by their arrival at this host.

--- a/admission.go
+++ b/admission.go
@@ -31,14 +31,19 @@
 	RefusalTooLate    RefusalReason = "too-late"   // It was admitted and has not started in time.
 	RefusalHopeless   RefusalReason = "hopeless"   // One task takes longer than the time until the deadline.
 	RefusalEvacuated  RefusalReason = "evacuated"  // All zones of its pool are evacuated.
+	RefusalUnread     RefusalReason = "unread"     // Its request may have waited unread for too long.
 )
 
 // Message returns the message for the caller.
 func (r RefusalReason) Message() string {
-	if r == RefusalEvacuated {
+	switch r {
+	case RefusalEvacuated:
 		return "all zones of the targets are evacuated"
+	case RefusalUnread:
+		return "the request was read late"
+	default:
+		return "no room in time"
 	}
-	return "no room in time"
 }
 
 // AdmissionRequest is a job that asks for resources, with all that its home knows
--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -34,7 +34,18 @@
 
 // freezableClock blocks callers of Now until a given time, like the suspension
 // of a process.
-type freezableClock struct{ until atomic.Pointer[time.Time] }
+type freezableClock struct {
+	until atomic.Pointer[time.Time]
+	calls atomic.Int64 // Of Now, left until the last one blocks; zero and less is none.
+	pause atomic.Int64 // For which it blocks.
+}
+
+// freezeAfter blocks the goroutine of a coming call of Now for a while, and all others
+// that call it in that time. One of number 1 is the next call.
+func (c *freezableClock) freezeAfter(number int64, d time.Duration) {
+	c.pause.Store(int64(d))
+	c.calls.Store(number)
+}
 
 // freeze blocks the control goroutine of the clock's entry for a while.
 func (c *freezableClock) freeze(d time.Duration) {
@@ -43,6 +54,9 @@
 }
 
 func (c *freezableClock) Now() time.Time {
+	if c.calls.Add(-1) == 0 {
+		c.freeze(time.Duration(c.pause.Load()))
+	}
 	if until := c.until.Load(); until != nil {
 		time.Sleep(time.Until(*until))
 	}
--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -267,7 +267,7 @@
 	})
 	c.senders.Go(func() {
 		defer cancel()
-		o := c.coordinate(ctx, &job)
+		o := c.coordinate(ctx, &job, now)
 		c.endReceived(id, j, o)
 	})
 	return j
--- /dev/null
+++ b/conductor/request_pause_test.go
@@ -0,0 +1,43 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestPauseWhileARequestIsProcessed guards against a task alive twice after its entry
+// has stood still at any point between the reading of the request and the sending of
+// the start orders. The connection breaks when the pause begins, the entry notices
+// that some time after the pause, and the caller submits the job elsewhere.
+func TestPauseWhileARequestIsProcessed(t *testing.T) {
+	const (
+		tasks  = 4
+		work   = 200 * time.Millisecond
+		notice = 30 * time.Millisecond
+		calls  = 30 // Readings of the clock.
+	)
+	resubmit := leaseSettings().Resubmit
+	pause := resubmit + 80*time.Millisecond
+	for number := range int64(calls) {
+		t.Run(fmt.Sprintf("at reading %d of the clock", number+1), func(t *testing.T) {
+			runCluster(t, 1, []string{"a1", "a2"}, func(cl *cluster) {
+				halted, other := cl.entries[0], cl.entries[1]
+				time.Sleep(time.Millisecond) // Apart from the ticks.
+				job := cl.newJob("job", tasks, work, 14000)
+				job.Heard = time.Now()
+				halted.clock.freezeAfter(number+1, pause)
+				ctx, cancel := context.WithTimeout(context.Background(), pause+notice)
+				defer cancel()
+				go halted.conductor.Submit(ctx, job)
+				time.Sleep(resubmit)
+				cl.submit(other, "job", tasks, work, 14000)
+				time.Sleep(2 * time.Second)
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
--- a/job.go
+++ b/job.go
@@ -29,7 +29,10 @@
 	Resources   Resources     // Resources that one task takes of a target.
 	SlackFactor float64       // The target response time is SlackFactor times the longest task, plus Grace.
 	Grace       time.Duration // See SlackFactor.
-	MaxAttempts int           // Failed runs of one task after which the job fails.
+	// Heard is the earliest time at which the last byte of the request may have come
+	// in; zero is the time at which the job is submitted.
+	Heard       time.Time
+	MaxAttempts int // Failed runs of one task after which the job fails.
 }
 
 // PayloadBytes returns the total size of the payloads, in bytes.
--- a/lease.go
+++ b/lease.go
@@ -41,6 +41,15 @@
 	return time.Duration(float64(s.Resubmit-noticeTime-clockRounding-s.Stop) * (1 - s.Drift))
 }
 
+// UnreadLimit returns the longest time for which the request of a job that is still
+// taken in may have waited unread. The caller may have left at the beginning of that
+// time. From the moment at which that is noticed, a cancel reaches the holder within
+// Call, and a run whose target gets no stop ends with its lease.
+func (s *LeaseSettings) UnreadLimit() time.Duration {
+	lease := time.Duration(float64(s.Lease) * (1 + s.Drift))
+	return s.Resubmit - s.Call - lease - s.Stop
+}
+
 // BytesPerMegabit is the number of bytes in a megabit, the unit of link rates in
 // settings.
 const BytesPerMegabit = 1e6 / 8
