Relays: the first message is valid from the caller's request on

An entry that stood still between reading a request and choosing a peer handed the job over after the pause, with a validity that began then. The peer took it for a new job while the caller submitted it again, at that peer or elsewhere: tasks alive twice as attempt 1. Only with capacity.relay set.

The validity now begins when the caller was last heard of, so a message from before a pause is refused by the peer, and the job is then refused at home as one that was read late.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -24,8 +24,9 @@
 	// relayRetention is how long the end of a relayed job is kept, for a sender
 	// that did not get the answer, and how long an unknown ID is not accepted.
 	relayRetention = 5 * time.Second
-	// relayValidity is the time within which the first message of a relay must
-	// arrive, in addition to the delay of the heartbeat that carried the peer's clock.
+	// relayValidity is the time from the request of the caller within which the first
+	// message of a relay must arrive, in addition to the delay of the heartbeat that
+	// carried the peer's clock.
 	// A message that a broken link has held up must not start a job that this entry
 	// has given up.
 	relayValidity = 300 * time.Millisecond
@@ -94,9 +95,10 @@
 	}
 }
 
-// choose returns the peer to hand a job to, the number of the relay, the end of its
-// validity on the peer's clock, and whether to hand the job over.
-func (r *relays) choose(now time.Time, lag time.Duration) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
+// choose returns the peer to hand a job to whose caller was heard of at the given time,
+// the number of the relay, the end of its validity on the peer's clock, and whether to
+// hand the job over.
+func (r *relays) choose(now, heard time.Time, lag time.Duration) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
 	if r.messenger == nil {
 		return medlargw.Peer{}, 0, 0, false
 	}
@@ -105,7 +107,7 @@
 	to, ok = r.relayer.Choose(now, lag)
 	known := r.clocks[to.Incarnation]
 	r.nextNumber++
-	return to, r.nextNumber, known.clock + now.Sub(known.at) + relayValidity, ok && !known.at.IsZero()
+	return to, r.nextNumber, known.clock + heard.Sub(known.at) + relayValidity, ok && !known.at.IsZero()
 }
 
 func (r *relays) pause(now time.Time, peer medlargw.Incarnation) {
@@ -118,10 +120,11 @@
 // false if the job was not handed over, and is proven not to run at the peer.
 //
 // After a message that may have arrived, the job is not run here: the peer is asked
-// for its end, and if it does not answer, the end is unknown.
-func (c *Conductor) relay(ctx context.Context, job *medlargw.Job) (medlargw.Outcome, bool) {
+// for its end, and if it does not answer, the end is unknown. The caller was heard of at
+// the given time.
+func (c *Conductor) relay(ctx context.Context, job *medlargw.Job, heard time.Time) (medlargw.Outcome, bool) {
 	arrived := c.clock.Now()
-	to, number, validUntil, ok := c.relays.choose(arrived, c.Lag())
+	to, number, validUntil, ok := c.relays.choose(arrived, heard, c.Lag())
 	if !ok {
 		return medlargw.Outcome{}, false
 	}
--- a/conductor/submit.go
+++ b/conductor/submit.go
@@ -24,7 +24,7 @@
 	if unread := now.Sub(heard); unread > c.settings.UnreadLimit() {
 		return c.refuseUnread(job, unread)
 	}
-	if o, relayed := c.relay(ctx, job); relayed {
+	if o, relayed := c.relay(ctx, job, heard); relayed {
 		return o
 	}
 	return c.coordinate(ctx, job, heard)
