Holder: the end of its lease does not prove a start order void

What callers saw: a task alive twice as run 1, started by two entries within 0.1 s; the later run was stopped after some 30 ms. This is one of the causes that fit the record, not shown to be the one.

Cause: a start order without an answer counted as not carried out once the lease in it had ended on the target's clock, by a report of the target or by the holder's account of a silent one. The job went on with another attempt, or the holder forgot the run, and its stop was not sent again. A target that carries the order out seconds later and counts its time from then starts the run after that. The holder then stops it as an unknown one.

Now such a run stays, with its resources, and is stopped until its stop is answered and a later report lacks it, or the target has a new incarnation. It stays after the end of its job, too. Two ends of that: a target that closed or refused its connections and is silent since counts as ended, as it did; and a target that the host list lacks is dropped 15 s after the order, with the state "unknown". Without the first, a task whose targets crash silently waits for each to come back (TestTaskThatCrashesTargetsIsGivenUp failed in two rows).

Test output before:

TestLateStartOrder/a_report_after_the_end_of_the_lease ends after a report after the end of the lease: got 1, want 0 TestLateStartOrder/a_report_after_the_stop_was_answered while the target is silent: got 1 ends and 6 stops, want none and at least 16

Ruled out: that such an order is refused by its time. Not excluded by any holder: a target that answers nobody until its order is carried out, while the caller has submitted the job again; and an order of an entry that is lost or stands still.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -157,6 +157,7 @@
 func (h *Holder) tickTarget(now time.Time, t *target) {
 	switch {
 	case t.droppable(now, h.settings.Unlisted):
+		h.abandonRuns(now, t, "no longer listed")
 		h.dropTarget(t, "no longer listed")
 		return
 	case t.leasesEnded(now, &h.settings):
--- a/holder/order.go
+++ b/holder/order.go
@@ -221,12 +221,16 @@
 	}
 }
 
-// endLeases ends all runs of a target after the end of the leases that this holder
-// knows. A new holder that has the transfer of a run may have renewed its lease.
+// endLeases ends the runs of a target after the end of the leases that this holder knows.
+// A new holder that has the transfer of a run may have renewed its lease. A run whose
+// start order may still be carried out is stopped until that is answered.
 func (h *Holder) endLeases(now time.Time, t *target) {
 	h.logRunsEnded(now, t, "lease ended")
 	h.suspectCrash(t)
 	for _, r := range t.sortedRuns() {
+		if r.mayStart() {
+			continue
+		}
 		if r.transferred {
 			h.endRun(now, r, medlargw.TaskUnknown, "lease ended after a transfer")
 			continue
--- a/holder/report.go
+++ b/holder/report.go
@@ -289,8 +289,8 @@
 
 // handleAbsent handles a run that a report does not list. The absence proves
 // that the run is not there only if the report was requested after the target
-// had confirmed the start or the stop of the run. For an unconfirmed run, the
-// end of the lease in its start order is a proof too.
+// had confirmed the start or the stop of the run. That the time in the order has
+// passed proves nothing: it may count from the arrival.
 func (h *Holder) handleAbsent(now, sent time.Time, r *run, clock time.Duration) {
 	switch {
 	case r.state == runRunning && !r.acked.After(sent):
@@ -299,9 +299,6 @@
 	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent):
 		h.logAbsent(r, "stop answered", clock)
 		h.returnTask(now, r)
-	case r.state == runUnconfirmed && clock > r.leaseEnd+leaseEndMargin:
-		h.logAbsent(r, "lease ended", clock)
-		h.returnTask(now, r)
 	}
 }
 
--- a/holder/target.go
+++ b/holder/target.go
@@ -178,13 +178,35 @@
 	return t.clock + time.Duration(float64(now.Sub(t.clockAt))*(1-drift))
 }
 
-// leasesEnded reports whether all leases of runs on the target have certainly
-// ended. Until the target has answered the claim, a former holder may renew them.
+// mayStart reports whether the start order of a run may still be carried out. It is not
+// once the target has confirmed the start, nor after the end of the target's process:
+// a target that has closed its connections and is silent since has most likely ended.
+func (r *run) mayStart() bool {
+	return r.state != runRunning && r.acked.IsZero() && r.target.closedAt.IsZero()
+}
+
+// leasesEnded reports whether all leases of the runs that have started on the target
+// have certainly ended. Until the target has answered the claim, a former holder may
+// renew them.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	return len(t.runs) > 0 && t.claimed && !t.clockAt.IsZero() &&
-		t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin
+	return t.claimed && !t.clockAt.IsZero() && t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin && t.hasStarted()
 }
 
+// hasStarted reports whether a run on the target has started for certain, or can't start
+// any more.
+func (t *target) hasStarted() bool {
+	for _, r := range t.runs {
+		if !r.mayStart() {
+			return true
+		}
+	}
+	return false
+}
+
+// orderRetention is the time after which a start order without an answer counts as
+// dropped, if its target has left the host list. Targets that answer tell before.
+const orderRetention = 15 * time.Second
+
 // unreachable reports whether the target has runs that a former holder
 // transferred, and has not answered the claim for the length of a lease.
 func (t *target) unreachable(now time.Time, s *medlargw.LeaseSettings) bool {
@@ -231,9 +253,18 @@
 	return !t.releasing && !t.info.Draining && !t.delisted(now, s.Unlisted)
 }
 
-// droppable reports whether a delisted target can be removed: it has no runs.
+// droppable reports whether a delisted target can be removed: it has no runs, and no
+// start order to it is under way.
 func (t *target) droppable(now time.Time, unlisted time.Duration) bool {
-	return len(t.runs) == 0 && t.delisted(now, unlisted)
+	if !t.delisted(now, unlisted) {
+		return false
+	}
+	for _, r := range t.runs {
+		if !r.mayStart() || now.Sub(r.sent) <= orderRetention {
+			return false
+		}
+	}
+	return true
 }
 
 // maxDelistedFailures is the number of unanswered renewals after which a target
