Holder: a late renewal does not let a run outlive the proof of its end

What callers saw: a task alive twice. The first run goes on at a target that is silent for its holder, the second one is started elsewhere.

Cause: the holder counts the runs of a silent target as ended when the last lease it has granted ends on the target's clock. A renewal or a start order without an answer, also one of seconds before, may be carried out until then, and the lease in it count from that moment. A start order that is refused as old does so too.

Now an order with a lease that is not answered adds its length to that proof. So that this stays short: - while such an order is open, renewals ask without a lease; - the next answer of the target is followed by a renewal with a higher token (a claim anew): the target does nothing for lower ones, so all that is still under way is void. Runs, stops and starts of this holder go on with the new token; a start that is refused for the former one is queued again. It is not done while the target is being handed over, nor before the target has answered with the former token: another entry may have claimed it. An unconfirmed run that a report with the higher token lacks is proven absent, too. After a target has closed its connections the proof is as short as before (TestLeaseOfCrashedTarget).

The search in virtual time has a disturbance of that kind now.

Ruled out: that the time in a late order protects.

--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -213,7 +213,7 @@
 		probed := func(err error) searchHandler {
 			return func(now time.Time) { e.holder.ProbeAnswered(now, t.Name, err) }
 		}
-		e.w.order(e, renewMessage, t.Name, e.settings.Order, func(respond func(searchHandler)) { respond(probed(nil)) }, probed)
+		e.w.order(e, renewMessage, t.Name, e.settings.Order, func(_ time.Duration, respond func(searchHandler)) { respond(probed(nil)) }, probed)
 	}
 }
 
@@ -223,10 +223,12 @@
 	failed := func(err error) searchHandler {
 		return func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, err) }
 	}
-	w.order(e, startMessage, name, e.settings.Order, func(respond func(searchHandler)) {
+	w.order(e, startMessage, name, e.settings.Order, func(late time.Duration, respond func(searchHandler)) {
 		reply := medlargw.OrderReply{Status: medlargw.OrderUnhealthy}
 		if !w.chance(w.unused) {
-			reply = w.targets.Start(name, c.Order)
+			order := c.Order
+			order.LeaseEnd += late
+			reply = w.targets.Start(name, order)
 		}
 		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
 		if w.targets.IsDown(name) {
@@ -243,7 +245,7 @@
 func (e *searchEntry) sendStop(c *medlargw.StopCommand) {
 	w, name := e.w, c.Target.Name
 	w.log("%s sends stop of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>32, name)
-	w.order(e, stopMessage, name, e.settings.Order, func(respond func(searchHandler)) {
+	w.order(e, stopMessage, name, e.settings.Order, func(_ time.Duration, respond func(searchHandler)) {
 		reply := w.targets.Stop(name, c.Order)
 		w.log("%s: stop of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
 		w.targetChanged(name)
@@ -258,9 +260,13 @@
 	failed := func(err error) searchHandler {
 		return func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &medlargw.RunReport{}, err) }
 	}
-	w.order(e, renewMessage, name, e.settings.Order+c.Renewal.MaxWait, func(respond func(searchHandler)) {
+	w.order(e, renewMessage, name, e.settings.Order+c.Renewal.MaxWait, func(late time.Duration, respond func(searchHandler)) {
+		renewal := c.Renewal
+		if renewal.LeaseEnd > 0 {
+			renewal.LeaseEnd += late
+		}
 		w.poll(&searchPoll{
-			name: name, renewal: c.Renewal, until: w.now.Add(c.Renewal.MaxWait),
+			name: name, renewal: renewal, until: w.now.Add(c.Renewal.MaxWait),
 			broken: func() { respond(failed(medlargw.ErrConnectionClosed)) },
 			respond: func(report medlargw.RunReport) {
 				if len(report.Active)+len(report.Ended) > 0 || report.Status != medlargw.OrderDone {
@@ -273,8 +279,11 @@
 	}, failed)
 }
 
-// order sends an order or a renewal to a target.
-func (w *searchWorld) order(e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(func(searchHandler)), failed func(error) searchHandler) {
+// order sends an order or a renewal to a target. The function serve gets how late the
+// target carries it out if the time of the lease in it counts from then.
+func (w *searchWorld) order(
+	e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(late time.Duration, respond func(searchHandler)), failed func(error) searchHandler,
+) {
 	w.call(e, k, string(name), limit, func(respond func(searchHandler)) {
 		if w.targets.IsDown(name) {
 			if !w.silentCrashes {
@@ -282,16 +291,22 @@
 			}
 			return
 		}
-		if until := w.delayed[name]; until.After(w.now) {
-			process := w.processes[string(name)]
-			w.after(w.upTo(maxLateness), func() {
-				if process == w.processes[string(name)] {
-					serve(func(searchHandler) {})
-				}
-			})
-			return
+		process := w.processes[string(name)]
+		carryOut := func(late time.Duration) {
+			if process == w.processes[string(name)] {
+				serve(late, func(searchHandler) {})
+			}
+		}
+		switch {
+		case w.delayed[name].After(w.now):
+			w.after(w.upTo(maxLateness), func() { carryOut(0) })
+		case w.lateGrants[name].After(w.now) && k != stopMessage && w.chance(0.5):
+			late := w.upTo(maxGrantLateness)
+			w.log("%s from %s to %s is carried out %v late, with its time from then on", k, e.host, name, late)
+			w.after(late, func() { carryOut(late) })
+		default:
+			serve(0, respond)
 		}
-		serve(respond)
 	}, failed(errNoAnswer), failed(medlargw.ErrNotSent))
 }
 
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -41,6 +41,7 @@
 	lateOrders
 	frozenEntry
 	unlistedTarget
+	lateGrants
 )
 
 // drawnDisturbances lists the kinds as often as they are drawn. The group changes
@@ -51,10 +52,18 @@
 	crashedTarget, slowTarget, hangingTarget, failingTarget, lateOrders, frozenEntry, unlistedTarget,
 }
 
+// drawnWithLateGrants lists the kinds for searches of leases that last longer than
+// their holders expect. Entries are neither lost nor frozen: nobody else knows of the
+// orders that they have sent and that are not carried out yet.
+var drawnWithLateGrants = []disturbance{
+	lateGrants, lateGrants, lateGrants, lateGrants, lateGrants, plannedStop, plannedStopTakenBack, cutEntries, cutOneWay,
+	cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers, crashedTarget, slowTarget, hangingTarget, lateOrders, unlistedTarget,
+}
+
 func (d disturbance) String() string {
 	return [...]string{
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
-		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target",
+		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
 	}[d]
 }
 
@@ -95,6 +104,17 @@
 	search(t, rapid.Bool(), func(w *searchWorld) []string { return slices.Concat(w.targets.Violations(), w.problems, w.endless) })
 }
 
+// TestRulesOfTargetsWithLateGrants guards against a run that starts, or goes on, after
+// the time in its order has passed: targets carry start orders and renewals out
+// seconds late, and count their leases from then.
+func TestRulesOfTargetsWithLateGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, rapid.Bool().Draw(t, "idempotent"), false, drawnWithLateGrants, func(w *searchWorld) []string {
+			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
+		})
+	})
+}
+
 // TestNoRunAfterAcknowledgedSuccess checks that no task is started after a run of
 // it has succeeded in the same submission of its job, if that end is acknowledged
 // to the target: a holder has then read an end of which the home does not know.
@@ -110,7 +130,7 @@
 // of them.
 func TestRulesOfTargetsThatCrashAndResize(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		runSearch(t, rapid.Bool().Draw(t, "idempotent"), true, func(w *searchWorld) []string {
+		runSearch(t, rapid.Bool().Draw(t, "idempotent"), true, drawnDisturbances, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
 		})
 	})
@@ -118,12 +138,13 @@
 
 // search plays drawn courses of events, each until a rule is broken.
 func search(t *testing.T, idempotent *rapid.Generator[bool], broken func(w *searchWorld) []string) {
-	rapid.Check(t, func(t *rapid.T) { runSearch(t, idempotent.Draw(t, "idempotent"), false, broken) })
+	rapid.Check(t, func(t *rapid.T) { runSearch(t, idempotent.Draw(t, "idempotent"), false, drawnDisturbances, broken) })
 }
 
 // runSearch plays one drawn course of events, with tasks that crash targets and with
-// targets that are resized if that is set. It fails at the first broken rule.
-func runSearch(t *rapid.T, idempotent, crashAndResize bool, broken func(w *searchWorld) []string) {
+// targets that are resized if that is set, and faults of the given kinds. It fails at
+// the first broken rule.
+func runSearch(t *rapid.T, idempotent, crashAndResize bool, kinds []disturbance, broken func(w *searchWorld) []string) {
 	w := newSearchWorld(rapid.Uint64().Draw(t, "seed"), t.Logf)
 	w.idempotent = idempotent
 	w.suspect = drawDuration(t, 300, 1200, "suspect")
@@ -150,7 +171,7 @@
 		w.addEntry(fmt.Sprintf("e%d", i), zones[i], i, log)
 	}
 	jobs := rapid.SliceOfN(rapid.Custom(drawJob), 1, 10).Draw(t, "jobs")
-	faults := rapid.SliceOfN(rapid.Custom(drawFault), 0, 8).Draw(t, "faults")
+	faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) searchFault { return drawFault(t, kinds) }), 0, 8).Draw(t, "faults")
 	if crashAndResize {
 		w.drawCrashes(t, jobs)
 	}
@@ -215,9 +236,9 @@
 	}
 }
 
-func drawFault(t *rapid.T) searchFault {
+func drawFault(t *rapid.T, kinds []disturbance) searchFault {
 	return searchFault{
-		Kind:   rapid.SampledFrom(drawnDisturbances).Draw(t, "kind"),
+		Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
 		At:     drawDuration(t, 0, int(searchActive.Milliseconds()), "at"),
 		Entry:  rapid.IntRange(0, searchEntries-1).Draw(t, "entry"),
 		Other:  rapid.IntRange(1, searchEntries-1).Draw(t, "other"),
@@ -327,6 +348,8 @@
 		w.after(f.Length, func() { w.targets.SetFaults(name, medlargw.TargetFaults{}) })
 	case lateOrders:
 		w.delayed[name] = w.now.Add(f.Length)
+	case lateGrants:
+		w.lateGrants[name] = w.now.Add(f.Length)
 	case frozenEntry:
 		e.freeze(f.Length)
 		w.after(resendAfter, func() {
@@ -352,6 +375,7 @@
 	w.fates = [messageKinds]messageFate{}
 	clear(w.cuts)
 	clear(w.delayed)
+	clear(w.lateGrants)
 	clear(w.unlisted)
 	for i := range w.entries {
 		w.restart(i, log)
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -46,8 +46,12 @@
 	maxDelay         time.Duration // Of a slow message or a starved sender.
 }
 
-// maxLateness bounds the time after which a late request is executed.
-const maxLateness = 3 * time.Second
+// Bounds of the time after which a late request is executed, and one whose lease
+// counts from then.
+const (
+	maxLateness      = 3 * time.Second
+	maxGrantLateness = 6 * time.Second
+)
 
 // searchEvent is an event at a time of a searchWorld.
 type searchEvent struct {
@@ -93,6 +97,7 @@
 	fates         [messageKinds]messageFate
 	cuts          map[[2]string]time.Time // Ends of the cuts of one-way links.
 	delayed       map[medlargw.TargetName]time.Time
+	lateGrants    map[medlargw.TargetName]time.Time
 	unlisted      map[medlargw.TargetName]time.Time
 	idempotent    bool          // The jobs are idempotent.
 	suspect       time.Duration // Silence after which an entry leaves the group of another.
@@ -112,7 +117,7 @@
 		trace: trace, rand: rand.New(rand.NewPCG(seed, 1)), start: start, now: start,
 		processes: map[string]int{},
 		polls:     map[medlargw.TargetName][]*searchPoll{}, work: map[string]medlargw.SimulatedTask{}, cuts: map[[2]string]time.Time{},
-		delayed: map[medlargw.TargetName]time.Time{}, unlisted: map[medlargw.TargetName]time.Time{},
+		delayed: map[medlargw.TargetName]time.Time{}, lateGrants: map[medlargw.TargetName]time.Time{}, unlisted: map[medlargw.TargetName]time.Time{},
 	}
 	w.longest = searchLongest
 	w.targets = imitator.New(
--- a/holder/late_test.go
+++ b/holder/late_test.go
@@ -48,6 +48,14 @@
 			x.now = x.now.Add(time.Millisecond)
 			return x.report(medlargw.RunReport{Clock: time.Minute, IncarnationStart: start})
 		}, 1},
+		{"a report after the target has seen a higher token", 4 * time.Second, func(x *fixture, _ *medlargw.StopCommand) medlargw.HolderActions {
+			former := x.renewal.Renewal.FenceToken
+			x.report(medlargw.RunReport{Clock: time.Minute, IncarnationStart: start})
+			if got := x.renewal.Renewal.FenceToken; got <= former {
+				x.t.Errorf("token after an order without an answer: got %d, want above %d", got, former)
+			}
+			return x.report(medlargw.RunReport{Clock: time.Minute, IncarnationStart: start})
+		}, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -92,3 +100,79 @@
 		t.Errorf("stops after that: got %d, want none", len(stops))
 	}
 }
+
+// TestLateRenewal guards against a task that runs twice: a renewal without an answer is
+// carried out late, the lease in it counts from then, and the runs on a silent target
+// go on when the leases that its holder knows have ended.
+func TestLateRenewal(t *testing.T) {
+	const lease, slack = 800 * time.Millisecond, 150 * time.Millisecond
+	tests := []struct {
+		name string
+		late bool // An earlier renewal got no answer.
+		seen bool // The target has seen a higher token since.
+		want time.Duration
+	}{
+		{"the last renewal", false, false, 2 * lease},
+		{"an earlier one too", true, false, 3 * lease},
+		{"an earlier one, which a claim has made void", true, true, 2 * lease},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			x.now = x.now.Add(300 * time.Millisecond) // The claim has granted more than a renewal does.
+			clock := 1300 * time.Millisecond
+			x.report(medlargw.RunReport{Clock: clock, IncarnationStart: start})
+			_, a := x.offer(1, 14000)
+			x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{Clock: clock}, nil)
+			active := medlargw.RunReport{Clock: clock, IncarnationStart: start, Active: []medlargw.ActiveRun{{Run: a.Starts[0].Order.Run}}}
+			if test.late {
+				x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, noAnswerError{})
+				x.now = x.now.Add(50 * time.Millisecond)
+				x.h.Tick(x.now)
+				x.takeActions()
+				x.report(active) // The lease is renewed with a higher token.
+			}
+			if test.seen {
+				x.report(active)
+			}
+			sent := x.now
+			ends, _ := x.passed(test.want - slack)
+			if len(ends) != 0 {
+				t.Errorf("end of the run within %v of the last renewal: got %+v, want none", x.now.Sub(sent), ends)
+			}
+			if ends, _ = x.passed(2 * slack); len(ends) != 1 || ends[0].Event != medlargw.TaskStopped {
+				t.Errorf("ends within %v of the last renewal: got %+v, want that the run was stopped", x.now.Sub(sent), ends)
+			}
+		})
+	}
+}
+
+// TestClaimAnewKeepsRuns guards against runs that are lost to a claim of their own holder:
+// orders with the former token, in flight meanwhile, are refused by the target.
+func TestClaimAnewKeepsRuns(t *testing.T) {
+	x := newFixture(t)
+	clock := 1300 * time.Millisecond
+	_, a := x.offer(1, 14000)
+	x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{Clock: clock}, nil)
+	active := medlargw.RunReport{Clock: clock, IncarnationStart: start, Active: []medlargw.ActiveRun{{Run: a.Starts[0].Order.Run}}}
+	_, a = x.offer(2, 14000)
+	second := a.Starts[0]
+	x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, noAnswerError{})
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.h.Tick(x.now)
+	x.takeActions()
+	former := x.renewal.Renewal.FenceToken
+	x.report(active)
+	if got := x.renewal.Renewal.FenceToken; got <= former {
+		t.Fatalf("token of the next renewal: got %d, want above %d", got, former)
+	}
+	x.report(active)
+	x.h.StartAnswered(x.now, &second, medlargw.OrderReply{Status: medlargw.OrderFenced, Clock: clock}, nil)
+	a = x.takeActions()
+	if len(a.Reports) > 1 || len(a.Starts) != 1 || a.Starts[0].Order.Run != second.Order.Run || a.Starts[0].Order.FenceToken <= former {
+		t.Errorf("after a start with the former token was refused: got reports %+v and starts %+v, want the same run with a higher token", a.Reports, a.Starts)
+	}
+	if _, a = x.offer(3, 4000); len(a.Starts) != 1 {
+		t.Errorf("starts after the claim: got %d, want 1", len(a.Starts))
+	}
+}
--- a/holder/order.go
+++ b/holder/order.go
@@ -45,6 +45,9 @@
 // was no answer.
 func (h *Holder) StartAnswered(now time.Time, c *medlargw.StartCommand, reply medlargw.OrderReply, err error) {
 	t, r := h.findRun(c.Target.Name, c.Order.Run, c.Order.FenceToken)
+	if t != nil {
+		t.grants.settle(c.Order.FenceToken, t.token, err)
+	}
 	if r == nil || r.state == runRunning {
 		return
 	}
@@ -66,6 +69,7 @@
 	t.updateClock(now, reply.Clock)
 	h.answerTimes.Observe(now.Sub(r.sent))
 	if reply.Status == medlargw.OrderDone {
+		t.grants.accept(c.Order.FenceToken)
 		r.state = runRunning
 		r.acked = now
 		if r.task != nil {
@@ -75,7 +79,11 @@
 	}
 	h.log.Info("start refused", zap.String("task", r.id.Task), zap.Int("attempt", r.id.Attempt),
 		zap.String("target", string(t.info.Name)), zap.Stringer("verdict", reply.Status))
-	h.handleRefusedStart(now, t, r, reply.Status)
+	if reply.Status == medlargw.OrderFenced && c.Order.FenceToken < t.token {
+		h.requeue(now, r) // This holder has claimed the target anew in the meantime.
+	} else {
+		h.handleRefusedStart(now, t, r, reply.Status)
+	}
 	h.place(now)
 }
 
@@ -113,12 +121,15 @@
 	t.updateClock(now, reply.Clock)
 	switch reply.Status {
 	case medlargw.OrderDone:
+		t.grants.accept(c.Order.FenceToken)
 		if r.stopAnswered.IsZero() {
 			r.stopAnswered = now
 			h.lookForRun(t, r)
 		}
 	case medlargw.OrderFenced:
-		h.handleFenced(now, t)
+		if c.Order.FenceToken == t.token { // Otherwise it is sent again.
+			h.handleFenced(now, t)
+		}
 	}
 }
 
@@ -138,12 +149,15 @@
 // order belongs to a former claim, the run if it has ended.
 func (h *Holder) findRun(name medlargw.TargetName, id medlargw.RunID, token uint64) (*target, *run) {
 	t := h.targets[name]
-	if t == nil || t.token != token {
+	if t == nil || !t.isOwnToken(token) {
 		return nil, nil
 	}
 	return t, t.runs[id]
 }
 
+// isOwnToken reports whether a token belongs to the present claim.
+func (t *target) isOwnToken(token uint64) bool { return t.claimToken <= token && token <= t.token }
+
 // resendStops sends the stop orders again that were not answered in time.
 func (h *Holder) resendStops(now time.Time, t *target) {
 	if !t.claimed {
--- a/holder/place.go
+++ b/holder/place.go
@@ -145,6 +145,9 @@
 		cold:      t.isCold(now),
 		leaseEnd:  t.clockLowerBound(now, h.settings.Drift) + min(t.leaseLeft(now, &h.settings), w.leaseLeft(now, &h.settings)),
 	}
+	r.token = t.token
+	t.grants.current++
+	t.leasedAt = now
 	w.run = r
 	t.addRun(r)
 	h.countStart(now, w)
--- a/holder/report.go
+++ b/holder/report.go
@@ -27,14 +27,19 @@
 	}
 	if !t.claimed {
 		t.token = h.tokens.next()
+		t.claimToken = t.token
+		t.grants = grants{}
 		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{
 			Target:  t.info,
 			Renewal: medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()},
 		})
 		return
 	}
+	if t.grants.unanswered > 0 && t.failedRenewals == 0 && !t.transferring && !t.releasing {
+		h.claimAnew(t)
+	}
 	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable(), MaxWait: h.pollWait(now, t)}
-	if t.failedRenewals > 0 {
+	if t.failedRenewals > 0 || t.token > t.grants.seen {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
 	h.grantLease(now, t, &renewal)
@@ -43,9 +48,11 @@
 
 // grantLease sets the end of the lease in a renewal, if the target may get one. A target
 // whose process may have ended gets no longer lease until it answers: the end of the last
-// one is the proof that its runs have ended.
+// one is the proof that its runs have ended. Nor does one that has not answered the last
+// lease, since that may still be carried out.
 func (h *Holder) grantLease(now time.Time, t *target, renewal *medlargw.Renewal) {
-	if now.Sub(t.lastAnswer) >= h.settings.Lease/2 || !t.closedAt.IsZero() || t.mustLapse(now, &h.settings) {
+	isOpen := t.failedRenewals > 0 && t.grants.unanswered > 0
+	if now.Sub(t.lastAnswer) >= h.settings.Lease/2 || !t.closedAt.IsZero() || isOpen || t.mustLapse(now, &h.settings) {
 		return
 	}
 	left := t.leaseLeft(now, &h.settings)
@@ -54,11 +61,22 @@
 	}
 	renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + left
 	t.leaseEnd = max(t.leaseEnd, renewal.LeaseEnd)
+	t.grants.current++
+	t.leasedAt = now
 	if left < h.settings.Lease {
 		renewal.MaxWait = min(renewal.MaxWait, h.settings.Poll) // The next one may bring the full lease.
 	}
 }
 
+// claimAnew raises the token of a target that has answered the last renewal, so that no
+// other entry has claimed it. Once the target has seen the token, the orders that got no
+// answer are void. What runs there goes on.
+func (h *Holder) claimAnew(t *target) {
+	h.log.Debug("target claimed anew", zap.String("target", string(t.info.Name)), zap.Int("unanswered", t.grants.unanswered))
+	t.token = h.tokens.next()
+	t.grants.raise()
+}
+
 const (
 	// maxPollFactor is the factor by which a target may wait longer before it
 	// reports while no run is overdue. The lease of a run that is started during
@@ -87,11 +105,17 @@
 // time, or the error when there was no answer.
 func (h *Holder) RenewAnswered(now, sent time.Time, c *medlargw.RenewCommand, report *medlargw.RunReport, err error) {
 	t := h.targets[c.Target.Name]
-	if t == nil || t.token != c.Renewal.FenceToken {
+	if t == nil || !t.isOwnToken(c.Renewal.FenceToken) {
 		return
 	}
+	if c.Renewal.LeaseEnd > 0 {
+		t.grants.settle(c.Renewal.FenceToken, t.token, err)
+	}
 	if c.Extra {
-		h.extraAnswered(now, sent, t, report, err)
+		h.extraAnswered(now, sent, t, c.Renewal.FenceToken, report, err)
+		return
+	}
+	if t.token != c.Renewal.FenceToken {
 		return
 	}
 	t.renewing = false
@@ -117,13 +141,14 @@
 		h.logClaim(now, t, c, report)
 	}
 	h.renewalAnswered(now, t, report)
+	t.grants.accept(c.Renewal.FenceToken)
 	// The answer to an extra renewal may have overtaken this one.
 	overtaken := report.IncarnationStart.Equal(t.incarnationStart) && report.Clock < t.clock
 	h.checkIncarnation(now, t, report)
 	t.updateClock(now, report.Clock)
 	h.handleEnds(now, t, report)
 	if !overtaken {
-		h.handleActive(now, sent, t, report)
+		h.handleActive(now, sent, t, c.Renewal.FenceToken, report)
 	}
 	h.scheduleRenewal(now, t)
 	h.place(now)
@@ -131,14 +156,15 @@
 
 // extraAnswered handles the answer to a renewal that only asked for a report.
 // Whatever else it tells, the renewal in flight tells too.
-func (h *Holder) extraAnswered(now, sent time.Time, t *target, report *medlargw.RunReport, err error) {
+func (h *Holder) extraAnswered(now, sent time.Time, t *target, token uint64, report *medlargw.RunReport, err error) {
 	sameIncarnation := report.IncarnationStart.IsZero() || report.IncarnationStart.Equal(t.incarnationStart)
 	if err != nil || report.Status != medlargw.OrderDone || !t.claimed || !sameIncarnation || report.Clock < t.clock {
 		return
 	}
 	t.updateClock(now, report.Clock)
+	t.grants.accept(token)
 	h.handleEnds(now, t, report)
-	h.handleActive(now, sent, t, report)
+	h.handleActive(now, sent, t, token, report)
 	h.place(now)
 }
 
@@ -252,8 +278,8 @@
 }
 
 // handleActive compares the runs that the target lists as active with the known
-// ones.
-func (h *Holder) handleActive(now, sent time.Time, t *target, report *medlargw.RunReport) {
+// ones, given the token with which the report was requested.
+func (h *Holder) handleActive(now, sent time.Time, t *target, token uint64, report *medlargw.RunReport) {
 	listed := make(map[medlargw.RunID]bool, len(report.Active))
 	for i := range report.Active {
 		a := &report.Active[i]
@@ -273,7 +299,7 @@
 	}
 	for _, r := range t.sortedRuns() {
 		if !listed[r.id] {
-			h.handleAbsent(now, sent, r, report.Clock)
+			h.handleAbsent(now, sent, r, token, report.Clock)
 		}
 	}
 }
@@ -289,9 +315,10 @@
 
 // handleAbsent handles a run that a report does not list. The absence proves
 // that the run is not there only if the report was requested after the target
-// had confirmed the start or the stop of the run. That the time in the order has
-// passed proves nothing: it may count from the arrival.
-func (h *Holder) handleAbsent(now, sent time.Time, r *run, clock time.Duration) {
+// had confirmed the start or the stop of the run, or with a higher token than
+// its start order, which the target does not carry out any more. That the time
+// in the order has passed proves nothing: it may count from the arrival.
+func (h *Holder) handleAbsent(now, sent time.Time, r *run, token uint64, clock time.Duration) {
 	switch {
 	case r.state == runRunning && !r.acked.After(sent):
 		h.logAbsent(r, "not listed", clock)
@@ -299,6 +326,9 @@
 	case r.state == runUnconfirmed && !r.stopAnswered.IsZero() && !r.stopAnswered.After(sent):
 		h.logAbsent(r, "stop answered", clock)
 		h.returnTask(now, r)
+	case r.state == runUnconfirmed && r.token < token:
+		h.logAbsent(r, "claimed anew", clock)
+		h.returnTask(now, r)
 	}
 }
 
--- a/holder/target.go
+++ b/holder/target.go
@@ -30,6 +30,7 @@
 	sent      time.Time
 	acked     time.Time     // When the target confirmed the start; zero is not confirmed.
 	leaseEnd  time.Duration // End of the lease in its start order, on the target's clock.
+	token     uint64        // Of its start order; zero for a run that another holder started.
 
 	transferred  bool // A transfer that may have arrived names the run.
 	cold         bool // The target was cold when the run was ordered.
@@ -49,6 +50,8 @@
 	info             medlargw.Target
 	claimed          bool // The claim was answered.
 	token            uint64
+	claimToken       uint64 // The token of the claim, which is claimed anew with higher ones.
+	grants           grants
 	incarnationStart time.Time
 	lastEnd          uint64             // Sequence number of the last end that was processed.
 	pendingEnds      []pendingEnd       // Ends that must not be acknowledged yet, in the order of their numbers.
@@ -57,8 +60,9 @@
 
 	clock    time.Duration // The target's clock in its last answer.
 	clockAt  time.Time     // Arrival of that answer; zero is never.
-	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder.
+	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder, if none is carried out late.
 
+	leasedAt       time.Time // When the latest order with a lease was sent.
 	renewing       bool
 	reaching       bool          // It is being looked whether it accepts connections.
 	awaitsConfirm  bool          // The next renewal waits until homes have confirmed ends.
@@ -187,9 +191,14 @@
 
 // leasesEnded reports whether all leases of the runs that have started on the target
 // have certainly ended. Until the target has answered the claim, a former holder may
-// renew them.
+// renew them. An order without an answer may be carried out as late as at the end of
+// the lease, and the lease in it count from then, unless the target's process has ended.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	return t.claimed && !t.clockAt.IsZero() && t.clockLowerBound(now, s.Drift) > t.leaseEnd+leaseEndMargin && t.hasStarted()
+	end := t.leaseEnd + leaseEndMargin
+	if t.closedAt.IsZero() {
+		end += time.Duration(t.grants.open()) * s.Lease
+	}
+	return t.claimed && !t.clockAt.IsZero() && t.clockLowerBound(now, s.Drift) > end && t.hasStarted()
 }
 
 // hasStarted reports whether a run on the target has started for certain, or can't start
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -57,9 +57,13 @@
 	return false
 }
 
-// extendLease sends a renewal beside the one in flight. The new holder of a target can
-// only renew the lease once the homes of the runs know of it.
+// extendLease sends a renewal beside the one in flight if the lease may end before the
+// transfer has arrived and the homes of the runs know of the new holder, which only then
+// renews it.
 func (h *Holder) extendLease(now time.Time, t *target) {
+	if now.Sub(t.leasedAt) < h.settings.Lease-h.settings.Call-h.settings.Silence {
+		return
+	}
 	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable()}
 	if h.grantLease(now, t, &renewal); renewal.LeaseEnd > 0 {
 		h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{Target: t.info, Extra: true, Renewal: renewal})
