Stand-in: start orders and renewals carried out late, with their time from then

TargetFaults.GrantDelay, beside OrderDelay: start orders and renewals get no answer and are carried out later, and the lease in them counts from then. Stops are answered. TestFaults has a row with it. What it guards is that jobs go on, as the renewals of a target are not answered.

--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -147,6 +147,12 @@
 	if err := r.deliver(ctx, t.Name, len(o.Payload), func() { r.sim.targets.Start(t.Name, o) }); err != nil {
 		return medlargw.OrderReply{}, err
 	}
+	if by := r.sim.targets.Faults(t.Name).GrantDelay; by > 0 {
+		o.LeaseEnd += by
+		time.AfterFunc(by, func() { r.sim.targets.Start(t.Name, o) })
+		<-ctx.Done()
+		return medlargw.OrderReply{}, errLinkDown
+	}
 	reply := r.sim.targets.Start(t.Name, o)
 	r.sim.mu.Lock()
 	r.sim.lastStart[t.Zone] = time.Now()
@@ -166,6 +172,14 @@
 	if err := r.deliver(ctx, t.Name, 0, func() {}); err != nil {
 		return medlargw.RunReport{}, err
 	}
+	if by := r.sim.targets.Faults(t.Name).GrantDelay; by > 0 {
+		if n.LeaseEnd > 0 {
+			n.LeaseEnd += by
+		}
+		time.AfterFunc(by, func() { r.sim.targets.Report(t.Name, n) })
+		<-ctx.Done()
+		return medlargw.RunReport{}, errLinkDown
+	}
 	report, err := r.sim.targets.Renew(ctx, t.Name, n)
 	if err == nil && report.Status == medlargw.OrderDone && r.sim.claims != nil {
 		r.sim.claims.add(t.Name, r.host)
--- a/conductor/faults_test.go
+++ b/conductor/faults_test.go
@@ -90,6 +90,14 @@
 			time.Sleep(2 * time.Second)
 			cl.sim.targets.SetFaults("b1-t0", medlargw.TargetFaults{})
 		}, 0.8},
+		{"start orders and renewals executed 3 s late, with their time from then on", func(cl *cluster) {
+			for range 4 {
+				cl.sim.targets.SetFaults("a1-t0", medlargw.TargetFaults{GrantDelay: 3 * time.Second})
+				time.Sleep(500 * time.Millisecond)
+				cl.sim.targets.SetFaults("a1-t0", medlargw.TargetFaults{})
+				time.Sleep(time.Second)
+			}
+		}, 0.8},
 		{"targets taken over while orders are on their way", func(cl *cluster) {
 			for i := range 5 {
 				cl.sim.targets.SetFaults(medlargw.TargetName(fmt.Sprintf("a1-t%d", i)), medlargw.TargetFaults{OrderDelay: 700 * time.Millisecond})
--- a/faults.go
+++ b/faults.go
@@ -18,6 +18,9 @@
 	Hang       bool          // Runs make no progress.
 	Fail       bool          // Runs take their time and then fail.
 	OrderDelay time.Duration // If above zero, orders get no answer and are carried out after this delay.
+	// If above zero, start orders and renewals get no answer and are carried out after
+	// this delay, and the time of the leases in them counts from then.
+	GrantDelay time.Duration
 }
 
 // SimulatedTask is the run time and the resources that a task takes on a
