Holder: a task doesn't start beside a run of another submission of its job

Cause: runs are known by task and number, and both homes of a job that was submitted twice count from 1. A holder that was offered the task of the second home started it while it knew that a run of the first was going on or being stopped: on another target beside it, or on the same one. There the second run replaced the first in the holder's account: the first home got no end, its end was told to the second home as that of its own run, and the resources of the first one were never free again.

A holder now counts its runs by task, those of unknown homes among them. A task of which a run is here waits until the end of that run is proven. Its home is told "started", also when it recalls the task: a task that is returned starts elsewhere at once. Then it is returned, and its home starts it with the next number, which the targets of the first run don't refuse. When that run may go on under another holder, or the second home is silent, the task ends as unknown, and nothing starts it again.

Ruled out: stopping the run of the first home. The submission that a holder sees second may be the older one, read late.

Test changed: TestWaitingTaskIsReturnedInPlannedStop gave two tasks of a home the same name by accident, so that the second one counted as another submission of the first. It has a name of its own now; what the test wants is the same.

--- a/holder/assign.go
+++ b/holder/assign.go
@@ -162,7 +162,7 @@
 // addOwned adds a target that this entry owns now, and schedules its claim, given the
 // former owner if that is known.
 func (h *Holder) addOwned(now time.Time, info *medlargw.Target, former medlargw.Incarnation, known bool) *target {
-	t := newTarget(*info)
+	t := h.newTarget(*info)
 	wait := h.claimDelay(former, known)
 	t.unheld = known && wait == 0
 	if !known && h.knowsZone(now, info.Zone) {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -54,6 +54,8 @@
 	apportioner       *apportioner.Apportioner              // Divides the targets among the candidates.
 	homes             map[medlargw.Incarnation]*home
 	waiting           []*task
+	held              []*task // Tasks that wait for the end of other submissions' runs.
+	active            activeRuns
 	group             medlargw.Group
 	evacuated         map[medlargw.ZoneName]bool // Zones whose targets get no new tasks.
 	firstAssigned     time.Time                  // Zero before the first assignment.
@@ -93,6 +95,7 @@
 		owners:   map[medlargw.TargetName]medlargw.Peer{},
 		lapsed:   map[medlargw.TargetName]time.Time{},
 		homes:    map[medlargw.Incarnation]*home{},
+		active:   activeRuns{},
 
 		starts:      map[medlargw.PoolName]*guarantor.Guarantor{},
 		startedWork: map[medlargw.PoolName]*averager.Averager{},
@@ -106,7 +109,7 @@
 // HasPending reports whether a task waits here, or a target is about to be claimed
 // or handed over.
 func (h *Holder) HasPending() bool {
-	if len(h.waiting) > 0 {
+	if len(h.waiting)+len(h.held) > 0 {
 		return true
 	}
 	for _, t := range h.sorted {
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -23,7 +23,8 @@
 	t       *testing.T
 	h       *holder.Holder
 	now     time.Time
-	renewal medlargw.RenewCommand // The renewal in flight.
+	renewal medlargw.RenewCommand           // The renewal in flight.
+	sink    func(a *medlargw.HolderActions) // Gets all actions that are taken; nil is none.
 }
 
 func newFixture(t *testing.T) *fixture { return newLoggedFixture(t, zap.NewNop()) }
@@ -54,6 +55,9 @@
 	if len(a.Renewals) == 1 && !a.Renewals[0].Extra {
 		x.renewal = a.Renewals[0]
 	}
+	if x.sink != nil {
+		x.sink(&a)
+	}
 	return a
 }
 
--- a/holder/home.go
+++ b/holder/home.go
@@ -100,6 +100,7 @@
 	due      time.Time
 	deadline time.Time
 	run      *run // Nil while the task waits.
+	held     bool // It waits for the end of another submission's run.
 	jobTasks *jobTasks
 	// When the task was taken over with its run; zero is never. The home may not know
 	// that yet, and may have given the task up.
@@ -293,8 +294,12 @@
 	stopped := 0
 	for _, w := range sortedTasks(m) {
 		if w.run == nil {
-			h.dequeue(w)
-			h.endTask(now, w, medlargw.TaskReturned, nil, reason)
+			event := medlargw.TaskReturned
+			if w.held {
+				event = medlargw.TaskUnknown
+			}
+			h.drop(w)
+			h.endTask(now, w, event, nil, reason)
 			continue
 		}
 		if !w.run.stopping {
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -79,7 +79,7 @@
 		id := tasks[i].ID
 		states[i].ID = id
 		switch w := m.tasks[id]; {
-		case w != nil && w.run != nil:
+		case w != nil && w.isBound():
 			states[i].State = medlargw.OfferStarted
 		case w != nil:
 			states[i].State = medlargw.OfferQueued
@@ -115,7 +115,11 @@
 		}
 		w := &task{home: m, offered: *o, due: now.Add(o.TimeToObjective), deadline: now.Add(o.TimeToDeadline)}
 		m.add(w)
-		h.enqueue(w)
+		if h.isActive(w) {
+			h.hold(w)
+		} else {
+			h.enqueue(w)
+		}
 		h.recordService(o.Service, o.Pool)
 		added[i] = w
 	}
@@ -151,7 +155,7 @@
 	switch {
 	case w == nil:
 		return h.endedState(m, o.ID)
-	case w.run != nil:
+	case w.isBound():
 		return medlargw.OfferStarted
 	case added == nil || o.MayQueue && !h.isEvacuated(now, o.Pool) && h.isAdmitted(now, w):
 		return medlargw.OfferQueued
@@ -170,7 +174,7 @@
 		return medlargw.OfferRefused
 	case w == nil:
 		return h.endedState(m, id)
-	case w.run != nil:
+	case w.isBound():
 		return medlargw.OfferStarted
 	}
 	h.dequeue(w)
@@ -178,11 +182,20 @@
 	return medlargw.OfferRefused
 }
 
+// isBound reports whether the task must not start elsewhere: it has a run here, or
+// another submission of its job has.
+func (w *task) isBound() bool { return w.run != nil || w.held }
+
 // cancel stops a task that was started, and returns one that was not.
 func (h *Holder) cancel(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
 	state := h.recall(now, m, id)
-	if w := m.tasks[id]; w != nil && w.run != nil {
+	switch w := m.tasks[id]; {
+	case w == nil:
+	case w.run != nil:
 		h.abandonRun(now, w.run, "cancelled")
+	case w.held:
+		h.drop(w)
+		h.forget(now, w)
 	}
 	return state
 }
--- a/holder/order.go
+++ b/holder/order.go
@@ -221,6 +221,7 @@
 func (h *Holder) abandonRuns(now time.Time, t *target, reason string) {
 	for _, r := range t.sortedRuns() {
 		t.removeRun(r)
+		h.abandonHeld(now, r.id)
 		if r.task != nil {
 			h.endTask(now, r.task, medlargw.TaskUnknown, r, reason)
 		}
--- a/holder/place.go
+++ b/holder/place.go
@@ -19,6 +19,7 @@
 // less urgent ones, since the rest of their jobs has run or is running. Where classes have
 // minimum shares of the starts, late tasks come after all others.
 func (h *Holder) place(now time.Time) {
+	h.returnHeld(now)
 	if len(h.waiting) == 0 {
 		return
 	}
@@ -42,6 +43,11 @@
 		if w.home.silent(now, &h.settings) {
 			continue // The tasks of its home are about to be cancelled.
 		}
+		if h.isActive(w) {
+			h.dequeue(w)
+			h.hold(w)
+			continue
+		}
 		if h.pacer.Busy(now) {
 			return
 		}
--- a/holder/restart_test.go
+++ b/holder/restart_test.go
@@ -178,7 +178,7 @@
 			x.h.HandleOffer(x.now, 0, &medlargw.Offer{
 				From: medlargw.Member{Host: "home", Incarnation: 7},
 				Tasks: []medlargw.OfferedTask{{
-					ID: 2, Run: medlargw.RunID{Task: "b", Attempt: 1}, Pool: "pool", MayQueue: true,
+					ID: 2, Run: medlargw.RunID{Task: "c", Attempt: 1}, Pool: "pool", MayQueue: true,
 					Resources: medlargw.Resources{Cores: 14000}, Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
 				}},
 			})
--- /dev/null
+++ b/holder/submission_test.go
@@ -0,0 +1,143 @@
+package holder_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"medlargw.example/medlargw"
+)
+
+// offerAgain offers the task of x.startRun(1) as another home does to which its job was
+// submitted again, and returns its state and the start orders.
+func (x *fixture) offerAgain() (medlargw.OfferState, []medlargw.StartCommand) {
+	x.t.Helper()
+	reply := x.h.HandleOffer(x.now, 0, &medlargw.Offer{
+		From: medlargw.Member{Host: "second", Incarnation: 8},
+		Tasks: []medlargw.OfferedTask{{
+			ID: 1, Run: medlargw.RunID{Task: "b", Attempt: 1}, Pool: "pool", Resources: medlargw.Resources{Cores: 14000},
+			Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
+		}},
+	})
+	return reply.States[0].State, x.takeActions().Starts
+}
+
+// second sends a message of the second home, and returns the states in its answer.
+func (x *fixture) second(o medlargw.Offer) []medlargw.OfferedState {
+	o.From = medlargw.Member{Host: "second", Incarnation: 8}
+	return x.h.HandleOffer(x.now, 0, &o).States
+}
+
+// eventsFor returns the events that are reported to a home.
+func eventsFor(home medlargw.Incarnation, reports []medlargw.TaskReport) []medlargw.TaskEvent {
+	return events(slices.DeleteFunc(slices.Clone(reports), func(r medlargw.TaskReport) bool { return r.Home.Incarnation != home }))
+}
+
+// TestSecondSubmissionWaitsForRunOfFirst guards against a task alive twice: the caller
+// submits its job again to another entry while a holder still has a run of the first
+// submission. The holder must not start the task beside that run, nor take the end of
+// that run, which has the same number, for the second home's, nor lose its resources.
+func TestSecondSubmissionWaitsForRunOfFirst(t *testing.T) {
+	tests := []struct {
+		name      string
+		cancelled bool // The first home has given its job up.
+		end       medlargw.RunEndKind
+		want      medlargw.TaskEvent // Reported to the first home.
+	}{
+		{"first is being stopped", true, medlargw.RunStopped, medlargw.TaskStopped},
+		{"first ends before its stop", true, medlargw.RunSucceeded, medlargw.TaskSucceeded},
+		{"first goes on", false, medlargw.RunSucceeded, medlargw.TaskSucceeded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			run := x.startRun(1)
+			if test.cancelled {
+				x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Cancels: []medlargw.TaskID{1}})
+				x.h.StopAnswered(x.now, &x.takeActions().Stops[0], medlargw.OrderReply{Clock: time.Second}, nil)
+			}
+			state, starts := x.offerAgain()
+			if state != medlargw.OfferStarted || len(starts) != 0 {
+				t.Errorf("offer beside the run: got %v and %d starts, want %v and 0", state, len(starts), medlargw.OfferStarted)
+			}
+			if got := x.second(medlargw.Offer{Recalls: []medlargw.TaskID{1}})[0].State; got != medlargw.OfferStarted {
+				t.Errorf("recall beside the run: got %v, want %v", got, medlargw.OfferStarted)
+			}
+			a := x.report(medlargw.RunReport{
+				Clock: time.Second, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: run, Kind: test.end}},
+			})
+			if got, want := eventsFor(7, a.Reports), []medlargw.TaskEvent{test.want}; !slices.Equal(got, want) {
+				t.Errorf("events for the first home: got %v, want %v", got, want)
+			}
+			if got, want := eventsFor(8, a.Reports), []medlargw.TaskEvent{medlargw.TaskReturned}; !slices.Equal(got, want) {
+				t.Errorf("events for the second home: got %v, want %v", got, want)
+			}
+			if got, _ := x.offer(2, 32000); got != medlargw.OfferStarted {
+				t.Errorf("task that takes the whole target: got %v, want %v", got, medlargw.OfferStarted)
+			}
+		})
+	}
+}
+
+// TestQueuedSecondSubmissionWaitsForRunOfFirst guards against a task alive twice: both
+// submissions of a job wait at a holder, and the first one starts.
+func TestQueuedSecondSubmissionWaitsForRunOfFirst(t *testing.T) {
+	x := newFixture(t)
+	x.offer(5, 32000)
+	task := medlargw.OfferedTask{
+		ID: 1, Run: medlargw.RunID{Task: "b", Attempt: 1}, Pool: "pool", Resources: medlargw.Resources{Cores: 14000}, MayQueue: true,
+		Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
+	}
+	x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Tasks: []medlargw.OfferedTask{task}})
+	x.second(medlargw.Offer{Tasks: []medlargw.OfferedTask{task}})
+	x.takeActions()
+	a := x.report(medlargw.RunReport{
+		Clock: time.Second, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: medlargw.RunID{Task: "f", Attempt: 1}}},
+	})
+	if len(a.Starts) != 1 {
+		t.Errorf("starts of the task of two submissions: got %d, want 1", len(a.Starts))
+	}
+}
+
+// TestSecondSubmissionEndsWithItsHolder guards against a second submission that starts
+// elsewhere beside a run of the first that may go on: its holder loses the target. A
+// cancelled one must not be reported.
+func TestSecondSubmissionEndsWithItsHolder(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(x *fixture)
+		want []medlargw.TaskEvent
+	}{
+		{"fenced", func(x *fixture) {
+			x.report(medlargw.RunReport{Status: medlargw.OrderFenced})
+		}, []medlargw.TaskEvent{medlargw.TaskUnknown}},
+		{"handed over", func(x *fixture) {
+			x.h.TransferAnswered(x.now, x.release(), nil)
+		}, []medlargw.TaskEvent{medlargw.TaskUnknown}},
+		{"its home is silent", func(x *fixture) {
+			x.now = x.now.Add(600 * time.Millisecond)
+			x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+		}, []medlargw.TaskEvent{medlargw.TaskUnknown}},
+		{"cancelled", func(x *fixture) {
+			x.second(medlargw.Offer{Cancels: []medlargw.TaskID{1}})
+			x.report(medlargw.RunReport{
+				Clock: time.Second, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: medlargw.RunID{Task: "b", Attempt: 1}}},
+			})
+		}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			x.startRun(1)
+			x.offerAgain()
+			var got []medlargw.TaskEvent
+			x.sink = func(a *medlargw.HolderActions) { got = append(got, eventsFor(8, a.Reports)...) }
+			test.end(x)
+			x.h.Tick(x.now)
+			x.takeActions()
+			if !slices.Equal(got, test.want) {
+				t.Errorf("events for the second home: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/holder/target.go
+++ b/holder/target.go
@@ -57,6 +57,7 @@
 	pendingEnds      []pendingEnd       // Ends that must not be acknowledged yet, in the order of their numbers.
 	free             medlargw.Resources // Resources that no run takes; may be negative.
 	runs             map[medlargw.RunID]*run
+	active           activeRuns // Of all targets of the holder.
 
 	clock    time.Duration // The target's clock in its last answer.
 	clockAt  time.Time     // Arrival of that answer; zero is never.
@@ -95,8 +96,11 @@
 	rater rater.Rater // Of its speed.
 }
 
-func newTarget(info medlargw.Target) *target {
-	return &target{info: info, incarnationStart: info.IncarnationStart, free: info.Resources, runs: map[medlargw.RunID]*run{}, health: newHealth()}
+func (h *Holder) newTarget(info medlargw.Target) *target {
+	return &target{
+		info: info, incarnationStart: info.IncarnationStart, free: info.Resources, runs: map[medlargw.RunID]*run{}, active: h.active,
+		health: newHealth(),
+	}
 }
 
 // update replaces the description of the target by that of the host list. The
@@ -116,12 +120,14 @@
 // addRun adds a run and takes its resources.
 func (t *target) addRun(r *run) {
 	t.runs[r.id] = r
+	t.active.add(r.id)
 	t.free = t.free.Sub(r.resources)
 }
 
 // removeRun removes a run and frees its resources.
 func (t *target) removeRun(r *run) {
 	delete(t.runs, r.id)
+	t.active.remove(r.id)
 	t.free = t.free.Add(r.resources)
 }
 
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -126,6 +126,7 @@
 	}
 	for _, r := range t.sortedRuns() {
 		t.removeRun(r)
+		h.abandonHeld(now, r.id)
 		switch {
 		case r.task == nil:
 		case transferredRuns[r.id]:
@@ -154,7 +155,7 @@
 		t := h.targets[transferred.Name]
 		if t == nil {
 			info, _ := h.listedTarget(transferred.Name)
-			t = newTarget(info)
+			t = h.newTarget(info)
 			h.addTarget(now, t)
 		}
 		h.logTransferReceived(t, transferred, tr.From.Host)
