Coordinator: a late report of a start does not move a task back to its former holder

Cause: a report that a task has started attached it to the sender. One of a holder that has handed the run over since, and that came after the new holder's, moved the task back: the end that the new holder told as stopped was ignored, so that callers waited until their deadline, and when the former holder was lost, as after a planned stop, its run counted as ended and a new attempt ran beside it.

A report of a start by a former holder is ignored, unless it says that the run was handed over to it (a reason that reports carry already) or tells a crash.

Not mended: a report of a takeover that comes after that of the next one. It needs an order in the report, and so another field of the message.

--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -153,7 +153,7 @@
 			}
 			continue
 		}
-		if t.holder != from && (e.Event == medlargw.TaskUnknown || e.Event == medlargw.TaskStopped && slices.Contains(t.formers, from)) {
+		if t.holder != from && t.isOutdated(from, e) {
 			continue // The task has moved to another holder since, which tells its end.
 		}
 		moved := t.holder != from
@@ -169,6 +169,20 @@
 	}
 }
 
+// isOutdated reports whether an event at a holder that the task has left says nothing of
+// its run at the present holder.
+func (t *task) isOutdated(from *holder, e *medlargw.TaskReport) bool {
+	switch e.Event {
+	case medlargw.TaskUnknown:
+		return true
+	case medlargw.TaskStopped:
+		return slices.Contains(t.formers, from)
+	case medlargw.TaskStarted:
+		return slices.Contains(t.formers, from) && e.Reason != medlargw.ReasonHandedOver && e.Crash == medlargw.CrashNone
+	}
+	return false
+}
+
 // addReporter adds a holder that reports before this entry has it in its group. It
 // gets no new tasks until then.
 func (c *Coordinator) addReporter(now time.Time, m *medlargw.Member) *holder {
--- a/holder/transfer.go
+++ b/holder/transfer.go
@@ -253,7 +253,7 @@
 // reportTakeover reports to the home of a task that this entry has its run now.
 func (h *Holder) reportTakeover(t *target, w *task) {
 	h.actions.Reports = append(h.actions.Reports, medlargw.TaskReport{
-		Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: "handed over",
+		Home: w.home.peer, ID: w.offered.ID, Event: medlargw.TaskStarted, Target: t.info.Name, Reason: medlargw.ReasonHandedOver,
 		TakenOver: true,
 	})
 }
--- a/offer.go
+++ b/offer.go
@@ -125,6 +125,10 @@
 // target did not understand.
 const ReasonInvalid = "invalid"
 
+// ReasonHandedOver is the reason of a TaskStarted event of a run that the sender has
+// taken over with its target.
+const ReasonHandedOver = "handed over"
+
 // TaskReport is one event of one task.
 type TaskReport struct {
 	Home    Peer // Entry to send it to.
