Holder: a task whose start was refused is returned when its home recalls it

It leads to jobs that wait, not to two runs.

Cause: a task whose start order a target has refused (429, 503, room, late), or that was not sent, waits at its holder again, while its home counts it as started. A recall, as after an offer that was not answered, took it from the holder with "refused". A home ignores that for a task that has started ("task refused after its start"): nobody had the task, and the caller waited until its deadline.

Before, on with the test of this commit: TestRecalledTaskAfterRefusedStart (unhealthy, full, late): state: got refused, want started; reports: got [], want [returned]

Such a task is now returned by a report, which homes handle in any state, and which arrives in any case. The next start has the next number.

Ruled out by reading: that a task which waits again runs twice. It waits again only after the answer to its only order, or when that was not sent; an order that is already being stopped as unanswered ends its task instead, which gets the next number.

--- a/holder/home.go
+++ b/holder/home.go
@@ -101,6 +101,7 @@
 	deadline time.Time
 	run      *run // Nil while the task waits.
 	held     bool // It waits for the end of another submission's run.
+	told     bool // Its home was told that it has started.
 	jobTasks *jobTasks
 	// When the task was taken over with its run; zero is never. The home may not know
 	// that yet, and may have given the task up.
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -178,6 +178,10 @@
 		return medlargw.OfferStarted
 	}
 	h.dequeue(w)
+	if w.told { // Its target refused the order. The home would ignore that the task is refused.
+		h.endTask(now, w, medlargw.TaskReturned, nil, "recalled after a refused start")
+		return medlargw.OfferStarted
+	}
 	h.forget(now, w)
 	return medlargw.OfferRefused
 }
--- a/holder/place.go
+++ b/holder/place.go
@@ -155,6 +155,7 @@
 	t.grants.current++
 	t.leasedAt = now
 	w.run = r
+	w.told = true
 	t.addRun(r)
 	h.countStart(now, w)
 	t.leaseEnd = max(t.leaseEnd, r.leaseEnd)
--- a/holder/submission_test.go
+++ b/holder/submission_test.go
@@ -141,3 +141,24 @@
 		})
 	}
 }
+
+// TestRecalledTaskAfterRefusedStart guards against a job that waits until its deadline:
+// a target refuses the start order of a task, which waits again. Its home, to which it
+// counts as started, recalls it and ignores that it was refused.
+func TestRecalledTaskAfterRefusedStart(t *testing.T) {
+	for _, status := range []medlargw.OrderStatus{medlargw.OrderUnhealthy, medlargw.OrderNoResources, medlargw.OrderExpired} {
+		t.Run(status.String(), func(t *testing.T) {
+			x := newFixture(t)
+			_, a := x.offer(1, 14000)
+			x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{Status: status, Clock: time.Second}, nil)
+			x.takeActions()
+			reply := x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}, Recalls: []medlargw.TaskID{1}})
+			if got := reply.States[0].State; got != medlargw.OfferStarted {
+				t.Errorf("state: got %v, want %v", got, medlargw.OfferStarted)
+			}
+			if got, want := events(x.takeActions().Reports), []medlargw.TaskEvent{medlargw.TaskReturned}; !slices.Equal(got, want) {
+				t.Errorf("reports: got %v, want %v", got, want)
+			}
+		})
+	}
+}
