Home: nothing is sent for 10 ms after a pause

Callers saw a task run twice at a time: the home stands still for some tenths of a second, the connection of a caller ends meanwhile, and when the home goes on it tells its holders that it lives before it reads that. The message with the cancel and the stop are lost, and the lease is renewed while the caller submits the job at another entry.

Cause: a keepalive says that all jobs go on which it does not cancel, but only pauses above 1 s give jobs up. After a pause of more than NoticeTime the home holds its messages back for 10 ms, in which it learns of the connections that have ended. The runs of its own targets are no longer taken as wanted at any time: the home vouches for them by the same messages.

Open: a home that is late by more than 0.15 s without standing still.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -31,6 +31,9 @@
 	// stallThreshold is the pause of the control goroutine after which callers may
 	// have resubmitted their jobs to another entry.
 	stallThreshold = time.Second
+	// noticeDelay is the time in which a process that goes on after a pause of more than
+	// medlargw.NoticeTime learns of the connections that have ended in the pause.
+	noticeDelay = 10 * time.Millisecond
 	// eventQueueSize is the capacity of the queue of the control goroutine, and
 	// the number of task events that are kept to be reported again; more are
 	// dropped.
@@ -67,6 +70,7 @@
 	group    medlargw.Group
 	share    medlargw.TargetShare // Of the targets of this entry's zone.
 	lastWake time.Time
+	quietTo  time.Time // No message of the home is sent before.
 	gauger   *gauger.Gauger
 	pacer    *pacer.Pacer // Of this entry's network link.
 	linkBusy bool         // When the free resources were last published.
@@ -238,10 +242,21 @@
 		c.coord.AbortAll(now, "the entry stood still")
 		c.holder.Tick(now)
 	}
+	c.keepQuiet(now)
 	c.lastWake = now
 	return now
 }
 
+// keepQuiet holds back the messages of the home for a moment after a pause: each says
+// that the jobs that it does not cancel go on.
+func (c *Conductor) keepQuiet(now time.Time) {
+	if now.Sub(c.lastWake) <= medlargw.NoticeTime {
+		return
+	}
+	c.quietTo = now.Add(noticeDelay)
+	time.AfterFunc(noticeDelay, func() { c.post(func(time.Time) {}) }) // Flushes.
+}
+
 // post queues an event for the control goroutine. It returns false if the
 // control goroutine has ended.
 func (c *Conductor) post(e event) bool {
--- a/conductor/flush.go
+++ b/conductor/flush.go
@@ -17,7 +17,10 @@
 	c.retryReports(now)
 	changed := false
 	for {
-		fromCoord := c.coord.TakeActions(now)
+		var fromCoord medlargw.CoordinatorActions
+		if !now.Before(c.quietTo) {
+			fromCoord = c.coord.TakeActions(now)
+		}
 		fromHolder := c.holder.TakeActions()
 		if len(fromCoord.Offers)+len(fromCoord.Finished)+len(fromHolder.Starts)+len(fromHolder.Stops)+
 			len(fromHolder.Renewals)+len(fromHolder.Reports)+len(fromHolder.Transfers)+len(fromHolder.Probes) == 0 {
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -22,6 +22,7 @@
 	searchBusyTick  = 20 * time.Millisecond
 	searchIdleTick  = 50 * time.Millisecond
 	searchStall     = time.Second
+	searchQuiet     = 10 * time.Millisecond
 	searchHeartbeat = 100 * time.Millisecond
 	searchMaxUnsent = 1024
 	searchMaxRounds = 100
@@ -55,6 +56,7 @@
 	groupKey  string
 	resources medlargw.HolderResources
 	lastWake  time.Time
+	quietTo   time.Time
 	gauger    *gauger.Gauger
 
 	heard       []heardEntry // In the order of first hearing.
@@ -136,6 +138,10 @@
 		e.coord.AbortAll(now, "the entry stood still")
 		e.holder.Tick(now)
 	}
+	if now.Sub(e.lastWake) > medlargw.NoticeTime {
+		e.quietTo = now.Add(searchQuiet)
+		e.w.at(e.quietTo, func() { e.post(func(time.Time) {}) })
+	}
 	e.lastWake = now
 	return now
 }
@@ -176,7 +182,11 @@
 			e.w.endless = append(e.w.endless, fmt.Sprintf("%s: got actions in each of %d rounds at one time, want an end", e.host, round))
 			break // The conductor would go on.
 		}
-		a, b := e.coord.TakeActions(now), e.holder.TakeActions()
+		var a medlargw.CoordinatorActions
+		if !now.Before(e.quietTo) {
+			a = e.coord.TakeActions(now)
+		}
+		b := e.holder.TakeActions()
 		if len(a.Offers)+len(a.Finished)+len(b.Starts)+len(b.Stops)+len(b.Renewals)+len(b.Reports)+len(b.Transfers)+len(b.Probes) == 0 {
 			break
 		}
--- a/holder/home.go
+++ b/holder/home.go
@@ -20,7 +20,7 @@
 	peer      medlargw.Peer
 	lastHeard time.Time
 	heardLag  time.Duration // How late this entry acted at lastHeard.
-	own       bool          // It is this entry.
+	own       bool          // It is this entry, whose messages take no time.
 	// When the latest message of the home was made, at the earliest. What it had given up
 	// by then, it has told in that message.
 	vouchedAt time.Time
@@ -112,10 +112,7 @@
 // isVouched reports whether the home would have told this entry that the task is given
 // up. A home that does not know of the takeover tells the former holder.
 func (w *task) isVouched() bool {
-	if w.takenOver.IsZero() || w.home.own && !w.confirmed.IsZero() {
-		return true
-	}
-	return !w.confirmed.IsZero() && !w.home.vouchedAt.Before(w.confirmed)
+	return w.takenOver.IsZero() || !w.confirmed.IsZero() && !w.home.vouchedAt.Before(w.confirmed)
 }
 
 // confirm records that the home knew at a time that this entry has the run.
@@ -128,11 +125,8 @@
 // leaseLeft returns the time from now for which the run of the task may have a lease,
 // on its target's clock.
 func (w *task) leaseLeft(now time.Time, s *medlargw.LeaseSettings) time.Duration {
-	switch {
-	case !w.isVouched():
+	if !w.isVouched() {
 		return 0
-	case w.home.own:
-		return s.RunOn()
 	}
 	return max(0, s.RunOn()-now.Sub(w.home.vouchedAt))
 }
@@ -258,7 +252,7 @@
 // isOverdue reports whether the tasks of a home must be stopped however late this entry
 // acts, because the last message of the home was made too long ago.
 func (h *Holder) isOverdue(now time.Time, m *home) bool {
-	return !m.own && now.Sub(m.vouchedAt) > h.settings.Silence+maxStopDelay
+	return now.Sub(m.vouchedAt) > h.settings.Silence+maxStopDelay
 }
 
 // expireTakenOver stops the runs that were taken over LeaseSettings.Silence ago and
