Search: connections of callers break while their home lives

TestRulesOfTargetsUnderFaults let callers submit again after an outcome, the death of an entry or a long freeze only. Now connections to an entry that goes on break too, which it notices up to 0.15 s late, also while it is cut off from a holder, the targets of that holder from it, and a third entry is in a planned stop.

--- a/conductor/search_caller_test.go
+++ b/conductor/search_caller_test.go
@@ -32,7 +32,11 @@
 	ended       bool
 }
 
-const maxSubmissions = 3
+const (
+	maxSubmissions = 3
+	// maxNotice bounds the time until a home that lives notices a broken connection.
+	maxNotice = 150 * time.Millisecond
+)
 
 func (w *searchWorld) addCaller(plan searchJob) {
 	c := &searchCaller{w: w, key: fmt.Sprintf("job%d", len(w.callers)), plan: plan}
@@ -118,6 +122,30 @@
 	w.after(resendAfter, func() { c.submit(w.rand.IntN(8)) })
 }
 
+// breakCallers breaks connections of callers to an entry that goes on. The entry
+// notices at once or later, and the callers submit their jobs again.
+func (w *searchWorld) breakCallers(e *searchEntry) {
+	for _, c := range w.callers {
+		if c.entry != e || c.job == nil || !w.chance(0.7) {
+			continue
+		}
+		var notice time.Duration
+		if w.chance(0.5) {
+			notice = w.upTo(maxNotice)
+		}
+		w.log("%s loses its connection to %s, which notices after %v", c.key, e.host, notice)
+		j := c.job
+		w.after(notice, func() { e.post(func(now time.Time) { e.coord.Cancel(now, j) }) })
+		c.job = nil
+		c.mayHaveRun = true
+		if c.submissions == maxSubmissions {
+			c.ended = true
+			continue
+		}
+		w.after(resendAfter, func() { c.submit(w.rand.IntN(8)) })
+	}
+}
+
 // abandon lets a caller of a frozen entry submit its job elsewhere.
 func (w *searchWorld) abandon(e *searchEntry) {
 	for _, c := range w.callers {
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -42,6 +42,8 @@
 	frozenEntry
 	unlistedTarget
 	lateGrants
+	brokenConnections
+	brokenAndCut
 )
 
 // drawnDisturbances lists the kinds as often as they are drawn. The group changes
@@ -50,6 +52,7 @@
 	plannedStop, plannedStop, plannedStop, plannedStopTakenBack, plannedStopTakenBack, plannedStopTakenBack, lostEntry, lostEntry,
 	cutEntries, cutEntries, cutOneWay, cutOneWay, cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers,
 	crashedTarget, slowTarget, hangingTarget, failingTarget, lateOrders, frozenEntry, unlistedTarget,
+	brokenConnections, brokenConnections, brokenAndCut, brokenAndCut,
 }
 
 // drawnWithLateGrants lists the kinds for searches of leases that last longer than
@@ -64,6 +67,7 @@
 	return [...]string{
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
 		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
+		"broken connections", "broken connections and a holder cut off",
 	}[d]
 }
 
@@ -359,6 +363,20 @@
 		})
 	case unlistedTarget:
 		w.unlisted[name] = w.now.Add(f.Length)
+	case brokenConnections:
+		w.breakCallers(e)
+	case brokenAndCut: // The holder hears late that jobs were given up, and its stops are lost.
+		w.cut(e.host, other.host, 300*time.Millisecond+f.Length/2)
+		w.after(w.upTo(f.Length/16), func() { w.breakCallers(e) })
+		if third := w.entries[(f.Entry+searchEntries-f.Other)%searchEntries]; w.chance(0.5) {
+			third.setLeaving(true) // Its targets go to other, with runs of which e does not learn.
+			w.after(f.Length, func() { third.setLeaving(false) })
+		}
+		w.after(300*time.Millisecond+w.upTo(300*time.Millisecond), func() {
+			for _, name := range w.names {
+				w.cut(other.host, string(name), f.Length)
+			}
+		})
 	}
 }
 
