--- a/conductor/unread_test.go
+++ b/conductor/unread_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"medlargw.example/medlargw"
 )
 
 // TestUnreadRequestStartsNothing guards against a task alive twice since its job has
@@ -61,3 +63,25 @@
 		})
 	}
 }
+
+// TestUnreadLimit guards against an entry that refuses all requests since leases are
+// longer than the time until callers submit their jobs again.
+func TestUnreadLimit(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name     string
+		settings medlargw.LeaseSettings
+		want     time.Duration
+	}{
+		{"usual", medlargw.LeaseSettings{Resubmit: 1300 * ms, Lease: 800 * ms, Drift: 0.025, Stop: 50 * ms, Call: 200 * ms}, 230 * ms},
+		{"shorter lease", medlargw.LeaseSettings{Resubmit: 1300 * ms, Lease: 400 * ms, Drift: 0.025, Stop: 50 * ms, Call: 200 * ms}, 640 * ms},
+		{"lease beyond the return of callers", medlargw.LeaseSettings{Resubmit: 1300 * ms, Lease: 1600 * ms, Drift: 0.025, Stop: 50 * ms, Call: 200 * ms}, 100 * ms},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.settings.UnreadLimit().Round(time.Microsecond); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/lease.go
+++ b/lease.go
@@ -42,12 +42,18 @@
 // UnreadLimit returns the longest time for which the request of a job that is still
 // taken in may have waited unread. The caller may have left at the beginning of that
 // time. From the moment at which that is noticed, a cancel reaches the holder within
-// Call, and a run whose target gets no stop ends with its lease.
+// Call, and a run whose target gets no stop ends with its lease. Where leases are so
+// long that no time is left, fresh requests are taken in.
 func (s *LeaseSettings) UnreadLimit() time.Duration {
 	lease := time.Duration(float64(s.Lease) * (1 + s.Drift))
-	return s.Resubmit - s.Call - lease - s.Stop
+	return max(s.Resubmit-s.Call-lease-s.Stop, minUnreadLimit)
 }
 
+// minUnreadLimit is the time for which the request of an entry that has processor time
+// may wait unread: the pause of a host that is throttled for 100 ms because its CPU
+// quota is used up.
+const minUnreadLimit = 100 * time.Millisecond
+
 // BytesPerMegabit is the number of bytes in a megabit, the unit of link rates in
 // settings.
 const BytesPerMegabit = 1e6 / 8
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -184,9 +184,6 @@
 	if l.RunOn() < l.Lease {
 		p.Report("resubmit", "got %s, which leaves %s for a lease, want at least %s", l.Resubmit, l.RunOn(), l.Lease)
 	}
-	if l.UnreadLimit() < l.Call {
-		p.Report("resubmit", "got %s, which leaves %s for a request that waits unread, want at least a call, %s", l.Resubmit, l.UnreadLimit().Round(time.Millisecond), l.Call)
-	}
 	return l
 }
 
