Holder: an end that is listed late is not taken for another submission's run

The second submission started the same number on the same target, which refused it as old, and the end of the first run, listed meanwhile, was told to the second home as the success of its own.

A task that comes with such a number is returned, and its home starts it with the next one.

--- a/holder/held.go
+++ b/holder/held.go
@@ -25,9 +25,35 @@
 // isActive reports whether another run of the task is here whose end is not proven.
 func (h *Holder) isActive(w *task) bool { return h.active[w.offered.Run.Task] > 0 }
 
+// unlistedEnd is the end of a run by the end of its lease, which its target may still
+// list as that of a run with this number.
+type unlistedEnd struct {
+	attempt int
+	at      time.Time
+}
+
+func (h *Holder) recordUnlisted(now time.Time, id medlargw.RunID) {
+	h.unlisted[id.Task] = unlistedEnd{attempt: max(id.Attempt, h.unlisted[id.Task].attempt), at: now}
+}
+
+// hasUnlistedEnd reports whether an end that a target lists later could be taken for that
+// of the task's next run.
+func (h *Holder) hasUnlistedEnd(w *task) bool {
+	e, ok := h.unlisted[w.offered.Run.Task]
+	return ok && w.offered.Run.Attempt <= e.attempt
+}
+
+func (h *Holder) pruneUnlisted(now time.Time) {
+	for task, e := range h.unlisted {
+		if now.Sub(e.at) > endedRetention {
+			delete(h.unlisted, task)
+		}
+	}
+}
+
 // hold keeps a task from starting until the runs of other submissions of its job have
-// ended here. To its home it counts as started: a task that was returned would start
-// elsewhere beside them.
+// ended here; with the number that it has, it does not start then either. To its home it
+// counts as started: a task that was returned would start elsewhere beside them.
 func (h *Holder) hold(w *task) {
 	h.log.Info("task waits for a run of another submission", zap.String("task", w.offered.Run.Task), zap.Int("attempt", w.offered.Run.Attempt),
 		zap.String("home", string(w.home.peer.Host)))
@@ -46,8 +72,8 @@
 	h.held = slices.DeleteFunc(h.held, func(other *task) bool { return other == w })
 }
 
-// returnHeld returns the held tasks whose other runs have ended. The targets of those
-// refuse a run that has the same number.
+// returnHeld returns the held tasks whose other runs have ended. Their homes start them
+// with the next number: the targets of those runs refuse the same one.
 func (h *Holder) returnHeld(now time.Time) {
 	for _, w := range slices.Clone(h.held) {
 		if !h.isActive(w) {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -56,6 +56,7 @@
 	waiting           []*task
 	held              []*task // Tasks that wait for the end of other submissions' runs.
 	active            activeRuns
+	unlisted          map[string]unlistedEnd // By task.
 	group             medlargw.Group
 	evacuated         map[medlargw.ZoneName]bool // Zones whose targets get no new tasks.
 	firstAssigned     time.Time                  // Zero before the first assignment.
@@ -96,6 +97,7 @@
 		lapsed:   map[medlargw.TargetName]time.Time{},
 		homes:    map[medlargw.Incarnation]*home{},
 		active:   activeRuns{},
+		unlisted: map[string]unlistedEnd{},
 
 		starts:      map[medlargw.PoolName]*guarantor.Guarantor{},
 		startedWork: map[medlargw.PoolName]*averager.Averager{},
@@ -143,6 +145,7 @@
 		h.tickTarget(now, t)
 	}
 	h.dropExpired(now)
+	h.pruneUnlisted(now)
 	h.updateConfined(now)
 	h.returnUnserved(now)
 	h.place(now)
--- a/holder/order.go
+++ b/holder/order.go
@@ -246,6 +246,7 @@
 		if r.mayStart() {
 			continue
 		}
+		h.recordUnlisted(now, r.id)
 		if r.transferred {
 			h.endRun(now, r, medlargw.TaskUnknown, "lease ended after a transfer")
 			continue
--- a/holder/submission_test.go
+++ b/holder/submission_test.go
@@ -162,3 +162,28 @@
 		})
 	}
 }
+
+// TestSecondSubmissionAfterLeaseOfFirst guards against an end that is taken for that of
+// another submission: the run of the first one has counted as ended with its lease, and
+// its target, which has not been asked since, tells its end only later.
+func TestSecondSubmissionAfterLeaseOfFirst(t *testing.T) {
+	x := newFixture(t)
+	run := x.startRun(1)
+	x.now = x.now.Add(1500 * time.Millisecond)
+	x.h.Tick(x.now)
+	x.takeActions()
+	var got []medlargw.TaskEvent
+	x.sink = func(a *medlargw.HolderActions) { got = append(got, eventsFor(8, a.Reports)...) }
+	if _, starts := x.offerAgain(); len(starts) != 0 {
+		t.Errorf("starts with the number of the first run: got %d, want 0", len(starts))
+	}
+	x.report(medlargw.RunReport{Clock: 2500 * time.Millisecond, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: run}}})
+	for _, e := range got {
+		if e != medlargw.TaskReturned {
+			t.Errorf("events for the second home: got %v, want returned alone", got)
+		}
+	}
+	if len(got) == 0 {
+		t.Error("events for the second home: got none, want returned")
+	}
+}
