Accessor: addresses and names that are of no host are not used

What could be seen: an odd entry is used as a target or as an entry of the deployment. Causes: port 0, the unspecified address (a connection to it reaches this very host), multicast, broadcast and IPv6 addresses with a zone, which is another one on each host, were valid. Names of targets with control characters can't be sent in an order; names of pools and zones of 1 MB went into the list that peers fetch and into heartbeats. Loopback addresses stay valid, as in trials on one machine.

--- a/valid.go
+++ b/valid.go
@@ -3,7 +3,11 @@
 import (
 	"errors"
 	"math"
+	"net/netip"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Bounds of what a target states of itself. No machine has as much, and the sums over all
@@ -14,6 +18,7 @@
 	MaxTargetAccelerators = 1 << 16
 	MaxTargetSlots        = 1 << 20
 	MaxTimeLeft           = 365 * 24 * time.Hour // Until a target is warm, or has left.
+	maxNameBytes          = 200
 )
 
 // lastTime is the last time that can be counted in nanoseconds since 1970.
@@ -28,6 +33,14 @@
 // Validate returns an error for a target that can't be used, whoever has described it.
 func (t *Target) Validate() error {
 	switch {
+	case t.Name == "" || !IsName(string(t.Name)):
+		return errors.New("name is missing, too long or not readable")
+	case !IsName(string(t.Zone)):
+		return errors.New("zone is too long or not readable")
+	case !IsName(string(t.Pool)):
+		return errors.New("pool is too long or not readable")
+	case !IsHostAddr(t.Addr):
+		return errors.New("address names no port of a host")
 	case !t.Resources.IsPossible() || t.Memory < 0:
 		return errors.New("resources are more than a machine has, or below zero")
 	case t.Slots < 0 || t.Slots > MaxTargetSlots:
@@ -37,3 +50,18 @@
 	}
 	return nil
 }
+
+// IsName reports whether a text can be the name of a target, a zone or a pool, or is
+// empty: not longer than the key of a record, and without control characters.
+func IsName(s string) bool {
+	return len(s) <= maxNameBytes && utf8.ValidString(s) &&
+		!strings.ContainsFunc(s, func(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) })
+}
+
+// IsHostAddr reports whether an address is that of one host for all others, and has a
+// port. An address with a zone means another host at each one.
+func IsHostAddr(a netip.AddrPort) bool {
+	addr := a.Addr().Unmap()
+	return a.IsValid() && a.Port() != 0 && !addr.IsUnspecified() && !addr.IsMulticast() && addr.Zone() == "" &&
+		addr != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
