Lists from peers: targets and entries that can't be used are left out

What could be seen: an entry of an older build reads an odd target from the platform and passes it on; the entry that fetches the list uses it, and its sums wrap. Cause: only the reading from the platform judged what a target states. A time left of more than 292 years wrapped, and was over. Change: the list and its changes are judged by the same medlargw.Target.Validate and IsHostAddr. Among changes, what can't be used is removed: left out, the target would stay as it was before.

--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -46,20 +46,29 @@
 	Capacity int64 `json:"capacity,omitempty"` // Thousandths of a core.
 }
 
-// DecodeHosts decodes a host list from JSON.
+// DecodeHosts decodes a host list from JSON, without the targets and the entries that
+// can't be used.
 func DecodeHosts(body []byte) (medlargw.HostList, error) {
 	var wire hostListWire
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return medlargw.HostList{}, fmt.Errorf("decode list of hosts: %w", err)
 	}
-	return decodeList(&wire), nil
+	list, _ := decodeList(&wire)
+	return list, nil
 }
 
-func decodeList(wire *hostListWire) medlargw.HostList {
+// unusable are the names of the targets and entries of a list that can't be used.
+type unusable struct {
+	targets []medlargw.TargetName
+	entries []medlargw.HostName
+}
+
+func decodeList(wire *hostListWire) (medlargw.HostList, unusable) {
+	var odd unusable
 	list := medlargw.HostList{Version: wire.Version, TakenAt: wire.Taken}
 	now := time.Now()
 	for _, t := range wire.Targets {
-		list.Targets = append(list.Targets, medlargw.Target{
+		target := medlargw.Target{
 			Name:             medlargw.TargetName(t.Name),
 			Zone:             medlargw.ZoneName(t.Zone),
 			Addr:             t.Addr,
@@ -71,9 +80,18 @@
 			IncarnationStart: decodeStartTime(t.StartMs),
 			ColdUntil:        decodeTimeLeft(now, t.ColdMs),
 			LeavesAt:         decodeTimeLeft(now, t.LeavesMs),
-		})
+		}
+		if target.Validate() != nil {
+			odd.targets = append(odd.targets, target.Name)
+			continue
+		}
+		list.Targets = append(list.Targets, target)
 	}
 	for _, e := range wire.Entries {
+		if !medlargw.IsHostAddr(e.Addr) {
+			odd.entries = append(odd.entries, medlargw.HostName(e.Name))
+			continue
+		}
 		list.Entries = append(list.Entries, medlargw.EntryHost{
 			Name:      medlargw.HostName(e.Name),
 			Zone:      medlargw.ZoneName(e.Zone),
@@ -88,7 +106,7 @@
 	for _, zone := range wire.Evacuated {
 		list.Evacuated = append(list.Evacuated, medlargw.ZoneName(zone))
 	}
-	return list
+	return list, odd
 }
 
 // EncodeHosts encodes a host list as JSON.
@@ -164,16 +182,18 @@
 	return body, nil
 }
 
-// DecodeChanges decodes the changes of a host list from JSON.
+// DecodeChanges decodes the changes of a host list from JSON. The targets and the entries
+// that can't be used are removed.
 func DecodeChanges(body []byte) (medlargw.HostListChanges, error) {
 	var wire changesWire
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return medlargw.HostListChanges{}, fmt.Errorf("decode changes of the host list: %w", err)
 	}
-	list := decodeList(&wire.hostListWire)
+	list, odd := decodeList(&wire.hostListWire)
 	c := medlargw.HostListChanges{
 		Base: wire.Base, Version: list.Version, TakenAt: list.TakenAt,
 		Targets: list.Targets, Entries: list.Entries, Evacuated: list.Evacuated,
+		RemovedTargets: odd.targets, RemovedEntries: odd.entries,
 	}
 	for _, name := range wire.RemovedTargets {
 		c.RemovedTargets = append(c.RemovedTargets, medlargw.TargetName(name))
@@ -206,7 +226,7 @@
 	if ms <= 0 {
 		return time.Time{}
 	}
-	return now.Add(time.Duration(ms) * time.Millisecond)
+	return now.Add(time.Duration(min(ms, medlargw.MaxTimeLeft.Milliseconds())) * time.Millisecond)
 }
 
 // encodeTimeLeft returns the milliseconds until a time, at least one, or zero
