Messages between homes and holders: resources that no machine has are ignored

What could be seen: an entry of an older build holds an odd target and reports its resources; homes offer tasks there, and their sums over all holders wrap. Cause: the report's free resources, total cores and time to the next end were taken as they came. Change: free resources beyond Resources.IsPossible, above or below zero, are left out; a total beyond a million targets or below zero, and a time beyond a year, count as unknown.

--- a/messenger/resources.go
+++ b/messenger/resources.go
@@ -55,21 +55,17 @@
 	r := medlargw.HolderResources{Sequence: w.GetNumber(), Clock: microsToDuration(w.GetClockUs()), Protocol: int(w.GetProtocol())}
 	for _, p := range w.GetPools() {
 		pool := medlargw.PoolResources{
-			Pool: medlargw.PoolName(p.GetPool()), TotalCores: p.GetCapacity(),
-			NextEnd: time.Duration(p.GetNextUs()) * time.Microsecond, Started: p.GetStarted(),
+			Pool: medlargw.PoolName(p.GetPool()), TotalCores: validCores(p.GetCapacity()), Started: p.GetStarted(),
+			Free: decodeFree(p.GetFree()), Isolated: decodeFree(p.GetIsolated()), IsolatedCores: validCores(p.GetIsolatedCapacity()),
 		}
-		for _, free := range p.GetFree() {
-			pool.Free = append(pool.Free, decodeResources(free))
+		if us := p.GetNextUs(); us > 0 && us <= medlargw.MaxTimeLeft.Microseconds() {
+			pool.NextEnd = microsToDuration(us)
 		}
 		for _, work := range p.GetWaiting() {
 			pool.Waiting = append(pool.Waiting, medlargw.RankWork{
 				Rank: int(work.GetRank()), Work: work.GetWork(), Arriving: work.GetArriving(), Invited: work.GetInvited(),
 			})
 		}
-		for _, free := range p.GetIsolated() {
-			pool.Isolated = append(pool.Isolated, decodeResources(free))
-		}
-		pool.IsolatedCores = p.GetIsolatedCapacity()
 		r.Pools = append(r.Pools, pool)
 	}
 	for _, c := range w.GetCrashes() {
@@ -87,6 +83,31 @@
 	return r
 }
 
+// decodeFree returns the free resources of targets, without those that no machine has. A
+// target that has shrunk has less than none.
+func decodeFree(all []*wire.Room) []medlargw.Resources {
+	var free []medlargw.Resources
+	for _, w := range all {
+		r := decodeResources(w)
+		amount := medlargw.Resources{Cores: max(r.Cores, -r.Cores), Memory: max(r.Memory, -r.Memory), Accelerators: max(r.Accelerators, -r.Accelerators)}
+		if amount.IsPossible() {
+			free = append(free, r)
+		}
+	}
+	return free
+}
+
+// maxPoolTargets is more than a holder has targets.
+const maxPoolTargets = 1_000_000
+
+// validCores returns the cores of all targets of a pool, or none if that is no such sum.
+func validCores(cores int64) int64 {
+	if cores < 0 || cores > maxPoolTargets*1000*medlargw.MaxTargetCores {
+		return 0
+	}
+	return cores
+}
+
 // maxSinceMs bounds the time since the last crash in a message.
 const maxSinceMs = int64(time.Hour / time.Millisecond)
 
--- a/messenger/resources_test.go
+++ b/messenger/resources_test.go
@@ -38,3 +38,38 @@
 		}
 	}
 }
+
+// TestInvalidResourcesAreIgnored guards against a peer, of an older build maybe, that holds
+// a target which states more than any machine has. Tasks would be offered to it first, and
+// the sums over all holders would wrap.
+func TestInvalidResourcesAreIgnored(t *testing.T) {
+	good := &wire.Room{Cores: 8000, Memory: 100}
+	below := &wire.Room{Cores: -8000, Memory: -100} // A target that has shrunk below its runs.
+	tests := []struct {
+		name string
+		pool *wire.PoolRoom
+		want medlargw.PoolResources
+	}{
+		{"free cores", &wire.PoolRoom{Free: []*wire.Room{{Cores: math.MaxInt64}, good, below}}, medlargw.PoolResources{
+			Free: []medlargw.Resources{{Cores: 8000, Memory: 100}, {Cores: -8000, Memory: -100}},
+		}},
+		{"isolated memory", &wire.PoolRoom{Isolated: []*wire.Room{{Memory: math.MaxInt64}, good}}, medlargw.PoolResources{
+			Isolated: []medlargw.Resources{{Cores: 8000, Memory: 100}},
+		}},
+		{"far below zero", &wire.PoolRoom{Free: []*wire.Room{{Accelerators: math.MinInt64}, good}}, medlargw.PoolResources{
+			Free: []medlargw.Resources{{Cores: 8000, Memory: 100}},
+		}},
+		{"total", &wire.PoolRoom{Capacity: math.MaxInt64, IsolatedCapacity: math.MaxInt64}, medlargw.PoolResources{}},
+		{"total below zero", &wire.PoolRoom{Capacity: -1, IsolatedCapacity: math.MinInt64}, medlargw.PoolResources{}},
+		{"time to the next end", &wire.PoolRoom{NextUs: math.MaxInt64}, medlargw.PoolResources{}},
+		{"negative time", &wire.PoolRoom{NextUs: math.MinInt64}, medlargw.PoolResources{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := decodeHolderResources(&wire.HolderRoom{Number: 1, Pools: []*wire.PoolRoom{test.pool}}).Pools[0]
+			if !reflect.DeepEqual(got, test.want) {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
