--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -105,6 +105,7 @@
 // transfers, orders, renewals and their answers are lost, late or overtake each
 // other, and entries and targets stop, start and are cut off.
 func TestRulesOfTargetsUnderFaults(t *testing.T) {
+	t.Parallel()
 	search(t, rapid.Bool(), func(w *searchWorld) []string { return slices.Concat(w.targets.Violations(), w.problems, w.endless) })
 }
 
@@ -112,6 +113,7 @@
 // the time in its order has passed: targets carry start orders and renewals out
 // seconds late, and count their leases from then.
 func TestRulesOfTargetsWithLateGrants(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		runSearch(t, rapid.Bool().Draw(t, "idempotent"), false, drawnWithLateGrants, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
@@ -124,6 +126,7 @@
 // to the target: a holder has then read an end of which the home does not know.
 // The jobs are not idempotent.
 func TestNoRunAfterAcknowledgedSuccess(t *testing.T) {
+	t.Parallel()
 	search(t, rapid.Just(false), func(w *searchWorld) []string { return w.targets.Repeats() })
 }
 
@@ -133,6 +136,7 @@
 // brings a target over resources that it has had for longer than holders need to learn
 // of them.
 func TestRulesOfTargetsThatCrashAndResize(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		runSearch(t, rapid.Bool().Draw(t, "idempotent"), true, drawnDisturbances, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
