--- a/accessor/hosts.go
+++ b/accessor/hosts.go
@@ -88,7 +88,7 @@
 		list.Targets = append(list.Targets, target)
 	}
 	for _, e := range wire.Entries {
-		if !medlargw.IsHostAddr(e.Addr) {
+		if !isReachable(&e) {
 			odd.entries = append(odd.entries, medlargw.HostName(e.Name))
 			continue
 		}
@@ -109,6 +109,15 @@
 	return list, odd
 }
 
+// isReachable reports whether an entry has an address of a host. One for operators alone
+// may have no other.
+func isReachable(e *entryHostWire) bool {
+	if !e.Addr.IsValid() {
+		return medlargw.IsHostAddr(e.Admin)
+	}
+	return medlargw.IsHostAddr(e.Addr)
+}
+
 // EncodeHosts encodes a host list as JSON.
 func EncodeHosts(list *medlargw.HostList) ([]byte, error) {
 	body, err := json.Marshal(encodeList(list))
--- a/accessor/hosts_test.go
+++ b/accessor/hosts_test.go
@@ -81,14 +81,15 @@
 			targets := []medlargw.Target{good("a"), odd, good("z")}
 			entries := []medlargw.EntryHost{
 				{Name: "e", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:1")}, {Name: "odd", Zone: "z", Addr: netip.MustParseAddrPort("0.0.0.0:1")},
+				{Name: "for operators", Zone: "z", AdminAddr: netip.MustParseAddrPort("10.0.0.3:1")}, {Name: "without", Zone: "z"},
 			}
 			check := func(kind string, targets []medlargw.Target, entries []medlargw.EntryHost) {
 				t.Helper()
 				if len(targets) != 2 || targets[0].Name != "a" || targets[1].Name != "z" {
 					t.Errorf("%s: targets: got %.200v, want a and z", kind, targets)
 				}
-				if len(entries) != 1 || entries[0].Name != "e" {
-					t.Errorf("%s: entries: got %v, want e", kind, entries)
+				if len(entries) != 2 || entries[0].Name != "e" || entries[1].Name != "for operators" {
+					t.Errorf("%s: entries: got %v, want e and the one for operators", kind, entries)
 				}
 			}
 			body, err := accessor.EncodeHosts(&medlargw.HostList{Version: 8, Targets: targets, Entries: entries})
@@ -109,7 +110,7 @@
 				t.Fatal(err)
 			}
 			check("changes", c.Targets, c.Entries)
-			if !slices.Equal(c.RemovedTargets, []medlargw.TargetName{odd.Name}) || !slices.Equal(c.RemovedEntries, []medlargw.HostName{"odd"}) {
+			if !slices.Equal(c.RemovedTargets, []medlargw.TargetName{odd.Name}) || !slices.Equal(c.RemovedEntries, []medlargw.HostName{"odd", "without"}) {
 				t.Errorf("changes: removed: got targets %q, entries %q, want the odd ones", c.RemovedTargets, c.RemovedEntries)
 			}
 		})
