Holder: a reset connection does not prove that a target has ended

Callers could see a task twice: a cut resets the connections of a target that goes on, and a start order to it got no answer. A closed connection counted as the end of the process, so that the lease in the order proved it void; the target carried the order out later, beside the next attempt. Found in review.

--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -44,6 +44,7 @@
 	lateGrants
 	brokenConnections
 	brokenAndCut
+	resetTarget
 )
 
 // drawnDisturbances lists the kinds as often as they are drawn. The group changes
@@ -61,13 +62,14 @@
 var drawnWithLateGrants = []disturbance{
 	lateGrants, lateGrants, lateGrants, lateGrants, lateGrants, plannedStop, plannedStopTakenBack, cutEntries, cutOneWay,
 	cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers, crashedTarget, slowTarget, hangingTarget, lateOrders, unlistedTarget,
+	resetTarget, resetTarget, resetTarget,
 }
 
 func (d disturbance) String() string {
 	return [...]string{
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
 		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
-		"broken connections", "broken connections and a holder cut off",
+		"broken connections", "broken connections and a holder cut off", "reset and cut target",
 	}[d]
 }
 
@@ -95,7 +97,8 @@
 	searchSpread   = 3                // Factor of the times of jobs while targets are resized.
 	searchDeadline = 15 * time.Second // Of a job that crashes targets.
 	maxAvoided     = 4
-	searchSlack    = 50 // Of a job that crashes targets.
+	searchSlack    = 50                    // Of a job that crashes targets.
+	resetLead      = 20 * time.Millisecond // From the reset of connections to a cut.
 )
 
 // TestRulesOfTargetsUnderFaults checks that no target starts a task while another
@@ -347,6 +350,13 @@
 		w.cut(string(name), e.host, f.Length)
 	case cutTargetAnswers:
 		w.cut(string(name), e.host, f.Length)
+	case resetTarget:
+		w.resetConnections(name)
+		w.delayed[name] = w.now.Add(f.Length)
+		w.after(resetLead, func() {
+			w.cut(e.host, string(name), f.Length)
+			w.cut(string(name), e.host, f.Length)
+		})
 	case crashedTarget:
 		w.crash(name)
 	case slowTarget, hangingTarget, failingTarget:
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -333,6 +333,15 @@
 	w.polls[name] = nil
 }
 
+// resetConnections ends the waiting renewals of a target that goes on.
+func (w *searchWorld) resetConnections(name medlargw.TargetName) {
+	polls := w.polls[name]
+	w.polls[name] = nil
+	for _, p := range polls {
+		p.broken()
+	}
+}
+
 // crash starts a new incarnation of a target. Waiting renewals get no answer.
 func (w *searchWorld) crash(name medlargw.TargetName) {
 	w.targets.Crash(name)
--- a/holder/late_test.go
+++ b/holder/late_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// TestResetIsNoEndOfTarget guards against a task that runs twice: a cut resets the
+// connections of a target that lives, and the lease in a start order without an answer
+// counts as the end of its run.
+func TestResetIsNoEndOfTarget(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want int // Terminal reports within 3 s.
+	}{
+		{"connections closed", medlargw.ErrConnectionClosed, 0},
+		{"connections refused", medlargw.ErrConnectionRefused, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			_, a := x.offer(1, 20000)
+			x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{}, noAnswerError{})
+			x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, test.err)
+			if ends, _ := x.passed(3 * time.Second); len(ends) != test.want {
+				t.Errorf("ends: got %+v, want %d", ends, test.want)
+			}
+		})
+	}
+}
+
 // TestUnansweredStartOnUnlistedTarget guards against a holder that drops a target, and
 // stops a run no more whose start order may still be carried out, as soon as the host
 // list lacks the target.
