Conductor: a home that is always late still sends

A home that is interrupted again and again held its messages back for 10 ms each time, and the end of that met the next pause: nothing was sent any more, and callers got no outcome.

The 10 ms begin anew only once they were served. TestHomeThatIsAlwaysLate (awake 9 ms of each 200 ms) before: jobs with an outcome: got 0, want 10.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -250,8 +250,8 @@
 // keepQuiet holds back the messages of the home for a moment after a pause: each says
 // that the jobs that it does not cancel go on.
 func (c *Conductor) keepQuiet(now time.Time) {
-	if now.Sub(c.lastWake) <= medlargw.NoticeTime {
-		return
+	if now.Sub(c.lastWake) <= medlargw.NoticeTime || c.lastWake.Before(c.quietTo) {
+		return // A loop that is always late must send something.
 	}
 	c.quietTo = now.Add(noticeDelay)
 	time.AfterFunc(noticeDelay, func() { c.post(func(time.Time) {}) }) // Flushes.
--- a/conductor/stall_test.go
+++ b/conductor/stall_test.go
@@ -43,3 +43,37 @@
 		})
 	}
 }
+
+// TestHomeThatIsAlwaysLate guards against callers who get no answer: a home that is
+// interrupted again and again holds its messages and outcomes back each time.
+func TestHomeThatIsAlwaysLate(t *testing.T) {
+	const (
+		period = 200 * time.Millisecond
+		awake  = 9 * time.Millisecond // Of each period.
+		jobs   = 10
+	)
+	runCluster(t, 1, []string{"a1", "b1"}, func(cl *cluster) {
+		home := cl.entries[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				home.clock.freeze(period - awake)
+				time.Sleep(period)
+			}
+		}()
+		time.Sleep(time.Second)
+		ended := make(chan struct{}, jobs)
+		for i := range jobs {
+			go func() {
+				home.conductor.Submit(ctx, cl.newJob(fmt.Sprintf("job%d", i), 2, 60*time.Millisecond, 1000))
+				ended <- struct{}{}
+			}()
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(7 * time.Second)
+		if got := len(ended); got != jobs {
+			t.Errorf("jobs with an outcome: got %d, want %d", got, jobs)
+		}
+	})
+}
