Test: the end of the first submission's run is waited for

TestSecondSubmissionAfterLeaseOfFirst did not guard its fix any more: the lease of a target with open orders counts as ended later since. It waits for 2.5 s now and checks that the first home has got its end.

--- a/holder/submission_test.go
+++ b/holder/submission_test.go
@@ -169,15 +169,17 @@
 func TestSecondSubmissionAfterLeaseOfFirst(t *testing.T) {
 	x := newFixture(t)
 	run := x.startRun(1)
-	x.now = x.now.Add(1500 * time.Millisecond)
+	x.now = x.now.Add(2500 * time.Millisecond)
 	x.h.Tick(x.now)
-	x.takeActions()
+	if first := eventsFor(7, x.takeActions().Reports); !slices.Equal(first, []medlargw.TaskEvent{medlargw.TaskStopped}) {
+		t.Fatalf("events for the first home: got %v, want stopped", first)
+	}
 	var got []medlargw.TaskEvent
 	x.sink = func(a *medlargw.HolderActions) { got = append(got, eventsFor(8, a.Reports)...) }
 	if _, starts := x.offerAgain(); len(starts) != 0 {
 		t.Errorf("starts with the number of the first run: got %d, want 0", len(starts))
 	}
-	x.report(medlargw.RunReport{Clock: 2500 * time.Millisecond, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: run}}})
+	x.report(medlargw.RunReport{Clock: 3500 * time.Millisecond, IncarnationStart: start, Ended: []medlargw.RunEnd{{Sequence: 1, Run: run}}})
 	for _, e := range got {
 		if e != medlargw.TaskReturned {
 			t.Errorf("events for the second home: got %v, want returned alone", got)
