Holder: a target that may get no lease reports within 50 ms

After a takeover the target waited for up to 0.45 s before it reported, and got the next lease only then, though its homes knew of the takeover after some milliseconds. With a lost renewal, or a former holder of an older build, healthy runs ended with their lease at planned stops. Found in review.

TestRenewalAfterTakeoverWaitsBriefly before: got a wait of 300ms, want 50ms at most.

--- a/holder/report.go
+++ b/holder/report.go
@@ -14,6 +14,9 @@
 	minRenewRetry = 20 * time.Millisecond // Doubled for each renewal in a row without an answer.
 	maxRenewRetry = 500 * time.Millisecond
 	claimRetry    = 2 * time.Second // After the second claim in a row without an answer.
+	// vouchWait is the longest time that a target waits before it reports while it may get
+	// no lease: a home that has yet to learn of a takeover may do so at any time.
+	vouchWait = 50 * time.Millisecond
 )
 
 // renew sends the next renewal, or the claim of a target that is not claimed.
@@ -57,6 +60,7 @@
 	}
 	left := t.leaseLeft(now, &h.settings)
 	if left <= 0 {
+		renewal.MaxWait = min(renewal.MaxWait, vouchWait)
 		return
 	}
 	renewal.LeaseEnd = t.clockLowerBound(now, h.settings.Drift) + left
--- a/holder/resubmit_test.go
+++ b/holder/resubmit_test.go
@@ -336,3 +336,34 @@
 		t.Errorf("lease with the transfer: got an end at %v, want %v at least", got, want)
 	}
 }
+
+// TestRenewalAfterTakeoverWaitsBriefly guards against the end of healthy runs that were
+// handed over: a target that may wait for long before it reports gets its next lease only
+// after that, though the home knows of the takeover by then.
+func TestRenewalAfterTakeoverWaitsBriefly(t *testing.T) {
+	w := &lapse{fixture: newFixture(t)}
+	w.from = w.now
+	w.runs = []medlargw.ActiveRun{{Run: medlargw.RunID{Task: "b", Attempt: 1}, Percent: 10}}
+	tr := transferred(w.renewal.Renewal.FenceToken+1<<32, w.runs[0].Run)
+	tr.Targets[0].Runs[0].Task.TimeToDeadline = 8 * time.Second
+	tr.Targets[0].Runs[0].Task.Estimate = 2 * time.Second
+	w.handOver(tr)
+	reports := w.h.TakeActions().Reports
+	w.h.Tick(w.now)
+	w.takeActions()
+	report := medlargw.RunReport{Clock: w.clock(), IncarnationStart: start, Active: w.runs}
+	w.h.RenewAnswered(w.now, w.now, &w.renewal, &report, nil)
+	w.takeActions()
+	if got, want := w.renewal.Renewal, 50*time.Millisecond; got.LeaseEnd != 0 || got.MaxWait > want {
+		t.Errorf("renewal before the home knows: got %+v, want no lease and a wait of %v at most", got, want)
+	}
+	w.h.ConfirmReports(w.now, reports)
+	w.now = w.now.Add(10 * time.Millisecond)
+	w.hear(7, 0)
+	report.Clock = w.clock()
+	w.h.RenewAnswered(w.now, w.now, &w.renewal, &report, nil)
+	w.takeActions()
+	if got := w.renewal.Renewal; got.LeaseEnd == 0 || got.MaxWait <= 50*time.Millisecond {
+		t.Errorf("renewal after that: got %+v, want a lease and a longer wait", got)
+	}
+}
