Holder: a target is claimed anew only after a fresh answer

A holder that stood still after an answer went on with a higher token, took the target back from the entry that had claimed it in the meantime, stopped its runs as unknown, and started others before it knew what runs there.

The token is raised only after an answer to a renewal that was sent within the time of an order, and nothing starts until the target has accepted it. TestClaimAnewAfterPause before: renewal with a raised token, and a start.

--- a/holder/late_test.go
+++ b/holder/late_test.go
@@ -126,6 +126,35 @@
 	}
 }
 
+// TestClaimAnewAfterPause guards against a holder that takes a target from another entry:
+// it stands still after an answer, the other one claims the target, and it goes on with a
+// higher token.
+func TestClaimAnewAfterPause(t *testing.T) {
+	x := newFixture(t)
+	x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, noAnswerError{})
+	x.now = x.now.Add(50 * time.Millisecond)
+	x.h.Tick(x.now)
+	x.takeActions()
+	former, sent := x.renewal.Renewal.FenceToken, x.now
+	x.now = x.now.Add(900 * time.Millisecond)
+	x.h.RenewAnswered(x.now, sent, &x.renewal, &medlargw.RunReport{Clock: 1050 * time.Millisecond, IncarnationStart: start}, nil)
+	x.takeActions()
+	if got := x.renewal.Renewal; got.FenceToken != former || got.MaxWait != 0 {
+		t.Errorf("renewal after an old answer: got %+v, want the former token %d and no wait", got, former)
+	}
+	x.report(medlargw.RunReport{Clock: 1950 * time.Millisecond, IncarnationStart: start})
+	if got := x.renewal.Renewal.FenceToken; got <= former {
+		t.Errorf("token after a fresh answer: got %d, want above %d", got, former)
+	}
+	if _, a := x.offer(1, 4000); len(a.Starts) != 0 {
+		t.Errorf("starts before the token is accepted: got %+v, want none", a.Starts)
+	}
+	x.report(medlargw.RunReport{Clock: 1960 * time.Millisecond, IncarnationStart: start})
+	if _, a := x.offer(2, 4000); len(a.Starts) != 1 {
+		t.Errorf("starts after that: got %+v, want one", a.Starts)
+	}
+}
+
 // TestLateRenewal guards against a task that runs twice: a renewal without an answer is
 // carried out late, the lease in it counts from then, and the runs on a silent target
 // go on when the leases that its holder knows have ended.
--- a/holder/report.go
+++ b/holder/report.go
@@ -38,11 +38,13 @@
 		})
 		return
 	}
-	if t.grants.unanswered > 0 && t.failedRenewals == 0 && !t.transferring && !t.releasing {
+	anew := t.grants.unanswered > 0 && t.failedRenewals == 0 && !t.transferring && !t.releasing
+	fresh := now.Sub(t.answeredAt) <= h.settings.Order
+	if anew && fresh {
 		h.claimAnew(t)
 	}
 	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable(), MaxWait: h.pollWait(now, t)}
-	if t.failedRenewals > 0 || t.token > t.grants.seen {
+	if t.failedRenewals > 0 || t.token > t.grants.seen || anew && !fresh {
 		renewal.MaxWait = 0 // The target should answer at once.
 	}
 	h.grantLease(now, t, &renewal)
@@ -72,7 +74,7 @@
 	}
 }
 
-// claimAnew raises the token of a target that has answered the last renewal, so that no
+// claimAnew raises the token of a target that has just answered a renewal, so that no
 // other entry has claimed it. Once the target has seen the token, the orders that got no
 // answer are void. What runs there goes on.
 func (h *Holder) claimAnew(t *target) {
@@ -146,6 +148,7 @@
 	}
 	h.renewalAnswered(now, t, report)
 	t.grants.accept(c.Renewal.FenceToken)
+	t.answeredAt = sent
 	// The answer to an extra renewal may have overtaken this one.
 	overtaken := report.IncarnationStart.Equal(t.incarnationStart) && report.Clock < t.clock
 	h.checkIncarnation(now, t, report)
--- a/holder/target.go
+++ b/holder/target.go
@@ -64,6 +64,7 @@
 	leaseEnd time.Duration // The latest end of a lease in any order sent, or granted to a former holder, if none is carried out late.
 
 	leasedAt       time.Time // When the latest order with a lease was sent.
+	answeredAt     time.Time // When the latest renewal that was answered was sent.
 	renewing       bool
 	reaching       bool          // It is being looked whether it accepts connections.
 	awaitsConfirm  bool          // The next renewal waits until homes have confirmed ends.
@@ -160,7 +161,7 @@
 // usable reports whether new runs may be started on the target. A start order
 // renews the lease too.
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
-	return t.claimed && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
+	return t.claimed && t.token <= t.grants.seen && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
 		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() &&
 		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.mustLapse(now, s)
 }
