--- a/accessor/hosts_test.go
+++ b/accessor/hosts_test.go
@@ -80,8 +80,10 @@
 			test.odd(&odd)
 			targets := []medlargw.Target{good("a"), odd, good("z")}
 			entries := []medlargw.EntryHost{
-				{Name: "e", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:1")}, {Name: "odd", Zone: "z", Addr: netip.MustParseAddrPort("0.0.0.0:1")},
-				{Name: "for operators", Zone: "z", AdminAddr: netip.MustParseAddrPort("10.0.0.3:1")}, {Name: "without", Zone: "z"},
+				{Name: "e", Zone: "z", Addr: netip.MustParseAddrPort("10.0.0.2:1")},
+				{Name: "odd", Zone: "z", Addr: netip.MustParseAddrPort("0.0.0.0:1")},
+				{Name: "for operators", Zone: "z", AdminAddr: netip.MustParseAddrPort("10.0.0.3:1")},
+				{Name: "without", Zone: "z"},
 			}
 			check := func(kind string, targets []medlargw.Target, entries []medlargw.EntryHost) {
 				t.Helper()
