--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -226,37 +226,6 @@
 	return now
 }
 
-// readClock returns the current time, at which the event posted at the given time is
-// handled; zero is no event. If the process was stalled for too long, it fails the
-// jobs of this entry.
-func (c *Conductor) readClock(posted time.Time) time.Time {
-	now := c.clock.Now()
-	gap := now.Sub(c.lastWake)
-	late := gap - idleTick // A suspended process, which the ticker does not see.
-	if !posted.IsZero() {
-		late = max(late, now.Sub(posted))
-	}
-	c.recordLateness(now, late)
-	if gap > stallThreshold {
-		c.log.Warn("the process stood still", zap.Duration("gap", gap))
-		c.coord.AbortAll(now, "the entry stood still")
-		c.holder.Tick(now)
-	}
-	c.keepQuiet(now)
-	c.lastWake = now
-	return now
-}
-
-// keepQuiet holds back the messages of the home for a moment after a pause: each says
-// that the jobs that it does not cancel go on.
-func (c *Conductor) keepQuiet(now time.Time) {
-	if now.Sub(c.lastWake) <= medlargw.NoticeTime || c.lastWake.Before(c.quietTo) {
-		return // A loop that is always late must send something.
-	}
-	c.quietTo = now.Add(noticeDelay)
-	time.AfterFunc(noticeDelay, func() { c.post(func(time.Time) {}) }) // Flushes.
-}
-
 // post queues an event for the control goroutine. It returns false if the
 // control goroutine has ended.
 func (c *Conductor) post(e event) bool {
@@ -379,20 +348,6 @@
 	return r
 }
 
-// recordLateness records how late the control goroutine processes a timer or an
-// event.
-func (c *Conductor) recordLateness(now time.Time, late time.Duration) {
-	c.gauger.Record(now, late)
-	lag := c.gauger.Lag(now)
-	c.lag.Store(int64(lag))
-	c.coord.SetLag(lag)
-	c.holder.SetLag(lag)
-}
-
-// Lag returns how late the control goroutine was in about the last second; zero
-// while it is on time.
-func (c *Conductor) Lag() time.Duration { return time.Duration(c.lag.Load()) }
-
 // Ready reports whether this entry knows targets for its jobs.
 func (c *Conductor) Ready() bool { return c.ready.Load() }
 
@@ -405,7 +360,3 @@
 func (c *Conductor) SetAside(target medlargw.TargetName, _ bool) {
 	c.log.Warn("leased target cannot be set aside", zap.String("target", string(target)))
 }
-
-// uptime returns the time since this entry started. It is the clock on which
-// medlargw.Offer.ValidUntil is expressed.
-func (c *Conductor) uptime(now time.Time) time.Duration { return now.Sub(c.startedAt) }
