--- /dev/null
+++ b/conductor/search_disturbance_test.go
@@ -0,0 +1,133 @@
+package conductor_test
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+)
+
+// disturbance is a kind of a searchFault.
+type disturbance int
+
+const (
+	plannedStop disturbance = iota
+	plannedStopTakenBack
+	lostEntry
+	cutEntries
+	cutOneWay
+	cutTarget
+	cutTargetAnswers
+	crashedTarget
+	slowTarget
+	hangingTarget
+	failingTarget
+	lateOrders
+	frozenEntry
+	unlistedTarget
+	lateGrants
+	brokenConnections
+	brokenAndCut
+	resetTarget
+)
+
+// drawnDisturbances lists the kinds as often as they are drawn. The group changes
+// most often, so that runs are transferred.
+var drawnDisturbances = []disturbance{
+	plannedStop, plannedStop, plannedStop, plannedStopTakenBack, plannedStopTakenBack, plannedStopTakenBack, lostEntry, lostEntry,
+	cutEntries, cutEntries, cutOneWay, cutOneWay, cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers,
+	crashedTarget, slowTarget, hangingTarget, failingTarget, lateOrders, frozenEntry, unlistedTarget,
+	brokenConnections, brokenConnections, brokenAndCut, brokenAndCut,
+}
+
+// drawnWithLateGrants lists the kinds for searches of leases that last longer than
+// their holders expect. Entries are neither lost nor frozen: nobody else knows of the
+// orders that they have sent and that are not carried out yet.
+var drawnWithLateGrants = []disturbance{
+	lateGrants, lateGrants, lateGrants, lateGrants, lateGrants, plannedStop, plannedStopTakenBack, cutEntries, cutOneWay,
+	cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers, crashedTarget, slowTarget, hangingTarget, lateOrders, unlistedTarget,
+	resetTarget, resetTarget, resetTarget,
+}
+
+func (d disturbance) String() string {
+	return [...]string{
+		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
+		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
+		"broken connections", "broken connections and a holder cut off", "reset and cut target",
+	}[d]
+}
+
+// disturb begins a fault.
+func (w *searchWorld) disturb(f searchFault, log *zap.Logger) {
+	e := w.entries[f.Entry]
+	other := w.entries[(f.Entry+f.Other)%searchEntries]
+	name := w.names[f.Target%len(w.names)]
+	w.log("%s: %s, %s, %s for %v", f.Kind, e.host, other.host, name, f.Length)
+	restart := func() { w.restart(f.Entry, log) }
+	switch f.Kind {
+	case plannedStop:
+		e.setLeaving(true)
+		w.after(f.Length, func() {
+			e.stop(true)
+			w.after(f.Return, restart)
+		})
+	case plannedStopTakenBack:
+		e.setLeaving(true)
+		w.after(f.Length/10, func() { e.setLeaving(false) })
+	case lostEntry:
+		e.stop(false)
+		w.after(f.Return, restart)
+	case cutEntries:
+		w.cut(e.host, other.host, f.Length)
+		w.cut(other.host, e.host, f.Length)
+	case cutOneWay:
+		w.cut(e.host, other.host, f.Length)
+	case cutTarget:
+		w.cut(e.host, string(name), f.Length)
+		w.cut(string(name), e.host, f.Length)
+	case cutTargetAnswers:
+		w.cut(string(name), e.host, f.Length)
+	case resetTarget:
+		w.resetConnections(name)
+		w.delayed[name] = w.now.Add(f.Length)
+		w.after(resetLead, func() {
+			w.cut(e.host, string(name), f.Length)
+			w.cut(string(name), e.host, f.Length)
+		})
+	case crashedTarget:
+		w.crash(name)
+	case slowTarget, hangingTarget, failingTarget:
+		w.targets.SetFaults(name, map[disturbance]medlargw.TargetFaults{
+			slowTarget: {SlowFactor: 4}, hangingTarget: {Hang: true}, failingTarget: {Fail: true},
+		}[f.Kind])
+		w.after(f.Length, func() { w.targets.SetFaults(name, medlargw.TargetFaults{}) })
+	case lateOrders:
+		w.delayed[name] = w.now.Add(f.Length)
+	case lateGrants:
+		w.lateGrants[name] = w.now.Add(f.Length)
+	case frozenEntry:
+		e.freeze(f.Length)
+		w.after(resendAfter, func() {
+			if e.frozen() {
+				w.abandon(e)
+			}
+		})
+	case unlistedTarget:
+		w.unlisted[name] = w.now.Add(f.Length)
+	case brokenConnections:
+		w.breakCallers(e)
+	case brokenAndCut: // The holder hears late that jobs were given up, and its stops are lost.
+		w.cut(e.host, other.host, 300*time.Millisecond+f.Length/2)
+		w.after(w.upTo(f.Length/16), func() { w.breakCallers(e) })
+		if third := w.entries[(f.Entry+searchEntries-f.Other)%searchEntries]; w.chance(0.5) {
+			third.setLeaving(true) // Its targets go to other, with runs of which e does not learn.
+			w.after(f.Length, func() { third.setLeaving(false) })
+		}
+		w.after(300*time.Millisecond+w.upTo(300*time.Millisecond), func() {
+			for _, name := range w.names {
+				w.cut(other.host, string(name), f.Length)
+			}
+		})
+	}
+}
