Holder: one predicate, one rounding, and no sorting of all tasks at each tick

Read once more: - whether another submission's run keeps a task from starting was written twice; - the rounding of targets' clocks stood twice, as a constant of the holder and as one of the lease settings; - expireTakenOver sorted all tasks of each home at each tick, to find those that were taken over and not vouched for, which are few or none; - the search's model of an entry began the 10 ms of silence anew after each pause, which package conductor does not since. No behaviour changes. Tests of holder, coordinator and conductor pass as before.

--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -138,7 +138,7 @@
 		e.coord.AbortAll(now, "the entry stood still")
 		e.holder.Tick(now)
 	}
-	if now.Sub(e.lastWake) > medlargw.NoticeTime {
+	if now.Sub(e.lastWake) > medlargw.NoticeTime && !e.lastWake.Before(e.quietTo) {
 		e.quietTo = now.Add(searchQuiet)
 		e.w.at(e.quietTo, func() { e.post(func(time.Time) {}) })
 	}
--- a/holder/held.go
+++ b/holder/held.go
@@ -43,6 +43,9 @@
 	return ok && w.offered.Run.Attempt <= e.attempt
 }
 
+// mustHold reports whether the task must not start because of another submission's run.
+func (h *Holder) mustHold(w *task) bool { return h.isActive(w) || h.hasUnlistedEnd(w) }
+
 func (h *Holder) pruneUnlisted(now time.Time) {
 	for task, e := range h.unlisted {
 		if now.Sub(e.at) > endedRetention {
--- a/holder/home.go
+++ b/holder/home.go
@@ -258,11 +258,15 @@
 // expireTakenOver stops the runs that were taken over LeaseSettings.Silence ago and
 // that their home has not vouched for since.
 func (h *Holder) expireTakenOver(now time.Time, m *home) {
-	for _, w := range sortedTasks(m) {
+	var late []*task
+	for _, w := range m.tasks {
 		if w.run != nil && !w.isVouched() && now.Sub(w.takenOver) > h.settings.Silence {
-			h.abandonRun(now, w.run, "home silent since the takeover")
+			late = append(late, w)
 		}
 	}
+	for _, w := range sortByID(late) {
+		h.abandonRun(now, w.run, "home silent since the takeover")
+	}
 }
 
 // pruneEnded removes the ended tasks that are past endedRetention.
@@ -313,8 +317,12 @@
 	for _, w := range m.tasks {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.offered.ID, b.offered.ID) })
-	return all
+	return sortByID(all)
+}
+
+func sortByID(tasks []*task) []*task {
+	slices.SortFunc(tasks, func(a, b *task) int { return cmp.Compare(a.offered.ID, b.offered.ID) })
+	return tasks
 }
 
 // returnUnserved returns to their homes the waiting tasks of pools of which this
--- a/holder/offer.go
+++ b/holder/offer.go
@@ -115,7 +115,7 @@
 		}
 		w := &task{home: m, offered: *o, due: now.Add(o.TimeToObjective), deadline: now.Add(o.TimeToDeadline)}
 		m.add(w)
-		if h.isActive(w) || h.hasUnlistedEnd(w) {
+		if h.mustHold(w) {
 			h.hold(w)
 		} else {
 			h.enqueue(w)
--- a/holder/place.go
+++ b/holder/place.go
@@ -43,7 +43,7 @@
 		if w.home.silent(now, &h.settings) {
 			continue // The tasks of its home are about to be cancelled.
 		}
-		if h.isActive(w) || h.hasUnlistedEnd(w) {
+		if h.mustHold(w) {
 			h.dequeue(w)
 			h.hold(w)
 			continue
--- a/holder/target.go
+++ b/holder/target.go
@@ -7,10 +7,6 @@
 	"medlargw.example/medlargw/rater"
 )
 
-// leaseEndMargin is added to the end of a lease before it counts as over,
-// because the target rounds its clock.
-const leaseEndMargin = 20 * time.Millisecond
-
 // runState says whether the start of a run is confirmed.
 type runState int
 
@@ -201,7 +197,7 @@
 // renew them. An order without an answer may be carried out as late as at the end of
 // the lease, and the lease in it count from then, unless the target's process has ended.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	end := t.leaseEnd + leaseEndMargin
+	end := t.leaseEnd + medlargw.ClockRounding
 	if t.closedAt.IsZero() {
 		end += time.Duration(t.grants.open()) * s.Lease
 	}
--- a/lease.go
+++ b/lease.go
@@ -28,15 +28,15 @@
 // connection of a caller has ended.
 const NoticeTime = 150 * time.Millisecond
 
-// clockRounding is the error of the end of a lease, since targets round their clocks.
-const clockRounding = 20 * time.Millisecond
+// ClockRounding is the error of the end of a lease, since targets round their clocks.
+const ClockRounding = 20 * time.Millisecond
 
 // RunOn returns the longest time from a moment at which a home wanted its runs to the
 // end of their lease, on a target's clock. The runs of a job that is given up after
 // that moment, for whatever reason, then end before Resubmit has passed, even if
 // nothing reaches the holder or the target any more.
 func (s *LeaseSettings) RunOn() time.Duration {
-	return time.Duration(float64(s.Resubmit-NoticeTime-clockRounding-s.Stop) * (1 - s.Drift))
+	return time.Duration(float64(s.Resubmit-NoticeTime-ClockRounding-s.Stop) * (1 - s.Drift))
 }
 
 // UnreadLimit returns the longest time for which the request of a job that is still
