Coordinator: the home keeps track of runs of jobs that it has given up

A home forgot a job with its outcome.

The home now counts the tasks of ended jobs whose runs are not proven to have ended: by a report of the end, by the answer that a cancelled task has not started, or by time. It logs a job that is submitted before that, and when the last run has ended; the gauge jobs.ending shows their number. Nothing acts on it yet.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -191,6 +191,7 @@
 			c.updateLink(now)
 			c.coord.Tick(now)
 			c.counters.countVerdicts(c.coord.TakeVerdicts())
+			c.counters.endingJobs.Update(int64(c.coord.EndingJobs()))
 			c.flush(now)
 		case <-c.ctx.Done():
 			c.failWaiters()
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -35,6 +35,8 @@
 	lostHolders      metrics.Counter
 	revisedHolders   metrics.Counter
 
+	endingJobs metrics.Gauge // Ended jobs with runs that may go on.
+
 	targetsOwned   metrics.Gauge
 	targetsDue     metrics.GaugeFloat64
 	capacity       metrics.Gauge
@@ -62,6 +64,8 @@
 		lostHolders:      metrics.GetOrRegisterCounter("peers.lost-holders", r),
 		revisedHolders:   metrics.GetOrRegisterCounter("peers.revised-holders", r),
 
+		endingJobs: metrics.GetOrRegisterGauge("jobs.ending", r),
+
 		targetsOwned:   metrics.GetOrRegisterGauge("share.owned", r),
 		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
 		capacity:       metrics.GetOrRegisterGauge("share.capacity", r),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -41,6 +41,9 @@
 	taskCounts [taskDone + 1]int // Number of tasks in each state.
 	// Tasks of jobs that have not ended, by the IDs of their former offers.
 	formerTasks map[medlargw.TaskID]*task
+	// Ended jobs with runs that may go on, by the caller's ID, and their tasks.
+	endings     map[string]*ending
+	endingTasks map[medlargw.TaskID]*endingTask
 	holders     map[medlargw.Incarnation]*holder
 	byDistance  []*holder // This entry first, then its zone, then the other zones.
 	// Pools all of whose targets are in evacuated zones.
@@ -87,6 +90,8 @@
 		inviter:     inviter.New(),
 		tasks:       map[medlargw.TaskID]*task{},
 		formerTasks: map[medlargw.TaskID]*task{},
+		endings:     map[string]*ending{},
+		endingTasks: map[medlargw.TaskID]*endingTask{},
 		learned:     map[medlargw.PoolName]bool{},
 		holders:     map[medlargw.Incarnation]*holder{},
 	}
@@ -208,6 +213,7 @@
 	for _, h := range c.byDistance {
 		c.tickHolder(now, h)
 	}
+	c.expireEndings(now)
 	for _, j := range slices.Clone(c.jobs) {
 		c.tickJob(now, j)
 	}
--- /dev/null
+++ b/coordinator/ending_test.go
@@ -0,0 +1,80 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/coordinator"
+	"medlargw.example/medlargw/estimator"
+	"medlargw.example/medlargw/pacer"
+)
+
+var successor = medlargw.Peer{Host: "successor", Zone: "z", Incarnation: 3}
+
+// newResubmissionFixture returns a fixture with two holders and the usual settings.
+func newResubmissionFixture(t *testing.T) *fixture {
+	self := medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}
+	h := &fixture{t: t, now: start, c: coordinator.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), self, estimator.New(), pacer.New(0))}
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder, successor}})
+	h.c.SetFreeResources(h.now, holder.Incarnation, freeResources(1, 2))
+	return h
+}
+
+// TestProofOfEndOfGivenUpJob guards against a run that goes on beside the next
+// submission of its job: only what proves its end counts, from the holder that has it.
+func TestProofOfEndOfGivenUpJob(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(h *fixture, id medlargw.TaskID)
+		want   bool // The job counts as ending still.
+	}{
+		{"nothing is known", func(*fixture, medlargw.TaskID) {}, true},
+		{"run stopped", func(h *fixture, id medlargw.TaskID) { h.report(holder, id, medlargw.TaskStopped) }, false},
+		{"run done", func(h *fixture, id medlargw.TaskID) { h.report(holder, id, medlargw.TaskSucceeded) }, false},
+		{"start order not carried out", func(h *fixture, id medlargw.TaskID) { h.report(holder, id, medlargw.TaskReturned) }, false},
+		{"may go on under another holder", func(h *fixture, id medlargw.TaskID) { h.report(holder, id, medlargw.TaskUnknown) }, true},
+		{"cancel answered, run is being stopped", func(h *fixture, id medlargw.TaskID) { h.answerCancel(id, medlargw.OfferStarted) }, true},
+		{"cancel answered, not started", func(h *fixture, id medlargw.TaskID) { h.answerCancel(id, medlargw.OfferRefused) }, false},
+		{"stopped by a former holder", func(h *fixture, id medlargw.TaskID) {
+			h.report(successor, id, medlargw.TaskStarted)
+			h.report(holder, id, medlargw.TaskStopped)
+		}, true},
+		{"stopped by the new holder", func(h *fixture, id medlargw.TaskID) {
+			h.report(successor, id, medlargw.TaskStarted)
+			h.report(successor, id, medlargw.TaskStopped)
+		}, false},
+		{"all runs have ended by time", func(h *fixture, _ medlargw.TaskID) {
+			h.advance(medlargw.DefaultLeaseSettings().Resubmit, func() {})
+		}, false},
+		{"some runs may not have ended yet", func(h *fixture, _ medlargw.TaskID) {
+			h.advance(medlargw.DefaultLeaseSettings().Resubmit-100*time.Millisecond, func() {})
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newResubmissionFixture(t)
+			m := job(1)
+			h.c.Submit(h.now, m)
+			o := h.offers()[0]
+			h.answer(&o, medlargw.OfferStarted)
+			h.c.Cancel(h.now, m)
+			test.events(h, o.Offer.Tasks[0].ID)
+			if got := h.c.EndingJobs() > 0; got != test.want {
+				t.Errorf("job is ending: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// answerCancel answers the cancel of a task.
+func (h *fixture) answerCancel(id medlargw.TaskID, state medlargw.OfferState) {
+	for _, o := range h.offers() {
+		if len(o.Offer.Cancels) > 0 && o.To.Incarnation == holder.Incarnation {
+			reply := medlargw.OfferReply{Incarnation: o.To.Incarnation, States: []medlargw.OfferedState{{ID: id, State: state}}}
+			h.c.HandleOfferReply(h.now, h.now, &o, &reply, nil)
+		}
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -115,6 +115,7 @@
 // Submit accepts a job, or refuses it at once if it could not start in time or
 // meet its deadline.
 func (c *Coordinator) Submit(now time.Time, m *medlargw.Job) {
+	c.logResubmission(now, m)
 	c.nextJob++
 	j := &job{job: m, number: c.nextJob, estimate: c.estimator.Estimate(m)}
 	j.due = m.Arrived.Add(time.Duration(m.SlackFactor*float64(j.estimate)) + m.Grace)
@@ -242,6 +243,7 @@
 			for _, h := range append(t.formers, t.holder) {
 				h.cancel(now, t.id)
 			}
+			c.trackEnd(now, t)
 		}
 		c.detach(t)
 		c.taskCounts[t.state]--
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -33,6 +33,7 @@
 			c.setTarget(t, s.Target)
 			c.applyOfferState(now, t, s.State)
 		}
+		c.recordAnswer(now, h, &s)
 	}
 }
 
@@ -148,6 +149,7 @@
 		}
 		if t == nil {
 			c.logFormerOffer(from, e)
+			c.recordEvent(now, from, e)
 			if e.Event == medlargw.TaskStarted { // The job has ended in the meantime.
 				from.cancel(now, e.ID)
 			}
