Coordinator: a job that was given up is not started anew before its runs have ended

Cause: a job was over for its home with its outcome, while its runs were over only some 80 ms later, or up to 1.15 s where a cancel or a stop is lost. The receiver had forgotten the job, and the coordinator took the next submission for a new job; only a holder that has both runs could see that.

The home now holds the next submission until the ends of the former runs are proven, or the time has passed by which they have ended whatever is lost. No message is added. A held job for which no time is left ends as unknown, not as not run.

Ruled out: waiting in the receiver for a fixed time, which delays callers for 1.3 s where the ends are mostly known within 0.1 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -225,6 +225,10 @@
 	case !now.Before(j.job.Deadline):
 		c.abort(now, j, medlargw.CodeDeadline, "the deadline has passed")
 	case j.refusing:
+	case j.held:
+		if now.Add(j.estimate).After(j.job.Deadline) {
+			c.abort(now, j, medlargw.CodeDeadline, "no time left after the runs of its former submission")
+		}
 	case !j.started && c.withdrawIfLate(now, j):
 	default:
 		c.placeIdle(now, j)
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -91,7 +91,8 @@
 	}
 }
 
-// finishEnding removes a job whose runs have ended, by proof or by time.
+// finishEnding removes a job whose runs have ended, by proof or by time, and admits its
+// next submission.
 func (c *Coordinator) finishEnding(now time.Time, e *ending, proven bool) {
 	level := zap.DebugLevel
 	if !proven {
@@ -103,6 +104,12 @@
 		delete(c.endingTasks, id)
 	}
 	delete(c.endings, e.requestID)
+	for _, j := range slices.Clone(c.jobs) {
+		if j.held && j.job.RequestID == e.requestID {
+			j.held = false
+			c.admit(now, j)
+		}
+	}
 }
 
 // expireEndings removes the jobs whose runs have ended by time.
@@ -114,6 +121,12 @@
 	}
 }
 
+// isEnding reports whether runs of a former submission of a job may go on.
+func (c *Coordinator) isEnding(now time.Time, requestID string) bool {
+	e := c.endings[requestID]
+	return e != nil && now.Before(e.endsBy)
+}
+
 // logResubmission logs a job that is submitted while runs of its former submission may
 // go on.
 func (c *Coordinator) logResubmission(now time.Time, m *medlargw.Job) {
--- a/coordinator/ending_test.go
+++ b/coordinator/ending_test.go
@@ -78,3 +78,31 @@
 		}
 	}
 }
+
+// TestResubmissionWithoutTimeIsNotReportedAsNotRun guards against an untrue refusal: the
+// runs of a job's former submission may go on, and there is no time to wait for their
+// ends.
+func TestResubmissionWithoutTimeIsNotReportedAsNotRun(t *testing.T) {
+	h := newResubmissionFixture(t)
+	first, second := job(1), job(1)
+	second.Deadline = start.Add(time.Second)
+	h.c.Submit(h.now, first)
+	o := h.offers()[0]
+	h.answer(&o, medlargw.OfferStarted)
+	h.c.Cancel(h.now, first)
+	h.c.TakeActions(h.now)
+	h.c.Submit(h.now, second)
+	var got []medlargw.FinishedJob
+	h.advance(200*time.Millisecond, func() {
+		a := h.c.TakeActions(h.now)
+		for i := range a.Offers {
+			if n := len(a.Offers[i].Offer.Tasks); n > 0 {
+				t.Errorf("tasks offered beside the former runs: got %d, want none", n)
+			}
+		}
+		got = append(got, a.Finished...)
+	})
+	if len(got) != 1 || got[0].Job != second || got[0].Outcome.NotRun() {
+		t.Errorf("outcomes: got %+v, want one of tasks that may have run", got)
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -30,6 +30,7 @@
 	refusing bool               // Its tasks are being recalled so that it can be refused.
 	refusal  medlargw.Admission // Why it is being refused.
 	ended    bool
+	held     bool // Runs of a former submission of the job may go on.
 	// When it was first known that no holder had resources for a task; zero is not
 	// yet.
 	waitsSince    time.Time
@@ -113,7 +114,8 @@
 }
 
 // Submit accepts a job, or refuses it at once if it could not start in time or
-// meet its deadline.
+// meet its deadline. A job that was given up here and whose runs may go on is held
+// until they have ended.
 func (c *Coordinator) Submit(now time.Time, m *medlargw.Job) {
 	c.logResubmission(now, m)
 	c.nextJob++
@@ -124,6 +126,14 @@
 	}
 	c.jobs = append(c.jobs, j)
 	c.taskCounts[taskIdle] += len(j.tasks)
+	if j.held = c.isEnding(now, m.RequestID); !j.held {
+		c.admit(now, j)
+	}
+}
+
+// admit places the tasks of a job, or refuses it.
+func (c *Coordinator) admit(now time.Time, j *job) {
+	m := j.job
 	c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work())
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
 	switch adm.Refusal {
@@ -157,7 +167,7 @@
 
 // placeIdle offers the tasks that are not assigned to a holder.
 func (c *Coordinator) placeIdle(now time.Time, j *job) {
-	if j.ended || j.refusing {
+	if j.ended || j.refusing || j.held {
 		return
 	}
 	for _, t := range j.tasks {
@@ -222,7 +232,7 @@
 		switch {
 		case t.state == taskDone:
 			o.Tasks[i].Execution = medlargw.ExecutionFinished
-		case j.started:
+		case j.started || j.held:
 			o.Tasks[i].Execution = medlargw.ExecutionUnknown
 		case t.state != taskIdle:
 			o.Tasks[i].Execution = medlargw.ExecutionUnknown // The holder may have started the task.
