Search: callers that come back soon, to the entry that has given their job up

A new disturbance ends connections to an entry that goes on, cuts it off from a holder, or a holder from a target, and has the callers come back to the same entry up to 0.2 s after the entry has noticed.

--- a/conductor/search_caller_test.go
+++ b/conductor/search_caller_test.go
@@ -36,6 +36,8 @@
 	maxSubmissions = 3
 	// maxNotice bounds the time until a home that lives notices a broken connection.
 	maxNotice = 150 * time.Millisecond
+	// maxReturn bounds the time until a caller comes back that returns soon.
+	maxReturn = 200 * time.Millisecond
 )
 
 func (w *searchWorld) addCaller(plan searchJob) {
@@ -52,7 +54,13 @@
 		w.after(100*time.Millisecond, func() { c.submit(number) })
 		return
 	}
-	c.entry = all[number%len(all)]
+	c.submitTo(all[number%len(all)])
+}
+
+// submitTo submits the job at an entry.
+func (c *searchCaller) submitTo(e *searchEntry) {
+	w := c.w
+	c.entry = e
 	c.submissions++
 	j := &medlargw.Job{
 		Idempotent: w.idempotent, RequestID: c.key, Service: medlargw.ServiceName(c.key), Pool: "pool", MaxAttempts: 3, SlackFactor: c.plan.Slack, Grace: 60 * time.Millisecond,
@@ -69,7 +77,6 @@
 	}
 	c.job = j
 	w.log("%s submitted to %s, number %d", c.key, c.entry.host, c.submissions)
-	e := c.entry
 	e.post(func(now time.Time) {
 		j.Arrived = now
 		e.coord.Submit(now, j)
@@ -123,8 +130,9 @@
 }
 
 // breakCallers breaks connections of callers to an entry that goes on. The entry
-// notices at once or later, and the callers submit their jobs again.
-func (w *searchWorld) breakCallers(e *searchEntry) {
+// notices at once or later, and the callers submit their jobs again: after the usual time
+// to any entry, or soon after that to the same one.
+func (w *searchWorld) breakCallers(e *searchEntry, soon bool) {
 	for _, c := range w.callers {
 		if c.entry != e || c.job == nil || !w.chance(0.7) {
 			continue
@@ -142,10 +150,23 @@
 			c.ended = true
 			continue
 		}
+		if soon {
+			w.after(notice+w.upTo(maxReturn), func() { c.returnTo(e) })
+			continue
+		}
 		w.after(resendAfter, func() { c.submit(w.rand.IntN(8)) })
 	}
 }
 
+// returnTo submits the job to an entry again, or to any one if that has stopped.
+func (c *searchCaller) returnTo(e *searchEntry) {
+	if e.stopped {
+		c.w.after(resendAfter, func() { c.submit(c.w.rand.IntN(8)) })
+		return
+	}
+	c.submitTo(e)
+}
+
 // abandon lets a caller of a frozen entry submit its job elsewhere.
 func (w *searchWorld) abandon(e *searchEntry) {
 	for _, c := range w.callers {
--- a/conductor/search_disturbance_test.go
+++ b/conductor/search_disturbance_test.go
@@ -30,6 +30,7 @@
 	brokenConnections
 	brokenAndCut
 	resetTarget
+	returningCallers
 )
 
 // drawnDisturbances lists the kinds as often as they are drawn. The group changes
@@ -38,7 +39,7 @@
 	plannedStop, plannedStop, plannedStop, plannedStopTakenBack, plannedStopTakenBack, plannedStopTakenBack, lostEntry, lostEntry,
 	cutEntries, cutEntries, cutOneWay, cutOneWay, cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers,
 	crashedTarget, slowTarget, hangingTarget, failingTarget, lateOrders, frozenEntry, unlistedTarget,
-	brokenConnections, brokenConnections, brokenAndCut, brokenAndCut,
+	brokenConnections, brokenConnections, brokenAndCut, brokenAndCut, returningCallers, returningCallers,
 }
 
 // drawnWithLateGrants lists the kinds for searches of leases that last longer than
@@ -47,14 +48,14 @@
 var drawnWithLateGrants = []disturbance{
 	lateGrants, lateGrants, lateGrants, lateGrants, lateGrants, plannedStop, plannedStopTakenBack, cutEntries, cutOneWay,
 	cutTarget, cutTarget, cutTargetAnswers, cutTargetAnswers, crashedTarget, slowTarget, hangingTarget, lateOrders, unlistedTarget,
-	resetTarget, resetTarget, resetTarget,
+	resetTarget, resetTarget, resetTarget, returningCallers,
 }
 
 func (d disturbance) String() string {
 	return [...]string{
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
 		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
-		"broken connections", "broken connections and a holder cut off", "reset and cut target",
+		"broken connections", "broken connections and a holder cut off", "reset and cut target", "callers that return soon",
 	}[d]
 }
 
@@ -116,10 +117,17 @@
 	case unlistedTarget:
 		w.unlisted[name] = w.now.Add(f.Length)
 	case brokenConnections:
-		w.breakCallers(e)
+		w.breakCallers(e, false)
+	case returningCallers: // Their former runs go on where cancels or stops are lost.
+		if w.chance(0.5) {
+			w.cut(e.host, other.host, f.Length/4)
+		} else {
+			w.cut(other.host, string(name), f.Length/4)
+		}
+		w.breakCallers(e, true)
 	case brokenAndCut: // The holder hears late that jobs were given up, and its stops are lost.
 		w.cut(e.host, other.host, 300*time.Millisecond+f.Length/2)
-		w.after(w.upTo(f.Length/16), func() { w.breakCallers(e) })
+		w.after(w.upTo(f.Length/16), func() { w.breakCallers(e, false) })
 		if third := w.entries[(f.Entry+searchEntries-f.Other)%searchEntries]; w.chance(0.5) {
 			third.setLeaving(true) // Its targets go to other, with runs of which e does not learn.
 			w.after(f.Length, func() { third.setLeaving(false) })
