Holder: a suspect task gets a target that it can use

A job with a task that had crashed targets waited until its deadline, and its callers got 504 deadline-passed, while idle targets were there: the target that is left to a suspect task was chosen without a look at the task. It could be one that the task avoids since it crashed under it, or one that is too small. While the holder has any isolated target, only those were left to suspects, so two crashes on the isolated targets of an entry were enough.

Ruled out: leases and silence of the targets; in the trace of "silent crashes" of TestTaskThatCrashesTargetsIsGivenUp, with crashed targets back after 3 s, the third attempt waited from 9.9 s to the deadline beside seven idle usable targets, and the isolated one was on its list of avoided targets. With the targets still down, as in the test on the code before, they are not usable and another one is reserved.

A target is reserved for each waiting suspect out of those that it can use: isolated ones first, the others if it can use no isolated one. The limit to half of the targets stays, and confined services get isolated ones alone, as before.

TestSuspectWaitsForUsefulTarget before: five of seven cases fail, such as "an isolated target is avoided: starts: got [], want one on any of [t5]" and "the isolated targets are avoided: starts: got [], want one on any of [t0 t1 t2 t4 t6 t7]".

--- a/holder/bulkhead.go
+++ b/holder/bulkhead.go
@@ -92,34 +92,53 @@
 }
 
 // reserve chooses the targets that are left to the suspect tasks which wait: those with
-// the fewest runs, isolated ones if this entry holds any. At most half of them are
-// reserved at a time.
+// the fewest runs, isolated ones if this entry holds any that the task can use. At most
+// half of them are reserved at a time.
 func (h *Holder) reserve(now time.Time) {
-	waiting := map[medlargw.PoolName]int{}
+	waiting := map[medlargw.PoolName][]*task{}
 	for _, w := range h.waiting {
 		if w.offered.Suspect {
-			waiting[w.offered.Pool]++
+			waiting[w.offered.Pool] = append(waiting[w.offered.Pool], w)
 		}
 	}
 	for _, t := range h.sorted {
 		t.reserved = false
 	}
-	for pool, n := range waiting {
-		all := h.suspectTargets(now, pool)
-		limit := len(all) / 2
-		if !h.confinedPools[pool] {
-			limit = max(limit, min(len(all), 1))
+	for pool, tasks := range waiting {
+		isolated, others := h.suspectTargets(now, pool)
+		if h.confinedPools[pool] {
+			reserveFor(tasks, isolated, len(isolated)/2)
+			continue
 		}
-		for _, t := range all[:min(n, limit)] {
-			t.reserved = true
+		rest := reserveFor(tasks, isolated, max(len(isolated)/2, 1))
+		reserveFor(rest, others, max(len(others)/2, 1))
+	}
+}
+
+// reserveFor reserves a target for each task, up to the limit, and returns the tasks that
+// can use none of the targets.
+func reserveFor(tasks []*task, targets []*target, limit int) []*task {
+	var rest []*task
+	for _, w := range tasks {
+		canUse := func(t *target) bool {
+			return t.info.Resources.Covers(w.offered.Resources) && !slices.Contains(w.offered.Avoid, t.info.Name)
+		}
+		if !slices.ContainsFunc(targets, canUse) {
+			rest = append(rest, w)
+			continue
+		}
+		i := slices.IndexFunc(targets, func(t *target) bool { return !t.reserved && canUse(t) })
+		if limit > 0 && i >= 0 {
+			targets[i].reserved = true
+			limit--
 		}
 	}
+	return rest
 }
 
-// suspectTargets returns the targets of a pool that suspect tasks may use, those with
-// the fewest runs first.
-func (h *Holder) suspectTargets(now time.Time, pool medlargw.PoolName) []*target {
-	var isolated, others []*target
+// suspectTargets returns the targets of a pool that suspect tasks may use, isolated ones
+// and others, each with those with the fewest runs first.
+func (h *Holder) suspectTargets(now time.Time, pool medlargw.PoolName) (isolated, others []*target) {
 	for _, t := range h.sorted {
 		switch {
 		case t.info.Pool != pool || !t.usable(now, &h.settings) || t.isHeldForSuspect():
@@ -129,10 +148,8 @@
 			others = append(others, t)
 		}
 	}
-	all := isolated
-	if len(isolated) == 0 && !h.confinedPools[pool] {
-		all = others
-	}
-	slices.SortStableFunc(all, func(a, b *target) int { return cmp.Compare(len(a.runs), len(b.runs)) })
-	return all
+	byRuns := func(a, b *target) int { return cmp.Compare(len(a.runs), len(b.runs)) }
+	slices.SortStableFunc(isolated, byRuns)
+	slices.SortStableFunc(others, byRuns)
+	return isolated, others
 }
--- a/holder/bulkhead_test.go
+++ b/holder/bulkhead_test.go
@@ -63,6 +63,7 @@
 // fleet is a holder of eight claimed targets, of which two are set apart.
 type fleet struct {
 	*fixture
+	group    medlargw.Group
 	isolated map[medlargw.TargetName]bool
 }
 
@@ -82,6 +83,7 @@
 	for _, target := range g.Targets {
 		x.isolated[target.Name] = s.IsIsolated(target.Addr)
 	}
+	x.group = g
 	x.h.SetGroup(x.now, g)
 	x.now = x.now.Add(time.Second)
 	x.h.Tick(x.now)
@@ -165,3 +167,63 @@
 		})
 	}
 }
+
+// TestSuspectWaitsForUsefulTarget guards against a suspect task that waits until its
+// deadline: the target that is left to it is one that it avoids, or that is too small,
+// while others are idle.
+func TestSuspectWaitsForUsefulTarget(t *testing.T) {
+	isolated, others := newFleet(t).names()
+	all := slices.Concat(isolated, others)
+	tests := []struct {
+		name  string
+		avoid []medlargw.TargetName
+		small []medlargw.TargetName
+		want  []medlargw.TargetName // It starts on one of them; nil is on none.
+	}{
+		{"any will do", nil, nil, isolated},
+		{"an isolated target is avoided", isolated[:1], nil, isolated[1:]},
+		{"an isolated target is too small", nil, isolated[:1], isolated[1:]},
+		{"the isolated targets are avoided", isolated, nil, others},
+		{"the isolated targets are too small", nil, isolated, others},
+		{"others are avoided too", all[:5], nil, all[5:]},
+		{"all are avoided", all, nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFleet(t)
+			for i := range x.group.Targets {
+				if info := &x.group.Targets[i]; slices.Contains(test.small, info.Name) {
+					info.Resources.Cores = 4000
+				}
+			}
+			x.h.SetGroup(x.now, x.group)
+			x.h.TakeActions()
+			x.h.HandleOffer(x.now, 0, &medlargw.Offer{
+				From: medlargw.Member{Host: "home", Incarnation: 7},
+				Tasks: []medlargw.OfferedTask{{
+					ID: 1, Run: medlargw.RunID{Task: "b", Attempt: 5}, Pool: "pool", Service: "s", MayQueue: true, Suspect: true, Avoid: test.avoid,
+					Resources: medlargw.Resources{Cores: 8000}, Estimate: 100 * time.Millisecond, TimeToObjective: time.Second, TimeToDeadline: 2 * time.Second,
+				}},
+			})
+			var got []medlargw.TargetName
+			for _, c := range x.h.TakeActions().Starts {
+				got = append(got, c.Target.Name)
+			}
+			if len(got) != min(1, len(test.want)) || len(got) == 1 && !slices.Contains(test.want, got[0]) {
+				t.Errorf("starts: got %v, want one on any of %v", got, test.want)
+			}
+		})
+	}
+}
+
+// names returns the names of the targets that are set apart, and of the others.
+func (x *fleet) names() (isolated, others []medlargw.TargetName) {
+	for i := range x.group.Targets {
+		if name := x.group.Targets[i].Name; x.isolated[name] {
+			isolated = append(isolated, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	return isolated, others
+}
