Holder: a reset connection is no proof that a target has ended

Callers could see a task twice: a cut resets the connections of a target that goes on, a start order to it got no answer, and the lease in the order counted as the proof that it was void, since a closed connection counted as the end of the process. The target carries the order out later, beside the next attempt.

The tests are as they were.

Cost, read: a task whose start got no answer waits for a target that has closed its connections and is silent until it answers, refuses a connection, or has left the host list for long enough, and confirmed runs there count as ended one lease later for each open order.

--- a/holder/target.go
+++ b/holder/target.go
@@ -186,10 +186,10 @@
 }
 
 // mayStart reports whether the start order of a run may still be carried out. It is not
-// once the target has confirmed the start, nor after the end of the target's process:
-// a target that has closed its connections and is silent since has most likely ended.
+// once the target has confirmed the start, nor after the end of the target's process. A
+// target that refuses connections has ended; one that has closed some may be cut off.
 func (r *run) mayStart() bool {
-	return r.state != runRunning && r.acked.IsZero() && r.target.closedAt.IsZero()
+	return r.state != runRunning && r.acked.IsZero() && r.target.refusedAt.IsZero()
 }
 
 // leasesEnded reports whether all leases of the runs that have started on the target
@@ -198,7 +198,7 @@
 // the lease, and the lease in it count from then, unless the target's process has ended.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
 	end := t.leaseEnd + medlargw.ClockRounding
-	if t.closedAt.IsZero() {
+	if t.refusedAt.IsZero() {
 		end += time.Duration(t.grants.open()) * s.Lease
 	}
 	return t.claimed && !t.clockAt.IsZero() && t.clockLowerBound(now, s.Drift) > end && t.hasStarted()
