Conductor: the next submission of a relayed job waits for its runs at the peer

With relays on, callers saw two runs of one task: an entry handed a job to a peer, the connection of the caller ended, and the caller submitted the job again, to the entry or to the peer, while the runs of the first submission went on.

Cause: the sender of a relay knew nothing of a job that it had cancelled at the peer, and coordinated the next submission itself or handed it over beside the first. The peer did not compare its relayed jobs with other submissions, so that a lost cancel left it with two living submissions of one job.

The sender now hands a job whose outcome at a peer is open to the same peer again, whose coordinator knows the runs. If that peer does not take it, the job waits here until its former runs have ended by time, or ends as unknown if no time is left. A peer ends the former submission of a relayed job before it starts the next one, whichever way that comes, so that the coordinator holds the next one. No message is added.

Ruled out: an answer that tells the ends of the runs, which needs a change of the format between entries. Not covered: a job that runs at a peer for a caller of its own whose connection has ended unnoticed.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -44,6 +44,16 @@
 	clocks     map[medlargw.Incarnation]peerClock
 	leaving    bool // This entry is in a planned stop and takes no jobs of peers.
 	received   map[medlargw.RelayID]*receivedJob
+	// Received jobs that have not ended, by the caller's ID.
+	living map[string]*receivedJob
+	// Jobs that peers have got and whose runs may go on, by the caller's ID.
+	open map[string]openRelay
+}
+
+// openRelay is a job that a peer has got and whose runs there may go on.
+type openRelay struct {
+	to     medlargw.Peer
+	endsBy time.Time // When its runs have ended, even if no message reaches the peer.
 }
 
 // peerClock is a lower bound of the clock of a peer.
@@ -65,6 +75,8 @@
 		relayer:  relayer.New(self, settings.Capacity.Relay, rand.Int64N),
 		clocks:   map[medlargw.Incarnation]peerClock{},
 		received: map[medlargw.RelayID]*receivedJob{},
+		living:   map[string]*receivedJob{},
+		open:     map[string]openRelay{},
 	}
 }
 
@@ -97,37 +109,123 @@
 
 // choose returns the peer to hand a job to whose caller was heard of at the given time,
 // the number of the relay, the end of its validity on the peer's clock, and whether to
-// hand the job over.
-func (r *relays) choose(now, heard time.Time, lag time.Duration) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
+// hand the job over. A job that a peer has got before goes to that peer again, which
+// knows the runs.
+func (r *relays) choose(now, heard time.Time, lag time.Duration, requestID string) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
 	if r.messenger == nil {
 		return medlargw.Peer{}, 0, 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	to, ok = r.relayer.Choose(now, lag)
+	if former := r.open[requestID]; now.Before(former.endsBy) {
+		to, ok = former.to, true
+	} else {
+		to, ok = r.relayer.Choose(now, lag)
+	}
 	known := r.clocks[to.Incarnation]
 	r.nextNumber++
 	return to, r.nextNumber, known.clock + heard.Sub(known.at) + relayValidity, ok && !known.at.IsZero()
 }
 
+// recordEnd records the outcome of a job that a peer has got. Unless it is complete or
+// has not run, runs may go on until the given time.
+func (r *relays) recordEnd(now time.Time, requestID string, to *medlargw.Peer, o *medlargw.Outcome, endsBy time.Time) {
+	if requestID == "" || len(o.Tasks) > 0 && o.NotRun() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.open, func(_ string, other openRelay) bool { return !now.Before(other.endsBy) })
+	delete(r.open, requestID)
+	if !o.Complete {
+		r.open[requestID] = openRelay{to: *to, endsBy: endsBy}
+	}
+}
+
+// openRelay returns the job with the caller's ID that a peer has got and whose runs may
+// go on, or the zero value.
+func (r *relays) openRelay(requestID string) openRelay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[requestID]
+}
+
+// addLiving adds a job of a peer and returns its former submission, or nil. The caller
+// must hold r.mu.
+func (r *relays) addLiving(requestID string, j *receivedJob) *receivedJob {
+	if requestID == "" {
+		return nil
+	}
+	former := r.living[requestID]
+	r.living[requestID] = j
+	return former
+}
+
+// findLiving returns the job of a peer with the caller's ID that has not ended, or nil.
+func (r *relays) findLiving(requestID string) *receivedJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.living[requestID]
+}
+
+// end cancels a job that is submitted again, and returns when the coordinator keeps track
+// of its runs.
+func (j *receivedJob) end() {
+	if j == nil {
+		return
+	}
+	j.cancel()
+	<-j.ended
+}
+
 func (r *relays) pause(now time.Time, peer medlargw.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relayer.Pause(now, peer)
 }
 
-// relay hands a job to a peer if this entry is late and the peer is not. It returns
-// false if the job was not handed over, and is proven not to run at the peer.
-//
-// After a message that may have arrived, the job is not run here: the peer is asked
-// for its end, and if it does not answer, the end is unknown. The caller was heard of at
-// the given time.
+// relay hands a job to a peer if this entry is late and the peer is not, or if the peer
+// has got it before. It returns false if the job was not handed over, and is proven not
+// to run at a peer. The caller was heard of at the given time.
 func (c *Conductor) relay(ctx context.Context, job *medlargw.Job, heard time.Time) (medlargw.Outcome, bool) {
-	arrived := c.clock.Now()
-	to, number, validUntil, ok := c.relays.choose(arrived, heard, c.Lag())
-	if !ok {
+	c.relays.findLiving(job.RequestID).end()
+	to, number, validUntil, ok := c.relays.choose(c.clock.Now(), heard, c.Lag(), job.RequestID)
+	if ok {
+		if o, relayed := c.handOver(ctx, job, &to, number, validUntil); relayed {
+			now := c.clock.Now()
+			c.relays.recordEnd(now, job.RequestID, &to, &o, now.Add(c.settings.Call+c.settings.Silence+c.settings.Resubmit))
+			return o, true
+		}
+	}
+	return c.awaitFormerRelay(ctx, job)
+}
+
+// awaitFormerRelay coordinates a job here once its runs at a peer have ended, and returns
+// false if there are none.
+func (c *Conductor) awaitFormerRelay(ctx context.Context, job *medlargw.Job) (medlargw.Outcome, bool) {
+	now := c.clock.Now()
+	former := c.relays.openRelay(job.RequestID)
+	if !now.Before(former.endsBy) {
 		return medlargw.Outcome{}, false
 	}
+	if !former.endsBy.Before(job.Deadline) {
+		return c.unknownRelay(now, job, &former.to, "no time left after its former runs"), true
+	}
+	select {
+	case <-time.After(former.endsBy.Sub(now)):
+		return c.coordinate(ctx, job, c.clock.Now()), true
+	case <-ctx.Done():
+		return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}, true
+	case <-c.ctx.Done():
+		return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}, true
+	}
+}
+
+// handOver hands a job to a peer. After a message that may have arrived, the job is not
+// run here: the peer is asked for its end, and if it does not answer, the end is unknown.
+// It returns false if the peer has not got the job.
+func (c *Conductor) handOver(ctx context.Context, job *medlargw.Job, to *medlargw.Peer, number uint64, validUntil time.Duration) (medlargw.Outcome, bool) {
+	arrived := c.clock.Now()
 	r := medlargw.Relay{
 		ID: medlargw.RelayID{From: c.self.Incarnation, Number: number}, Host: c.self.Host, Job: job, ValidUntil: validUntil,
 		Age: arrived.Sub(job.Arrived), TimeToDeadline: job.Deadline.Sub(arrived) - relayMargin, Wait: relayWait,
@@ -152,7 +250,7 @@
 		case err == nil && reply.State == medlargw.RelayRunning:
 			answered = now
 		case err == nil: // The peer has lost the job, or has not got it and takes it no more.
-			return c.unknownRelay(now, job, &to, "the peer does not know the job"), true
+			return c.unknownRelay(now, job, to, "the peer does not know the job"), true
 		default:
 			c.relays.pause(now, to.Incarnation)
 		}
@@ -164,7 +262,7 @@
 			return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}, true
 		case now.Sub(answered) > relayWait+c.settings.Silence:
 			c.cancelRelay(to.Addr, r)
-			return c.unknownRelay(now, job, &to, "the peer does not answer"), true
+			return c.unknownRelay(now, job, to, "the peer does not answer"), true
 		}
 	}
 }
@@ -199,7 +297,7 @@
 	c.counters.countRelay("unknown")
 	c.log.Info("outcome of a relayed job is unknown", zap.String("job", job.RequestID), zap.String("to", string(to.Host)),
 		zap.String("reason", reason), zap.Duration("age", now.Sub(job.Arrived)))
-	o := medlargw.RefusedOutcome(job, medlargw.CodeAttemptLost, "the entry that runs the job is lost: "+reason, 0)
+	o := medlargw.RefusedOutcome(job, medlargw.CodeAttemptLost, "a peer may have run the job: "+reason, 0)
 	for i := range o.Tasks {
 		o.Tasks[i].Execution = medlargw.ExecutionUnknown
 	}
@@ -268,18 +366,23 @@
 		c.log.Info("relayed job ended, its sender is silent", zap.String("job", job.RequestID), zap.String("from", string(from)))
 		cancel()
 	})
+	former := c.relays.addLiving(job.RequestID, j)
 	c.senders.Go(func() {
 		defer cancel()
+		former.end()
 		o := c.coordinate(ctx, &job, now)
-		c.endReceived(id, j, o)
+		c.endReceived(id, job.RequestID, j, o)
 	})
 	return j
 }
 
 // endReceived records the outcome of a job of a peer.
-func (c *Conductor) endReceived(id medlargw.RelayID, j *receivedJob, o medlargw.Outcome) {
+func (c *Conductor) endReceived(id medlargw.RelayID, requestID string, j *receivedJob, o medlargw.Outcome) {
 	c.relays.mu.Lock()
 	defer c.relays.mu.Unlock()
+	if c.relays.living[requestID] == j {
+		delete(c.relays.living, requestID)
+	}
 	j.silence.Stop()
 	j.silence = nil
 	j.outcome = o
