Conductor: a job that was coordinated here is not handed to a peer when it comes again

With relays on, callers saw two runs of one task: an entry that had given a job up lagged when the job was submitted again, and handed it to a peer, which knows nothing of the runs that the entry was still stopping.

Cause: the choice of a peer took no account of former submissions. Only the coordinator of the former home can hold the next submission until their ends are proven.

While relays are on, an entry now remembers the jobs that it coordinates until their deadline and the time after that by which their runs have ended, and coordinates their next submissions itself. Ruled out: asking the coordinator for each job that is to be handed over, which waits for the goroutine whose lag is the reason to hand it over.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -32,11 +32,14 @@
 	relayValidity = 300 * time.Millisecond
 	// relayMargin is the time that the last answer of a relayed job takes.
 	relayMargin = 10 * time.Millisecond
+	// homesPurgeInterval is the time between two removals of old homes.
+	homesPurgeInterval = time.Second
 )
 
 // relays holds the jobs that this entry hands to peers, and those of peers.
 type relays struct {
 	messenger medlargw.RelayMessenger // Nil if the messenger sends no relays.
+	enabled   bool                    // This entry hands jobs over, and takes those of peers.
 
 	mu         sync.Mutex
 	relayer    *relayer.Relayer
@@ -48,6 +51,10 @@
 	living map[string]*receivedJob
 	// Jobs that peers have got and whose runs may go on, by the caller's ID.
 	open map[string]openRelay
+	// Times until which jobs of which this entry was the home may have runs, by the
+	// caller's ID.
+	homes      map[string]time.Time
+	homesPurge time.Time // When those that have passed are removed.
 }
 
 // openRelay is a job that a peer has got and whose runs there may go on.
@@ -72,11 +79,13 @@
 
 func newRelays(settings *medlargw.Settings, self medlargw.Member) *relays {
 	return &relays{
+		enabled:  settings.Capacity.Relay > 0,
 		relayer:  relayer.New(self, settings.Capacity.Relay, rand.Int64N),
 		clocks:   map[medlargw.Incarnation]peerClock{},
 		received: map[medlargw.RelayID]*receivedJob{},
 		living:   map[string]*receivedJob{},
 		open:     map[string]openRelay{},
+		homes:    map[string]time.Time{},
 	}
 }
 
@@ -110,16 +119,17 @@
 // choose returns the peer to hand a job to whose caller was heard of at the given time,
 // the number of the relay, the end of its validity on the peer's clock, and whether to
 // hand the job over. A job that a peer has got before goes to that peer again, which
-// knows the runs.
+// knows the runs, and one that this entry has coordinated stays here.
 func (r *relays) choose(now, heard time.Time, lag time.Duration, requestID string) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
 	if r.messenger == nil {
 		return medlargw.Peer{}, 0, 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if former := r.open[requestID]; now.Before(former.endsBy) {
+	switch former := r.open[requestID]; {
+	case now.Before(former.endsBy):
 		to, ok = former.to, true
-	} else {
+	case !now.Before(r.homes[requestID]):
 		to, ok = r.relayer.Choose(now, lag)
 	}
 	known := r.clocks[to.Incarnation]
@@ -150,6 +160,21 @@
 	return r.open[requestID]
 }
 
+// addHome records that this entry coordinates a job whose runs end by the given time.
+func (r *relays) addHome(now time.Time, requestID string, until time.Time) {
+	if r.messenger == nil || !r.enabled || requestID == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.homes[requestID] = until
+	if now.Before(r.homesPurge) {
+		return
+	}
+	r.homesPurge = now.Add(homesPurgeInterval)
+	maps.DeleteFunc(r.homes, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 // addLiving adds a job of a peer and returns its former submission, or nil. The caller
 // must hold r.mu.
 func (r *relays) addLiving(requestID string, j *receivedJob) *receivedJob {
@@ -197,7 +222,16 @@
 			return o, true
 		}
 	}
-	return c.awaitFormerRelay(ctx, job)
+	o, waited := c.awaitFormerRelay(ctx, job)
+	if !waited {
+		c.addHome(job)
+	}
+	return o, waited
+}
+
+// addHome records that this entry coordinates a job.
+func (c *Conductor) addHome(job *medlargw.Job) {
+	c.relays.addHome(c.clock.Now(), job.RequestID, job.Deadline.Add(c.settings.Resubmit))
 }
 
 // awaitFormerRelay coordinates a job here once its runs at a peer have ended, and returns
@@ -213,6 +247,7 @@
 	}
 	select {
 	case <-time.After(former.endsBy.Sub(now)):
+		c.addHome(job)
 		return c.coordinate(ctx, job, c.clock.Now()), true
 	case <-ctx.Done():
 		return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}, true
@@ -370,6 +405,7 @@
 	c.senders.Go(func() {
 		defer cancel()
 		former.end()
+		c.addHome(&job)
 		o := c.coordinate(ctx, &job, now)
 		c.endReceived(id, job.RequestID, j, o)
 	})
