Conductor: a relay ends the former submission that its peer coordinates for a caller

With relays on, callers saw two runs of one task: the connection of a caller to the home of its job ended unnoticed, and the caller submitted the job to another entry, which handed it to that home.

Cause: a peer compared a relayed job only with other relayed jobs. Its coordinator holds a submission until the runs of an ended job have ended, but starts it beside one that lives.

Both kinds of jobs now go through one function, which ends the former submission before it starts the next one; the caller of the former one, if there still is one, gets 504. Without relays nothing changes: the receiver has the callers of one job wait for one submission.

Ruled out: holding the next submission in the coordinator while the former one lives. That keeps the caller that came back waiting until the entry notices the end of the connection.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -47,8 +47,8 @@
 	clocks     map[medlargw.Incarnation]peerClock
 	leaving    bool // This entry is in a planned stop and takes no jobs of peers.
 	received   map[medlargw.RelayID]*receivedJob
-	// Received jobs that have not ended, by the caller's ID.
-	living map[string]*receivedJob
+	// Jobs that this entry coordinates, by the caller's ID.
+	living map[string]*livingJob
 	// Jobs that peers have got and whose runs may go on, by the caller's ID.
 	open map[string]openRelay
 	// Times until which jobs of which this entry was the home may have runs, by the
@@ -57,6 +57,12 @@
 	homesPurge time.Time // When those that have passed are removed.
 }
 
+// livingJob is a submission of a job that this entry coordinates.
+type livingJob struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
 // openRelay is a job that a peer has got and whose runs there may go on.
 type openRelay struct {
 	to     medlargw.Peer
@@ -83,7 +89,7 @@
 		relayer:  relayer.New(self, settings.Capacity.Relay, rand.Int64N),
 		clocks:   map[medlargw.Incarnation]peerClock{},
 		received: map[medlargw.RelayID]*receivedJob{},
-		living:   map[string]*receivedJob{},
+		living:   map[string]*livingJob{},
 		open:     map[string]openRelay{},
 		homes:    map[string]time.Time{},
 	}
@@ -162,9 +168,6 @@
 
 // addHome records that this entry coordinates a job whose runs end by the given time.
 func (r *relays) addHome(now time.Time, requestID string, until time.Time) {
-	if r.messenger == nil || !r.enabled || requestID == "" {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.homes[requestID] = until
@@ -175,27 +178,36 @@
 	maps.DeleteFunc(r.homes, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-// addLiving adds a job of a peer and returns its former submission, or nil. The caller
-// must hold r.mu.
-func (r *relays) addLiving(requestID string, j *receivedJob) *receivedJob {
-	if requestID == "" {
-		return nil
-	}
+// addLiving adds a job that this entry coordinates, and returns its former submission or
+// nil.
+func (r *relays) addLiving(requestID string, j *livingJob) *livingJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	former := r.living[requestID]
 	r.living[requestID] = j
 	return former
 }
 
-// findLiving returns the job of a peer with the caller's ID that has not ended, or nil.
-func (r *relays) findLiving(requestID string) *receivedJob {
+// findLiving returns the job with the caller's ID that this entry coordinates, or nil.
+func (r *relays) findLiving(requestID string) *livingJob {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.living[requestID]
 }
 
+// endLiving records that a job has ended.
+func (r *relays) endLiving(requestID string, j *livingJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.living[requestID] == j {
+		delete(r.living, requestID)
+	}
+	close(j.ended)
+}
+
 // end cancels a job that is submitted again, and returns when the coordinator keeps track
 // of its runs.
-func (j *receivedJob) end() {
+func (j *livingJob) end() {
 	if j == nil {
 		return
 	}
@@ -210,28 +222,41 @@
 }
 
 // relay hands a job to a peer if this entry is late and the peer is not, or if the peer
-// has got it before. It returns false if the job was not handed over, and is proven not
-// to run at a peer. The caller was heard of at the given time.
+// has got it before. Otherwise it coordinates the job, so that it ends when it is
+// submitted again. It returns false if relays are off. The caller was heard of at the
+// given time.
 func (c *Conductor) relay(ctx context.Context, job *medlargw.Job, heard time.Time) (medlargw.Outcome, bool) {
-	c.relays.findLiving(job.RequestID).end()
+	if !c.relays.enabled {
+		return medlargw.Outcome{}, false
+	}
 	to, number, validUntil, ok := c.relays.choose(c.clock.Now(), heard, c.Lag(), job.RequestID)
 	if ok {
+		c.relays.findLiving(job.RequestID).end()
 		if o, relayed := c.handOver(ctx, job, &to, number, validUntil); relayed {
 			now := c.clock.Now()
 			c.relays.recordEnd(now, job.RequestID, &to, &o, now.Add(c.settings.Call+c.settings.Silence+c.settings.Resubmit))
 			return o, true
 		}
 	}
-	o, waited := c.awaitFormerRelay(ctx, job)
-	if !waited {
-		c.addHome(job)
+	if o, relayed := c.awaitFormerRelay(ctx, job); relayed {
+		return o, true
 	}
-	return o, waited
+	return c.coordinateHome(ctx, job, heard), true
 }
 
-// addHome records that this entry coordinates a job.
-func (c *Conductor) addHome(job *medlargw.Job) {
+// coordinateHome runs a job as its home, after its former submission here has ended. A
+// caller submits a job again after its connection has ended, which may be unnoticed.
+func (c *Conductor) coordinateHome(ctx context.Context, job *medlargw.Job, heard time.Time) medlargw.Outcome {
+	if job.RequestID == "" {
+		return c.coordinate(ctx, job, heard)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j := &livingJob{cancel: cancel, ended: make(chan struct{})}
+	defer c.relays.endLiving(job.RequestID, j)
+	c.relays.addLiving(job.RequestID, j).end()
 	c.relays.addHome(c.clock.Now(), job.RequestID, job.Deadline.Add(c.settings.Resubmit))
+	return c.coordinate(ctx, job, heard)
 }
 
 // awaitFormerRelay coordinates a job here once its runs at a peer have ended, and returns
@@ -247,8 +272,7 @@
 	}
 	select {
 	case <-time.After(former.endsBy.Sub(now)):
-		c.addHome(job)
-		return c.coordinate(ctx, job, c.clock.Now()), true
+		return c.coordinateHome(ctx, job, c.clock.Now()), true
 	case <-ctx.Done():
 		return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}, true
 	case <-c.ctx.Done():
@@ -401,24 +425,18 @@
 		c.log.Info("relayed job ended, its sender is silent", zap.String("job", job.RequestID), zap.String("from", string(from)))
 		cancel()
 	})
-	former := c.relays.addLiving(job.RequestID, j)
 	c.senders.Go(func() {
 		defer cancel()
-		former.end()
-		c.addHome(&job)
-		o := c.coordinate(ctx, &job, now)
-		c.endReceived(id, job.RequestID, j, o)
+		o := c.coordinateHome(ctx, &job, now)
+		c.endReceived(id, j, o)
 	})
 	return j
 }
 
 // endReceived records the outcome of a job of a peer.
-func (c *Conductor) endReceived(id medlargw.RelayID, requestID string, j *receivedJob, o medlargw.Outcome) {
+func (c *Conductor) endReceived(id medlargw.RelayID, j *receivedJob, o medlargw.Outcome) {
 	c.relays.mu.Lock()
 	defer c.relays.mu.Unlock()
-	if c.relays.living[requestID] == j {
-		delete(c.relays.living, requestID)
-	}
 	j.silence.Stop()
 	j.silence = nil
 	j.outcome = o
