--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -32,11 +32,14 @@
 	relayValidity = 300 * time.Millisecond
 	// relayMargin is the time that the last answer of a relayed job takes.
 	relayMargin = 10 * time.Millisecond
+	// homesPurgeInterval is the time between two removals of old homes.
+	homesPurgeInterval = time.Second
 )
 
 // relays holds the jobs that this entry hands to peers, and those of peers.
 type relays struct {
 	messenger medlargw.RelayMessenger // Nil if the messenger sends no relays.
+	enabled   bool                    // This entry hands jobs over, and takes those of peers.
 
 	mu         sync.Mutex
 	relayer    *relayer.Relayer
@@ -44,6 +47,26 @@
 	clocks     map[medlargw.Incarnation]peerClock
 	leaving    bool // This entry is in a planned stop and takes no jobs of peers.
 	received   map[medlargw.RelayID]*receivedJob
+	// Jobs that this entry coordinates, by the caller's ID.
+	living map[string]*livingJob
+	// Jobs that peers have got and whose runs may go on, by the caller's ID.
+	open map[string]openRelay
+	// Times until which jobs of which this entry was the home may have runs, by the
+	// caller's ID.
+	homes      map[string]time.Time
+	homesPurge time.Time // When those that have passed are removed.
+}
+
+// livingJob is a submission of a job that this entry coordinates.
+type livingJob struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// openRelay is a job that a peer has got and whose runs there may go on.
+type openRelay struct {
+	to     medlargw.Peer
+	endsBy time.Time // When its runs have ended, even if no message reaches the peer.
 }
 
 // peerClock is a lower bound of the clock of a peer.
@@ -62,9 +85,13 @@
 
 func newRelays(settings *medlargw.Settings, self medlargw.Member) *relays {
 	return &relays{
+		enabled:  settings.Capacity.Relay > 0,
 		relayer:  relayer.New(self, settings.Capacity.Relay, rand.Int64N),
 		clocks:   map[medlargw.Incarnation]peerClock{},
 		received: map[medlargw.RelayID]*receivedJob{},
+		living:   map[string]*livingJob{},
+		open:     map[string]openRelay{},
+		homes:    map[string]time.Time{},
 	}
 }
 
@@ -97,37 +124,167 @@
 
 // choose returns the peer to hand a job to whose caller was heard of at the given time,
 // the number of the relay, the end of its validity on the peer's clock, and whether to
-// hand the job over.
-func (r *relays) choose(now, heard time.Time, lag time.Duration) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
+// hand the job over. A job that a peer has got before goes to that peer again, which
+// knows the runs, and one that this entry has coordinated stays here.
+func (r *relays) choose(now, heard time.Time, lag time.Duration, requestID string) (to medlargw.Peer, number uint64, validUntil time.Duration, ok bool) {
 	if r.messenger == nil {
 		return medlargw.Peer{}, 0, 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	to, ok = r.relayer.Choose(now, lag)
+	switch former := r.open[requestID]; {
+	case now.Before(former.endsBy):
+		to, ok = former.to, true
+	case !now.Before(r.homes[requestID]):
+		to, ok = r.relayer.Choose(now, lag)
+	}
 	known := r.clocks[to.Incarnation]
 	r.nextNumber++
 	return to, r.nextNumber, known.clock + heard.Sub(known.at) + relayValidity, ok && !known.at.IsZero()
 }
 
+// recordEnd records the outcome of a job that a peer has got. Unless it is complete or
+// has not run, runs may go on until the given time.
+func (r *relays) recordEnd(now time.Time, requestID string, to *medlargw.Peer, o *medlargw.Outcome, endsBy time.Time) {
+	if requestID == "" || len(o.Tasks) > 0 && o.NotRun() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.open, func(_ string, other openRelay) bool { return !now.Before(other.endsBy) })
+	delete(r.open, requestID)
+	if !o.Complete {
+		r.open[requestID] = openRelay{to: *to, endsBy: endsBy}
+	}
+}
+
+// openRelay returns the job with the caller's ID that a peer has got and whose runs may
+// go on, or the zero value.
+func (r *relays) openRelay(requestID string) openRelay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[requestID]
+}
+
+// addHome records that this entry coordinates a job whose runs end by the given time.
+func (r *relays) addHome(now time.Time, requestID string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.homes[requestID] = until
+	if now.Before(r.homesPurge) {
+		return
+	}
+	r.homesPurge = now.Add(homesPurgeInterval)
+	maps.DeleteFunc(r.homes, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// addLiving adds a job that this entry coordinates, and returns its former submission or
+// nil.
+func (r *relays) addLiving(requestID string, j *livingJob) *livingJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former := r.living[requestID]
+	r.living[requestID] = j
+	return former
+}
+
+// findLiving returns the job with the caller's ID that this entry coordinates, or nil.
+func (r *relays) findLiving(requestID string) *livingJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.living[requestID]
+}
+
+// endLiving records that a job has ended.
+func (r *relays) endLiving(requestID string, j *livingJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.living[requestID] == j {
+		delete(r.living, requestID)
+	}
+	close(j.ended)
+}
+
+// end cancels a job that is submitted again, and returns when the coordinator keeps track
+// of its runs.
+func (j *livingJob) end() {
+	if j == nil {
+		return
+	}
+	j.cancel()
+	<-j.ended
+}
+
 func (r *relays) pause(now time.Time, peer medlargw.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relayer.Pause(now, peer)
 }
 
-// relay hands a job to a peer if this entry is late and the peer is not. It returns
-// false if the job was not handed over, and is proven not to run at the peer.
-//
-// After a message that may have arrived, the job is not run here: the peer is asked
-// for its end, and if it does not answer, the end is unknown. The caller was heard of at
-// the given time.
+// relay hands a job to a peer if this entry is late and the peer is not, or if the peer
+// has got it before. Otherwise it coordinates the job, so that it ends when it is
+// submitted again. It returns false if relays are off. The caller was heard of at the
+// given time.
 func (c *Conductor) relay(ctx context.Context, job *medlargw.Job, heard time.Time) (medlargw.Outcome, bool) {
-	arrived := c.clock.Now()
-	to, number, validUntil, ok := c.relays.choose(arrived, heard, c.Lag())
-	if !ok {
+	if !c.relays.enabled {
 		return medlargw.Outcome{}, false
 	}
+	to, number, validUntil, ok := c.relays.choose(c.clock.Now(), heard, c.Lag(), job.RequestID)
+	if ok {
+		c.relays.findLiving(job.RequestID).end()
+		if o, relayed := c.handOver(ctx, job, &to, number, validUntil); relayed {
+			now := c.clock.Now()
+			c.relays.recordEnd(now, job.RequestID, &to, &o, now.Add(c.settings.Call+c.settings.Silence+c.settings.Resubmit))
+			return o, true
+		}
+	}
+	if o, relayed := c.awaitFormerRelay(ctx, job); relayed {
+		return o, true
+	}
+	return c.coordinateHome(ctx, job, heard), true
+}
+
+// coordinateHome runs a job as its home, after its former submission here has ended. A
+// caller submits a job again after its connection has ended, which may be unnoticed.
+func (c *Conductor) coordinateHome(ctx context.Context, job *medlargw.Job, heard time.Time) medlargw.Outcome {
+	if job.RequestID == "" {
+		return c.coordinate(ctx, job, heard)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j := &livingJob{cancel: cancel, ended: make(chan struct{})}
+	defer c.relays.endLiving(job.RequestID, j)
+	c.relays.addLiving(job.RequestID, j).end()
+	c.relays.addHome(c.clock.Now(), job.RequestID, job.Deadline.Add(c.settings.Resubmit))
+	return c.coordinate(ctx, job, heard)
+}
+
+// awaitFormerRelay coordinates a job here once its runs at a peer have ended, and returns
+// false if there are none.
+func (c *Conductor) awaitFormerRelay(ctx context.Context, job *medlargw.Job) (medlargw.Outcome, bool) {
+	now := c.clock.Now()
+	former := c.relays.openRelay(job.RequestID)
+	if !now.Before(former.endsBy) {
+		return medlargw.Outcome{}, false
+	}
+	if !former.endsBy.Before(job.Deadline) {
+		return c.unknownRelay(now, job, &former.to, "no time left after its former runs"), true
+	}
+	select {
+	case <-time.After(former.endsBy.Sub(now)):
+		return c.coordinateHome(ctx, job, c.clock.Now()), true
+	case <-ctx.Done():
+		return medlargw.Outcome{Code: medlargw.CodeCancelled, Message: "the caller is gone"}, true
+	case <-c.ctx.Done():
+		return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}, true
+	}
+}
+
+// handOver hands a job to a peer. After a message that may have arrived, the job is not
+// run here: the peer is asked for its end, and if it does not answer, the end is unknown.
+// It returns false if the peer has not got the job.
+func (c *Conductor) handOver(ctx context.Context, job *medlargw.Job, to *medlargw.Peer, number uint64, validUntil time.Duration) (medlargw.Outcome, bool) {
+	arrived := c.clock.Now()
 	r := medlargw.Relay{
 		ID: medlargw.RelayID{From: c.self.Incarnation, Number: number}, Host: c.self.Host, Job: job, ValidUntil: validUntil,
 		Age: arrived.Sub(job.Arrived), TimeToDeadline: job.Deadline.Sub(arrived) - relayMargin, Wait: relayWait,
@@ -152,7 +309,7 @@
 		case err == nil && reply.State == medlargw.RelayRunning:
 			answered = now
 		case err == nil: // The peer has lost the job, or has not got it and takes it no more.
-			return c.unknownRelay(now, job, &to, "the peer does not know the job"), true
+			return c.unknownRelay(now, job, to, "the peer does not know the job"), true
 		default:
 			c.relays.pause(now, to.Incarnation)
 		}
@@ -164,7 +321,7 @@
 			return medlargw.Outcome{Code: medlargw.CodeAttemptLost, Message: "the entry has stopped"}, true
 		case now.Sub(answered) > relayWait+c.settings.Silence:
 			c.cancelRelay(to.Addr, r)
-			return c.unknownRelay(now, job, &to, "the peer does not answer"), true
+			return c.unknownRelay(now, job, to, "the peer does not answer"), true
 		}
 	}
 }
@@ -199,7 +356,7 @@
 	c.counters.countRelay("unknown")
 	c.log.Info("outcome of a relayed job is unknown", zap.String("job", job.RequestID), zap.String("to", string(to.Host)),
 		zap.String("reason", reason), zap.Duration("age", now.Sub(job.Arrived)))
-	o := medlargw.RefusedOutcome(job, medlargw.CodeAttemptLost, "the entry that runs the job is lost: "+reason, 0)
+	o := medlargw.RefusedOutcome(job, medlargw.CodeAttemptLost, "a peer may have run the job: "+reason, 0)
 	for i := range o.Tasks {
 		o.Tasks[i].Execution = medlargw.ExecutionUnknown
 	}
@@ -270,7 +427,7 @@
 	})
 	c.senders.Go(func() {
 		defer cancel()
-		o := c.coordinate(ctx, &job, now)
+		o := c.coordinateHome(ctx, &job, now)
 		c.endReceived(id, j, o)
 	})
 	return j
