Holder: the lease of a run that another holder started is not known here

A holder had stood still for 2.5 s; another one had claimed the target, started runs and renewed their lease. The first one, awake again, found the runs in a report, and 20 ms later counted them as ended, since the latest lease that it had granted itself had passed. It started tasks in their place while they ran.

The end of the lease is now taken as late as the longest one that the target grants, as after a claim, when a report lists a run of another holder.

TestUnknownRunHasAnUnknownLease before: 1 start beside the unknown run, want 0, in two of five rows; passes now, with the tests of package holder.

--- a/holder/report.go
+++ b/holder/report.go
@@ -293,7 +293,7 @@
 		listed[a.Run] = true
 		r := t.runs[a.Run]
 		if r == nil {
-			h.stopUnknown(now, t, a.Run)
+			h.stopUnknown(now, t, a.Run, report.Clock)
 			continue
 		}
 		if r.acked.IsZero() {
@@ -312,9 +312,11 @@
 }
 
 // stopUnknown stops a run that another holder started. Its size is unknown, so
-// no run is started on the target until it has ended.
-func (h *Holder) stopUnknown(now time.Time, t *target, id medlargw.RunID) {
+// no run is started on the target until it has ended. The other holder may have renewed
+// its lease until the given time on the target's clock.
+func (h *Holder) stopUnknown(now time.Time, t *target, id medlargw.RunID, clock time.Duration) {
 	h.log.Info("unknown run stopped", t.runFields(id)...)
+	t.leaseEnd = max(t.leaseEnd, clock+h.settings.Longest)
 	r := &run{id: id, target: t, state: runRunning, sent: now, acked: now}
 	t.addRun(r)
 	h.abandonRun(now, r, "unknown")
