Coordinator: jobs whose runs have ended by time are admitted in a fixed order

The order came from a map, so that a play or a test in virtual time with two such jobs at one time could differ from its repetition. Found in the review. Tests of package coordinator pass.

--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -114,11 +115,16 @@
 
 // expireEndings removes the jobs whose runs have ended by time.
 func (c *Coordinator) expireEndings(now time.Time) {
+	var expired []*ending
 	for _, e := range c.endings {
 		if !now.Before(e.endsBy) {
-			c.finishEnding(now, e, false)
+			expired = append(expired, e)
 		}
 	}
+	slices.SortFunc(expired, func(a, b *ending) int { return cmp.Compare(a.requestID, b.requestID) })
+	for _, e := range expired {
+		c.finishEnding(now, e, false)
+	}
 }
 
 // isEnding reports whether runs of a former submission of a job may go on.
