Holder: the cancel of a task that waits for another submission's run is answered as not started

A task whose job was given up while it waited at a holder for a run of another submission was answered as started, and dropped without a report. Its home got no proof of its end, so that the job's next submission waited for 1.3 s.

The answer is now that the task has not started and won't. Its home has no other use for the answer: the job has ended.

TestCancelOfHeldTaskIsAnswered before: got started, want refused. It passes now, with the tests of package holder.

--- a/holder/offer.go
+++ b/holder/offer.go
@@ -200,6 +200,7 @@
 	case w.held:
 		h.drop(w)
 		h.forget(now, w)
+		return medlargw.OfferRefused
 	}
 	return state
 }
--- a/holder/submission_test.go
+++ b/holder/submission_test.go
@@ -189,3 +189,15 @@
 		t.Error("events for the second home: got none, want returned")
 	}
 }
+
+// TestCancelOfHeldTaskIsAnswered guards against a submission that waits longer than it
+// must: its job was given up while it waited for a run of another submission, and its
+// home gets no proof that it has not started.
+func TestCancelOfHeldTaskIsAnswered(t *testing.T) {
+	x := newFixture(t)
+	x.startRun(1)
+	x.offerAgain()
+	if got := x.second(medlargw.Offer{Cancels: []medlargw.TaskID{1}})[0].State; got != medlargw.OfferRefused {
+		t.Errorf("answer to the cancel: got %v, want %v", got, medlargw.OfferRefused)
+	}
+}
