--- a/conductor/resubmission_test.go
+++ b/conductor/resubmission_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"medlargw.example/medlargw"
 )
 
 // TestResubmissionWaitsForFormerRuns guards against a task alive twice: the connection
@@ -54,3 +56,47 @@
 		})
 	}
 }
+
+// TestResubmissionWaitsForLateStartOrder guards against a task alive twice: a target
+// carries a start order out 1.7 s late, after its sender has lost it from sight, and the
+// job was given up and submitted again to its home in the meantime.
+func TestResubmissionWaitsForLateStartOrder(t *testing.T) {
+	const (
+		tasks = 4
+		work  = 600 * time.Millisecond
+		late  = 1700 * time.Millisecond
+	)
+	runCluster(t, 1, []string{"a1", "b1"}, func(cl *cluster) {
+		home := cl.entries[0].conductor
+		var own []medlargw.TargetName
+		for _, target := range cl.sim.targets.Targets() {
+			if target.Zone == "a" {
+				own = append(own, target.Name)
+			}
+		}
+		setFaults := func(f medlargw.TargetFaults) {
+			for _, name := range own {
+				cl.sim.targets.SetFaults(name, f)
+			}
+		}
+		cut := func(down bool) {
+			for _, name := range own {
+				cl.setHostDown("a1", string(name), down)
+			}
+		}
+		setFaults(medlargw.TargetFaults{GrantDelay: late})
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, func() { cut(true) })
+		time.AfterFunc(50*time.Millisecond, leave)
+		time.AfterFunc(late+300*time.Millisecond, func() {
+			setFaults(medlargw.TargetFaults{})
+			cut(false)
+		})
+		home.Submit(ctx, cl.newJob("job", tasks, work, 14000))
+		time.Sleep(resendAfter)
+		home.Submit(context.Background(), cl.newJob("job", tasks, work, 14000))
+		for _, violation := range cl.sim.targets.Violations() {
+			t.Error(violation)
+		}
+	})
+}
--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -10,12 +10,17 @@
 	"medlargw.example/medlargw"
 )
 
+// maxReportWait bounds the time in which a holder that lives is to report the end of a
+// run. Holders count an order without an answer as dropped by then if they do not reach
+// its target.
+const maxReportWait = 15 * time.Second
+
 // ending is a job that has ended here while tasks of it may have runs. It also holds
 // those of former submissions of the job.
 type ending struct {
 	requestID string
 	since     time.Time // When its latest submission ended.
-	endsBy    time.Time // When its runs have ended, even if no message tells it.
+	endsBy    time.Time // When its runs have ended, unless an order is carried out late.
 	tasks     map[medlargw.TaskID]*endingTask
 }
 
@@ -24,6 +29,7 @@
 	ending  *ending
 	holder  *holder
 	formers []*holder // Former holders of its run.
+	stopped bool      // The holder has answered that it stops the run, and will report its end.
 }
 
 // trackEnd records that a run of a task of an ended job may go on. The task was not
@@ -64,6 +70,7 @@
 			c.recordEnd(now, e.ID)
 		}
 	case medlargw.TaskUnknown:
+		w.stopped = false
 	}
 }
 
@@ -72,13 +79,19 @@
 	w.formers = slices.DeleteFunc(w.formers, func(h *holder) bool { return h == to })
 	w.formers = append(w.formers, w.holder)
 	w.holder = to
+	w.stopped = false
 }
 
-// recordAnswer applies a holder's answer to the cancel of a task whose job has ended.
-func (c *Coordinator) recordAnswer(now time.Time, from *holder, s *medlargw.OfferedState) {
+// recordAnswer applies a holder's state of a task whose job has ended, which answers its
+// cancel or a message before that.
+func (c *Coordinator) recordAnswer(now time.Time, from *holder, s *medlargw.OfferedState, cancelled bool) {
 	w := c.endingTasks[s.ID]
-	if w != nil && w.holder == from && (s.State == medlargw.OfferRefused || s.State == medlargw.OfferExpired) {
+	switch {
+	case w == nil || w.holder != from:
+	case s.State == medlargw.OfferRefused || s.State == medlargw.OfferExpired:
 		c.recordEnd(now, s.ID)
+	case cancelled:
+		w.stopped = true
 	}
 }
 
@@ -113,11 +126,33 @@
 	}
 }
 
+// isReportDue reports whether a holder that lives is to report the end of a run. Until
+// then, a target may still carry out the start order late.
+func (c *Coordinator) isReportDue(now time.Time, e *ending) bool {
+	for _, w := range e.tasks {
+		if w.stopped && c.isHeard(now, w.holder) {
+			return true
+		}
+	}
+	return false
+}
+
+// isHeard reports whether a holder has given a sign of life within the time after which
+// it counts as lost.
+func (c *Coordinator) isHeard(now time.Time, h *holder) bool {
+	return h.peer.Incarnation == c.self.Incarnation || !h.lost && now.Sub(h.lastHeard) <= maxMissedKeepalives*c.settings.Keep
+}
+
+// hasRuns reports whether runs of an ended job may go on.
+func (c *Coordinator) hasRuns(now time.Time, e *ending) bool {
+	return now.Before(e.endsBy) || now.Sub(e.since) < maxReportWait && c.isReportDue(now, e)
+}
+
 // expireEndings removes the jobs whose runs have ended by time.
 func (c *Coordinator) expireEndings(now time.Time) {
 	var expired []*ending
 	for _, e := range c.endings {
-		if !now.Before(e.endsBy) {
+		if !c.hasRuns(now, e) {
 			expired = append(expired, e)
 		}
 	}
@@ -130,7 +165,7 @@
 // isEnding reports whether runs of a former submission of a job may go on.
 func (c *Coordinator) isEnding(now time.Time, requestID string) bool {
 	e := c.endings[requestID]
-	return e != nil && now.Before(e.endsBy)
+	return e != nil && c.hasRuns(now, e)
 }
 
 // logResubmission logs a job that is submitted while runs of its former submission may
--- a/coordinator/ending_test.go
+++ b/coordinator/ending_test.go
@@ -49,6 +49,27 @@
 		{"all runs have ended by time", func(h *fixture, _ medlargw.TaskID) {
 			h.advance(medlargw.DefaultLeaseSettings().Resubmit, func() {})
 		}, false},
+		{"the holder lives and has not reported the end", func(h *fixture, id medlargw.TaskID) {
+			h.answerCancel(id, medlargw.OfferStarted)
+			h.advance(3*time.Second, func() { h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil) })
+		}, true},
+		{"the report of a holder that lives was lost", func(h *fixture, id medlargw.TaskID) {
+			h.answerCancel(id, medlargw.OfferStarted)
+			h.advance(15*time.Second, func() { h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil) })
+		}, false},
+		{"the holder has not reported the end and is silent", func(h *fixture, id medlargw.TaskID) {
+			h.answerCancel(id, medlargw.OfferStarted)
+			h.advance(1800*time.Millisecond, func() {
+				if h.now.Sub(start) < time.Second {
+					h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil)
+				}
+			})
+		}, false},
+		{"the holder lives and has lost the target", func(h *fixture, id medlargw.TaskID) {
+			h.answerCancel(id, medlargw.OfferStarted)
+			h.report(holder, id, medlargw.TaskUnknown)
+			h.advance(medlargw.DefaultLeaseSettings().Resubmit, func() { h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil) })
+		}, false},
 		{"some runs may not have ended yet", func(h *fixture, _ medlargw.TaskID) {
 			h.advance(medlargw.DefaultLeaseSettings().Resubmit-100*time.Millisecond, func() {})
 		}, true},
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -33,7 +33,7 @@
 			c.setTarget(t, s.Target)
 			c.applyOfferState(now, t, s.State)
 		}
-		c.recordAnswer(now, h, &s)
+		c.recordAnswer(now, h, &s, slices.Contains(o.Offer.Cancels, s.ID))
 	}
 }
 
