Holder: the home of a cancelled task learns when the run that it waited for has ended

A task that waits at a holder for a run of another submission was dropped without a report when its job was given up. Its home got no proof of its end, so that the job's next submission waited for the time alone, 1.3 s and, since a home waits for the report of a holder that lives, up to 15 s.

The task stays until the run has ended, and is returned then like one that was not cancelled; it never starts. The answer to the cancel says that it counts as started, which is no proof.

Tests of package holder and the searches of package conductor pass.

--- a/holder/offer.go
+++ b/holder/offer.go
@@ -190,17 +190,12 @@
 // another submission of its job has.
 func (w *task) isBound() bool { return w.run != nil || w.held }
 
-// cancel stops a task that was started, and returns one that was not.
+// cancel stops a task that was started, and returns one that was not. One that waits for
+// a run of another submission is returned when that has ended.
 func (h *Holder) cancel(now time.Time, m *home, id medlargw.TaskID) medlargw.OfferState {
 	state := h.recall(now, m, id)
-	switch w := m.tasks[id]; {
-	case w == nil:
-	case w.run != nil:
+	if w := m.tasks[id]; w != nil && w.run != nil {
 		h.abandonRun(now, w.run, "cancelled")
-	case w.held:
-		h.drop(w)
-		h.forget(now, w)
-		return medlargw.OfferRefused
 	}
 	return state
 }
