Coordinator: a home does not wait for the report of a holder that has lost the run

A holder that has lost a target reports that its runs may go on elsewhere, and answers the cancel of such a run as started, as it can't tell more. When the answer came last, the home took it for the promise of a report, and held the job's next submission for up to 15 s instead of 1.3 s.

The report that the run may go on elsewhere now stands until another holder reports the run.

TestProofOfEndOfGivenUpJob, 'the holder lives and has lost the target before the cancel', before: got true, want false. It passes now, with the tests of package coordinator.

--- a/coordinator/ending.go
+++ b/coordinator/ending.go
@@ -30,6 +30,7 @@
 	holder  *holder
 	formers []*holder // Former holders of its run.
 	stopped bool      // The holder has answered that it stops the run, and will report its end.
+	unknown bool      // The holder has lost the run, which may go on under another one.
 }
 
 // trackEnd records that a run of a task of an ended job may go on. The task was not
@@ -70,7 +71,7 @@
 			c.recordEnd(now, e.ID)
 		}
 	case medlargw.TaskUnknown:
-		w.stopped = false
+		w.unknown = w.unknown || from == w.holder
 	}
 }
 
@@ -79,7 +80,7 @@
 	w.formers = slices.DeleteFunc(w.formers, func(h *holder) bool { return h == to })
 	w.formers = append(w.formers, w.holder)
 	w.holder = to
-	w.stopped = false
+	w.stopped, w.unknown = false, false
 }
 
 // recordAnswer applies a holder's state of a task whose job has ended, which answers its
@@ -130,7 +131,7 @@
 // then, a target may still carry out the start order late.
 func (c *Coordinator) isReportDue(now time.Time, e *ending) bool {
 	for _, w := range e.tasks {
-		if w.stopped && c.isHeard(now, w.holder) {
+		if w.stopped && !w.unknown && c.isHeard(now, w.holder) {
 			return true
 		}
 	}
--- a/coordinator/ending_test.go
+++ b/coordinator/ending_test.go
@@ -65,6 +65,11 @@
 				}
 			})
 		}, false},
+		{"the holder lives and has lost the target before the cancel", func(h *fixture, id medlargw.TaskID) {
+			h.report(holder, id, medlargw.TaskUnknown)
+			h.answerCancel(id, medlargw.OfferStarted)
+			h.advance(medlargw.DefaultLeaseSettings().Resubmit, func() { h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil) })
+		}, false},
 		{"the holder lives and has lost the target", func(h *fixture, id medlargw.TaskID) {
 			h.answerCancel(id, medlargw.OfferStarted)
 			h.report(holder, id, medlargw.TaskUnknown)
