Holder: an answer to a former submission's start order is no answer to the next

What callers saw: nothing yet. A job that is submitted again at once could have a task alive twice: the second submission's run goes on at its target, and its task starts again on another one.

Cause: the answer to a start order was matched by target, run number and claim alone. An order that is proven void by a report with a higher token, or by an answered stop, leaves its call under way. The next submission's order has the same number, since each home counts from 1, and may go to the same target. "Fenced", "unhealthy" or "not sent" from the former call then queued the task anew though the latter order was carried out; no answer to the former call stopped the run.

Ruled out: the answer meets a later order of the same submission, since a task whose order is proven void so gets the next number, and a task that is queued anew under its number has had the answer.

Change: an answer counts only for the run whose order it answers, by its token and the time of its decision.

--- a/holder/order.go
+++ b/holder/order.go
@@ -48,7 +48,7 @@
 	if t != nil {
 		t.grants.settle(c.Order.FenceToken, t.token, err)
 	}
-	if r == nil || r.state == runRunning {
+	if r == nil || r.state == runRunning || !r.isOrderedBy(c) {
 		return
 	}
 	if errors.Is(err, medlargw.ErrNotSent) {
@@ -87,6 +87,12 @@
 	h.place(now)
 }
 
+// isOrderedBy reports whether a start order is that of this run. One that is proven void
+// before it is answered may be followed by another submission's order of the same number.
+func (r *run) isOrderedBy(c *medlargw.StartCommand) bool {
+	return r.token == c.Order.FenceToken && r.sent.Equal(c.DecidedAt)
+}
+
 // handleRefusedStart handles a run that is proven not started.
 func (h *Holder) handleRefusedStart(now time.Time, t *target, r *run, status medlargw.OrderStatus) {
 	switch status {
--- a/holder/submission_test.go
+++ b/holder/submission_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -189,3 +190,44 @@
 		t.Error("events for the second home: got none, want returned")
 	}
 }
+
+// TestLateAnswerToOrderOfFormerSubmission guards against a task alive twice: an order of
+// a job's first submission is proven void before it is answered, the job is submitted
+// again, and the answer is taken for one to the second submission's order, which has the
+// same number and has been carried out.
+func TestLateAnswerToOrderOfFormerSubmission(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply medlargw.OrderReply
+		err   error
+	}{
+		{"fenced", medlargw.OrderReply{Status: medlargw.OrderFenced}, nil},
+		{"unhealthy", medlargw.OrderReply{Status: medlargw.OrderUnhealthy}, nil},
+		{"not sent", medlargw.OrderReply{}, medlargw.ErrNotSent},
+		{"none", medlargw.OrderReply{}, context.DeadlineExceeded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			_, a := x.offer(1, 14000)
+			first := a.Starts[0]
+			_, a = x.offer(2, 14000)
+			x.h.StartAnswered(x.now, &a.Starts[0], medlargw.OrderReply{}, context.DeadlineExceeded)
+			x.now = x.now.Add(210 * time.Millisecond) // Its answer has come in and waits for its turn.
+			x.h.HandleOffer(x.now, 0, &medlargw.Offer{From: medlargw.Member{Host: "home", Incarnation: 7}})
+			x.h.Tick(x.now)
+			x.takeActions()
+			for range 2 { // The second renewal has a higher token.
+				x.report(medlargw.RunReport{Clock: x.now.Sub(start), IncarnationStart: start})
+			}
+			_, starts := x.offerAgain()
+			if len(starts) != 1 || starts[0].Order.Run != first.Order.Run {
+				t.Fatalf("starts for the second submission: got %+v, want one of %v", starts, first.Order.Run)
+			}
+			x.h.StartAnswered(x.now, &first, test.reply, test.err)
+			if a := x.takeActions(); len(a.Starts)+len(a.Stops)+len(a.Reports) != 0 {
+				t.Errorf("actions after the answer to the first order: got %+v, want none", a)
+			}
+		})
+	}
+}
