Test: a search for refusals of jobs that have run, run or will run

A job that is answered as not run may be submitted elsewhere at once, so an untrue refusal gives it a second home. They had no targets that reject orders for a while, no evacuated zones, no bursts and no callers that come back after a refusal.

All searches now record each refused submission: it is a violation that a run of the submission has started or starts, or that any run of the task is active at that time.

--- a/conductor/search_caller_test.go
+++ b/conductor/search_caller_test.go
@@ -36,7 +36,8 @@
 	maxSubmissions = 3
 	// maxNotice bounds the time until a home that lives notices a broken connection.
 	maxNotice = 150 * time.Millisecond
-	// maxReturn bounds the time until a caller comes back that returns soon.
+	// maxReturn bounds the time until a caller comes back that returns soon, or whose job
+	// was refused.
 	maxReturn = 200 * time.Millisecond
 )
 
@@ -115,13 +116,10 @@
 			}
 		}
 		return
-	case notRun && !c.mayHaveRun:
-		c.ended = true
-		for i := range j.Tasks {
-			w.targets.RecordNotRun(j.Tasks[i].ID)
-		}
+	case notRun:
+		c.refused(j)
 		return
-	case notRun, o.Code == medlargw.CodeTaskFailed, c.submissions == maxSubmissions:
+	case o.Code == medlargw.CodeTaskFailed, c.submissions == maxSubmissions:
 		c.ended = true
 		return
 	}
@@ -129,6 +127,24 @@
 	w.after(resendAfter, func() { c.submit(w.rand.IntN(8)) })
 }
 
+// refused handles an answer that the job has not run. The caller may submit the job
+// again at once; otherwise no task of it may start any more.
+func (c *searchCaller) refused(j *medlargw.Job) {
+	w := c.w
+	for i := range j.Tasks {
+		w.targets.RecordRefusal(j.Tasks[i].ID, j.Tasks[i].Payload)
+		w.refusals.add(j.Tasks[i].ID, c.submissions)
+	}
+	if w.returns && c.submissions < maxSubmissions && w.chance(0.7) {
+		w.after(w.upTo(maxReturn), func() { c.submit(w.rand.IntN(8)) })
+		return
+	}
+	c.ended = true
+	for i := range j.Tasks {
+		w.targets.RecordNotRun(j.Tasks[i].ID)
+	}
+}
+
 // breakCallers breaks connections of callers to an entry that goes on. The entry
 // notices at once or later, and the callers submit their jobs again: after the usual time
 // to any entry, or soon after that to the same one.
--- a/conductor/search_disturbance_test.go
+++ b/conductor/search_disturbance_test.go
@@ -31,6 +31,9 @@
 	brokenAndCut
 	resetTarget
 	returningCallers
+	sheddingTarget
+	evacuatedZone
+	burst
 )
 
 // drawnDisturbances lists the kinds as often as they are drawn. The group changes
@@ -51,14 +54,27 @@
 	resetTarget, resetTarget, resetTarget, returningCallers,
 }
 
+// drawnWithRefusals lists the kinds for searches of refused jobs: targets reject orders,
+// and demand exceeds what they can serve.
+var drawnWithRefusals = []disturbance{
+	sheddingTarget, sheddingTarget, sheddingTarget, evacuatedZone, evacuatedZone, burst, burst, burst,
+	plannedStop, plannedStop, plannedStopTakenBack, plannedStopTakenBack, lostEntry, cutEntries, cutOneWay, cutTarget, cutTargetAnswers,
+	crashedTarget, slowTarget, hangingTarget, failingTarget, lateOrders, frozenEntry, unlistedTarget,
+	brokenConnections, brokenAndCut, returningCallers, returningCallers,
+}
+
 func (d disturbance) String() string {
 	return [...]string{
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
 		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
 		"broken connections", "broken connections and a holder cut off", "reset and cut target", "callers that return soon",
+		"shedding target", "evacuated zone", "burst",
 	}[d]
 }
 
+// burstJobs is the number of jobs in a burst.
+const burstJobs = 12
+
 // disturb begins a fault.
 func (w *searchWorld) disturb(f searchFault, log *zap.Logger) {
 	e := w.entries[f.Entry]
@@ -116,6 +132,16 @@
 		})
 	case unlistedTarget:
 		w.unlisted[name] = w.now.Add(f.Length)
+	case sheddingTarget:
+		w.shedding[name] = w.now.Add(f.Length)
+	case evacuatedZone:
+		w.evacuated[e.peer.Zone] = w.now.Add(f.Length)
+	case burst:
+		for range burstJobs {
+			plan := w.callers[w.rand.IntN(len(w.callers))].plan
+			plan.At, plan.Entry = w.upTo(searchBusyTick), f.Entry
+			w.addCaller(plan)
+		}
 	case brokenConnections:
 		w.breakCallers(e, false)
 	case returningCallers: // Their former runs go on where cancels or stops are lost.
--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -107,6 +107,12 @@
 			}
 		}
 	}
+	for zone, until := range e.w.evacuated {
+		if until.After(e.w.now) {
+			g.Evacuated = append(g.Evacuated, zone)
+		}
+	}
+	slices.Sort(g.Evacuated)
 	// All lists are read at the same pace, each with its own lag.
 	g.Targets = e.group.Targets
 	if next := e.w.targetList(); len(g.Targets) == 0 || !slices.Equal(next, g.Targets) {
@@ -152,6 +158,9 @@
 	for _, p := range g.ListedEntries {
 		b = append(append(b, ' '), p.Host...)
 	}
+	for _, zone := range g.Evacuated {
+		b = append(append(b, " without "...), zone...)
+	}
 	return string(b)
 }
 
--- a/conductor/search_order_test.go
+++ b/conductor/search_order_test.go
@@ -34,13 +34,16 @@
 		return func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, err) }
 	}
 	w.order(e, startMessage, name, e.settings.Order, func(late time.Duration, respond func(searchHandler)) {
-		reply := medlargw.OrderReply{Status: medlargw.OrderUnhealthy}
-		if !w.chance(w.unused) {
+		reply := medlargw.OrderReply{Status: w.rejection(name)}
+		if reply.Status == medlargw.OrderDone {
 			order := c.Order
 			order.LeaseEnd += late
 			reply = w.targets.Start(name, order)
 		}
 		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
+		if reply.Status != medlargw.OrderDone {
+			w.refusals.rejected[c.Order.Run.Task] = true
+		}
 		if w.targets.IsDown(name) {
 			w.log("%s: crashed by %v", name, c.Order.Run)
 			w.breakConnections(name)
@@ -52,6 +55,20 @@
 	}, failed)
 }
 
+// rejection returns the status with which a target rejects the next start order, or that
+// of an order that is carried out.
+func (w *searchWorld) rejection(name medlargw.TargetName) medlargw.OrderStatus {
+	switch {
+	case w.shedding[name].After(w.now) && w.chance(0.7):
+		return []medlargw.OrderStatus{
+			medlargw.OrderUnhealthy, medlargw.OrderUnhealthy, medlargw.OrderNoResources, medlargw.OrderExpired, medlargw.OrderInvalid,
+		}[w.rand.IntN(5)]
+	case w.chance(w.unused):
+		return medlargw.OrderUnhealthy
+	}
+	return medlargw.OrderDone
+}
+
 func (e *searchEntry) sendStop(c *medlargw.StopCommand) {
 	w, name := e.w, c.Target.Name
 	w.log("%s sends stop of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>32, name)
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -68,7 +68,7 @@
 func TestRulesOfTargetsWithLateGrants(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		runSearch(t, rapid.Bool().Draw(t, "idempotent"), false, drawnWithLateGrants, func(w *searchWorld) []string {
+		runSearch(t, &searchPlan{idempotent: rapid.Bool().Draw(t, "idempotent"), kinds: drawnWithLateGrants}, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
 		})
 	})
@@ -91,7 +91,7 @@
 func TestRulesOfTargetsThatCrashAndResize(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		runSearch(t, rapid.Bool().Draw(t, "idempotent"), true, drawnDisturbances, func(w *searchWorld) []string {
+		runSearch(t, &searchPlan{idempotent: rapid.Bool().Draw(t, "idempotent"), crashAndResize: true, kinds: drawnDisturbances}, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
 		})
 	})
@@ -99,15 +99,23 @@
 
 // search plays drawn courses of events, each until a rule is broken.
 func search(t *testing.T, idempotent *rapid.Generator[bool], broken func(w *searchWorld) []string) {
-	rapid.Check(t, func(t *rapid.T) { runSearch(t, idempotent.Draw(t, "idempotent"), false, drawnDisturbances, broken) })
+	rapid.Check(t, func(t *rapid.T) {
+		runSearch(t, &searchPlan{idempotent: idempotent.Draw(t, "idempotent"), kinds: drawnDisturbances}, broken)
+	})
+}
+
+// searchPlan says what is drawn in a search.
+type searchPlan struct {
+	idempotent     bool          // The jobs are idempotent.
+	crashAndResize bool          // Tasks crash targets, and targets are resized.
+	returns        bool          // Callers of refused jobs submit them again.
+	kinds          []disturbance // Of the faults.
 }
 
-// runSearch plays one drawn course of events, with tasks that crash targets and with
-// targets that are resized if that is set, and faults of the given kinds. It fails at
-// the first broken rule.
-func runSearch(t *rapid.T, idempotent, crashAndResize bool, kinds []disturbance, broken func(w *searchWorld) []string) {
+// runSearch plays one drawn course of events. It fails at the first broken rule.
+func runSearch(t *rapid.T, p *searchPlan, broken func(w *searchWorld) []string) *searchWorld {
 	w := newSearchWorld(rapid.Uint64().Draw(t, "seed"), t.Logf)
-	w.idempotent = idempotent
+	w.idempotent, w.returns = p.idempotent, p.returns
 	w.suspect = drawDuration(t, 300, 1200, "suspect")
 	w.indirect = rapid.Bool().Draw(t, "indirect")
 	w.listed = rapid.Bool().Draw(t, "listed")
@@ -115,7 +123,7 @@
 	fates := drawFates(t)
 	zones := rapid.SampledFrom([][]string{{"a", "a", "a"}, {"a", "a", "b"}}).Draw(t, "zones")
 	targets := rapid.IntRange(1, 4).Draw(t, "targets")
-	if crashAndResize {
+	if p.crashAndResize {
 		targets += maxAvoided // A task avoids that many of those that it has crashed.
 	}
 	for i := range targets {
@@ -132,8 +140,8 @@
 		w.addEntry(fmt.Sprintf("e%d", i), zones[i], i, log)
 	}
 	jobs := rapid.SliceOfN(rapid.Custom(drawJob), 1, 10).Draw(t, "jobs")
-	faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) searchFault { return drawFault(t, kinds) }), 0, 8).Draw(t, "faults")
-	if crashAndResize {
+	faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) searchFault { return drawFault(t, p.kinds) }), 0, 8).Draw(t, "faults")
+	if p.crashAndResize {
 		w.drawCrashes(t, jobs)
 	}
 	w.after(searchWarmUp, func() {
@@ -147,6 +155,7 @@
 	})
 	w.after(searchWarmUp+searchActive+2*time.Second, func() { w.calm(log) })
 	w.run(t, broken)
+	return w
 }
 
 // run runs all events until the callers have their answers and nothing is under
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -99,16 +99,20 @@
 	delayed       map[medlargw.TargetName]time.Time
 	lateGrants    map[medlargw.TargetName]time.Time
 	unlisted      map[medlargw.TargetName]time.Time
-	idempotent    bool          // The jobs are idempotent.
-	suspect       time.Duration // Silence after which an entry leaves the group of another.
-	indirect      bool          // Entries tell each other whom they have heard.
-	listed        bool          // Groups have ListedEntries.
-	silentCrashes bool          // Targets that crash neither close nor refuse connections.
-	longest       time.Duration // Until all jobs have an outcome.
-	downtime      time.Duration // Of the targets that the first task of a deadly job crashes.
-	unused        float64       // Probability that a target rejects an order as unhealthy.
-	problems      []string      // Of outcomes.
-	endless       []string      // Events whose actions never ended.
+	idempotent    bool                              // The jobs are idempotent.
+	suspect       time.Duration                     // Silence after which an entry leaves the group of another.
+	indirect      bool                              // Entries tell each other whom they have heard.
+	listed        bool                              // Groups have ListedEntries.
+	silentCrashes bool                              // Targets that crash neither close nor refuse connections.
+	longest       time.Duration                     // Until all jobs have an outcome.
+	downtime      time.Duration                     // Of the targets that the first task of a deadly job crashes.
+	shedding      map[medlargw.TargetName]time.Time // Until when targets reject most start orders.
+	evacuated     map[medlargw.ZoneName]time.Time   // Until when zones are evacuated.
+	returns       bool                              // Callers of refused jobs submit them again.
+	refusals      refusalCounts
+	unused        float64  // Probability that a target rejects an order as unhealthy.
+	problems      []string // Of outcomes.
+	endless       []string // Events whose actions never ended.
 }
 
 func newSearchWorld(seed uint64, trace func(format string, args ...any)) *searchWorld {
@@ -118,6 +122,8 @@
 		processes: map[string]int{},
 		polls:     map[medlargw.TargetName][]*searchPoll{}, work: map[string]medlargw.SimulatedTask{}, cuts: map[[2]string]time.Time{},
 		delayed: map[medlargw.TargetName]time.Time{}, lateGrants: map[medlargw.TargetName]time.Time{}, unlisted: map[medlargw.TargetName]time.Time{},
+		shedding: map[medlargw.TargetName]time.Time{}, evacuated: map[medlargw.ZoneName]time.Time{},
+		refusals: refusalCounts{rejected: map[string]bool{}},
 	}
 	w.longest = searchLongest
 	w.targets = imitator.New(
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -173,6 +173,28 @@
 	im.notRun[task] = true
 }
 
+// RecordRefusal records a task of a submission of its job that was reported as not run.
+// Submissions are told apart by the payloads of their tasks. An earlier or later start
+// for this submission is a violation, as is a run of the task at this time, whatever
+// submission it is of: the caller may submit the job elsewhere at once.
+func (im *Imitator) RecordRefusal(task string, payload []byte) {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	for _, t := range im.targets {
+		im.endDueRuns(t)
+		for id := range t.runs {
+			if id.Task == task {
+				im.addViolation("task %s: its job was refused during run %d on %s", task, id.Attempt, t.info.Name)
+			}
+		}
+	}
+	s := im.history(newSubmission(task, payload))
+	if s.lastRun != "" {
+		im.addViolation("task %s: its job was refused after the start of %s", task, s.lastRun)
+	}
+	s.refused = true
+}
+
 // SetFaults replaces the faults of a target.
 func (im *Imitator) SetFaults(name medlargw.TargetName, f medlargw.TargetFaults) {
 	im.mu.Lock()
--- a/imitator/repeat.go
+++ b/imitator/repeat.go
@@ -24,6 +24,7 @@
 // history is what is known of the runs of a task of one submission.
 type history struct {
 	succeeded bool
+	refused   bool      // The submission was reported as not run.
 	ackedEnd  string    // The acknowledged end of a successful run; empty is none.
 	lastStart time.Time // Of its runs.
 	lastRun   string    // The run that started then.
@@ -52,6 +53,9 @@
 	s := im.history(of)
 	s.lastStart = im.now()
 	s.lastRun = fmt.Sprintf("run %d on %s", id.Attempt, t.info.Name)
+	if s.refused {
+		im.addViolation("task %s: got a start of %s after this submission of its job was refused, want none", of.task, s.lastRun)
+	}
 	if s.ackedEnd != "" {
 		im.addRepeat(of, s.lastRun, s.ackedEnd)
 	}
