Test: refusals of whole entries are checked for runs before and at their time

The tests with conductors recorded a refused job so that a later start of its tasks was detected, not a run that had started before the refusal or went on at that time. TestCallersReturnInOrder recorded its refusals and never looked at the violations.

Jobs that were submitted once are now checked for runs before, at and after their refusal; the check of later starts by the task's name stays. TestCallersReturnInOrder looks at the violations.

--- a/conductor/cluster_test.go
+++ b/conductor/cluster_test.go
@@ -258,11 +258,15 @@
 	cl.withLock(func() { cl.pending++ })
 	go func() {
 		defer cl.withLock(func() { cl.pending-- })
-		for range 3 {
+		for try := range 3 {
 			outcome := cl.submitOnce(e, key, tasks, work, cores)
 			if outcome.Complete || outcome.Code != medlargw.CodeAttemptLost {
 				cl.withLock(func() { cl.outcomes[string(outcome.Code)]++ })
-				cl.recordNotRun(key, tasks, &outcome)
+				if try == 0 {
+					cl.recordRefusal(make([]medlargw.Task, tasks), &outcome)
+				} else {
+					cl.recordNotRun(key, tasks, &outcome)
+				}
 				return
 			}
 			time.Sleep(resendAfter)
@@ -290,6 +294,18 @@
 	}
 }
 
+// recordRefusal records the tasks of a job that was submitted once and reported as not
+// run, so that a run before, at the time or later is detected.
+func (cl *cluster) recordRefusal(tasks []medlargw.Task, o *medlargw.Outcome) {
+	if o.Complete || len(o.Tasks) == 0 || !o.NotRun() {
+		return
+	}
+	for i := range tasks {
+		cl.sim.targets.RecordRefusal(o.Tasks[i].ID, tasks[i].Payload)
+		cl.sim.targets.RecordNotRun(o.Tasks[i].ID)
+	}
+}
+
 func (cl *cluster) submitOnce(e *entry, key string, tasks int, work time.Duration, cores int64) medlargw.Outcome {
 	return e.conductor.Submit(context.Background(), cl.newJob(key, tasks, work, cores))
 }
--- a/conductor/congestion_test.go
+++ b/conductor/congestion_test.go
@@ -83,7 +83,7 @@
 		wg.Go(func() {
 			j.outcome = e.conductor.Submit(context.Background(), m)
 			j.age = time.Since(m.Arrived)
-			cl.recordNotRun(m.RequestID, j.tasks, &j.outcome)
+			cl.recordRefusal(m.Tasks, &j.outcome)
 		})
 	}
 }
--- a/conductor/policy_test.go
+++ b/conductor/policy_test.go
@@ -63,7 +63,7 @@
 		go func() {
 			defer cl.withLock(func() { cl.pending-- })
 			jobResults[i] = cl.submitJob(j, m, i)
-			cl.recordNotRun(key, j.tasks, &jobResults[i].outcome)
+			cl.recordRefusal(m.Tasks, &jobResults[i].outcome)
 		}()
 	}
 	for open := 1; open > 0; time.Sleep(100 * time.Millisecond) {
--- a/conductor/return_test.go
+++ b/conductor/return_test.go
@@ -35,7 +35,7 @@
 					}
 				})
 				r := cl.submitJob(j, m, i+try)
-				cl.recordNotRun(key, j.tasks, &r.outcome)
+				cl.recordRefusal(m.Tasks, &r.outcome)
 				if r.outcome.Complete {
 					answered[i] = time.Since(arrived)
 					return
@@ -62,6 +62,9 @@
 	runCluster(t, 1, policyHosts, func(cl *cluster) {
 		jobs := cl.burst(1, burst, calm, until)
 		answered, asked := cl.returningCallers(jobs, patience)
+		for _, violation := range cl.sim.targets.Violations() {
+			t.Error(violation)
+		}
 		var mean [3]time.Duration
 		var n, unanswered [3]int
 		for i := range jobs {
