Holder: a target is claimed anew at most once in the time of an order

Each raises the token, costs a call, keeps new runs from the target until the call is answered, and makes the target refuse orders with the former token that are under way; these go again with their number.

Where orders time out, claims were at least 0.2 s apart already: an order with the new token is sent after the target has accepted it, and counts as unanswered 0.2 s later. Where connections are reset, an order fails at once and the next answered renewal raised the token again: nothing bounded the pause but the round trip.

A token is now kept for as long as an order with it may be under way, LeaseSettings.Order. Later renewals wait at the target no longer than the rest of that. Orders that got no answer count as open until the claim, as before, so that a later claim proves nothing too early.

Ruled out: that refusals by an own higher token prove too little for the same number to be used again. The client sends each order once (no GetBody, no idempotency key), so the refused copy is the only one.

--- a/holder/report.go
+++ b/holder/report.go
@@ -40,12 +40,16 @@
 	}
 	anew := t.grants.unanswered > 0 && t.failedRenewals == 0 && !t.transferring && !t.releasing
 	fresh := now.Sub(t.answeredAt) <= h.settings.Order
-	if anew && fresh {
-		h.claimAnew(t)
+	pause := t.claimedAnewAt.Add(h.settings.Order).Sub(now)
+	if anew && fresh && pause <= 0 {
+		h.claimAnew(now, t)
 	}
 	renewal := medlargw.Renewal{FenceToken: t.token, AckedSequence: t.ackable(), MaxWait: h.pollWait(now, t)}
-	if t.failedRenewals > 0 || t.token > t.grants.seen || anew && !fresh {
+	switch {
+	case t.failedRenewals > 0 || t.token > t.grants.seen || anew && !fresh:
 		renewal.MaxWait = 0 // The target should answer at once.
+	case anew:
+		renewal.MaxWait = min(renewal.MaxWait, pause)
 	}
 	h.grantLease(now, t, &renewal)
 	h.actions.Renewals = append(h.actions.Renewals, medlargw.RenewCommand{Target: t.info, Renewal: renewal})
@@ -76,10 +80,12 @@
 
 // claimAnew raises the token of a target that has just answered a renewal, so that no
 // other entry has claimed it. Once the target has seen the token, the orders that got no
-// answer are void. What runs there goes on.
-func (h *Holder) claimAnew(t *target) {
+// answer are void. What runs there goes on. The target refuses orders with the former
+// token that are under way, so each token is kept for as long as an order may be.
+func (h *Holder) claimAnew(now time.Time, t *target) {
 	h.log.Debug("target claimed anew", zap.String("target", string(t.info.Name)), zap.Int("unanswered", t.grants.unanswered))
 	t.token = h.tokens.next()
+	t.claimedAnewAt = now
 	t.grants.raise()
 }
 
--- a/holder/target.go
+++ b/holder/target.go
@@ -68,6 +68,7 @@
 	awaitedEnd     uint64        // Sequence number of the last end when that wait began.
 	nextRenew      time.Time
 	claimedAt      time.Time // When the claim was answered.
+	claimedAnewAt  time.Time // When its token was last raised; zero is never.
 	lastAnswer     time.Time // Arrival of the last answer.
 	transferredAt  time.Time // When it was last transferred to this entry; zero is never.
 	failedRenewals int       // Consecutive renewals that were not answered.
