Holder: tokens do not overflow when many targets are lost at once

An entry from which another one has claimed 32 targets or more at about the same time, as after a cut, could not claim targets any more: the term of its tokens doubles its step with each refused order, also with those of tokens that were generated before the last rise. 70 rejections add more than the 32 bits of the term hold, so the next tokens were as low as the first ones and were refused for as long as the process ran.

The term rises once for all tokens that were generated before. Those of the next round are higher, and the step doubles with each round, as before for one target.

TestManyRejectedTokens before: "token after 70 rejections: got, want above the former".

--- a/holder/claim_test.go
+++ b/holder/claim_test.go
@@ -9,7 +9,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/holder"
+	"medlargw.example/medlargw/pacer"
 )
 
 // losing is a target beside its holder that gives no answer to some of its start orders,
@@ -199,3 +203,42 @@
 		})
 	}
 }
+
+// TestManyRejectedTokens guards against tokens that overflow, and are rejected from then
+// on, when another entry has claimed many targets at once.
+func TestManyRejectedTokens(t *testing.T) {
+	const targets = 70
+	x := &fixture{t: t, now: start, h: holder.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), self, pacer.New(0))}
+	g := medlargw.Group{Entries: []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}}}
+	for i := range targets {
+		g.Targets = append(g.Targets, medlargw.Target{
+			Name: medlargw.TargetName(fmt.Sprintf("t%d", i)), Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000},
+		})
+	}
+	x.h.SetGroup(x.now, g)
+	x.now = x.now.Add(time.Second)
+	x.h.Tick(x.now)
+	highest := uint64(0)
+	for _, c := range x.takeActions().Renewals {
+		highest = max(highest, c.Renewal.FenceToken)
+		x.h.RenewAnswered(x.now, x.now, &c, &medlargw.RunReport{Clock: time.Second, IncarnationStart: start}, nil)
+	}
+	renewals := x.takeActions().Renewals
+	if len(renewals) != targets {
+		t.Fatalf("renewals: got %d, want %d", len(renewals), targets)
+	}
+	for _, c := range renewals {
+		x.h.RenewAnswered(x.now, x.now, &c, &medlargw.RunReport{Status: medlargw.OrderFenced}, nil)
+	}
+	x.now = x.now.Add(3 * time.Second)
+	x.h.Tick(x.now)
+	claims := x.takeActions().Renewals
+	if len(claims) != targets {
+		t.Fatalf("claims: got %d, want %d", len(claims), targets)
+	}
+	for _, c := range claims {
+		if got := c.Renewal.FenceToken; got <= highest || got > highest<<8 {
+			t.Fatalf("token after %d rejections: got %d, want above the former %d and below %d", targets, got, highest, highest<<8)
+		}
+	}
+}
--- a/holder/order.go
+++ b/holder/order.go
@@ -188,7 +188,7 @@
 // the runs. Otherwise this holder gives up its claim, and claims the target again
 // after LeaseSettings.Refused if it is still the owner.
 func (h *Holder) handleFenced(now time.Time, t *target) {
-	h.tokens.rejected()
+	h.tokens.rejected(t.token)
 	if !t.claimed {
 		t.nextRenew = now
 		if !t.releasing {
--- a/holder/token.go
+++ b/holder/token.go
@@ -18,9 +18,10 @@
 // tokenSource generates fencing tokens. A token is a rising term in the high
 // bits and the entry's ID in the low bits.
 type tokenSource struct {
-	term     uint64
-	entryID  uint64
-	termStep uint64 // Added to the term by a rejection; doubles each time.
+	term         uint64
+	entryID      uint64
+	termStep     uint64 // Added to the term by a rejection; doubles each time.
+	rejectedTerm uint64 // Tokens up to this term were generated before the last rejection that raised the term.
 }
 
 func newTokenSource(addr netip.AddrPort, incarnation medlargw.Incarnation) tokenSource {
@@ -42,8 +43,13 @@
 func (s *tokenSource) observe(token uint64) { s.term = max(s.term, token>>entryIDBits) }
 
 // rejected raises the term after a target rejected a token. A rejection does
-// not tell the target's current token, so the term rises exponentially.
-func (s *tokenSource) rejected() {
+// not tell the target's current token, so the term rises exponentially. It rises once
+// for all tokens that were generated before: many targets may be lost at the same time.
+func (s *tokenSource) rejected(token uint64) {
+	if token>>entryIDBits <= s.rejectedTerm {
+		return
+	}
+	s.rejectedTerm = s.term
 	s.term += s.termStep
 	s.termStep *= 2
 }
