Holder: a claim anew takes no target back from another entry

A holder with an order without an answer raised its token over that of an entry that had claimed the target in the meantime: within 0.2 s of a renewal that was answered, or later if the holder stood still before the next one was sent. The target then refused its new holder, whose runs were lost and were stopped as unknown.

A claim anew took the next term, as a first claim does. Now the lowest 8 bits of a token count how often its claim was raised, below the entry's ID. A token of another entry that the target has accepted is higher in its term or its ID, so that the raised one is refused and the holder steps down. A claim that was raised 255 times takes a new term.

TestClaimAnewTakesNoTargetBack before: "the other entry has a higher address: token after the claim of the other entry: got, want below".

--- a/holder/claim_test.go
+++ b/holder/claim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -242,3 +243,68 @@
 		}
 	}
 }
+
+// TestClaimAnewTakesNoTargetBack guards against a holder that takes a target from another
+// entry: that one claims it after a renewal was carried out and before the holder, which
+// has an order without an answer, raises its token.
+func TestClaimAnewTakesNoTargetBack(t *testing.T) {
+	tests := []struct {
+		name   string
+		addr   string // Of the other entry.
+		raised int    // How often the target was claimed anew before.
+	}{
+		{"the other entry has a higher address", "10.1.0.3:7000", 0},
+		{"the other entry has a lower address", "10.1.0.1:7000", 0},
+		{"after other claims", "10.1.0.3:7000", 3},
+		{"after more claims than a token counts", "10.1.0.3:7000", 300},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newFixture(t)
+			for range test.raised + 1 {
+				x.now = x.now.Add(250 * time.Millisecond)
+				x.h.RenewAnswered(x.now, x.now, &x.renewal, &medlargw.RunReport{}, noAnswerError{})
+				x.now = x.now.Add(50 * time.Millisecond)
+				x.h.Tick(x.now)
+				x.takeActions()
+				if former := x.renewal.Renewal.FenceToken; test.raised > 0 {
+					x.report(medlargw.RunReport{Clock: x.now.Sub(start), IncarnationStart: start})
+					if got := x.renewal.Renewal.FenceToken; got <= former {
+						t.Fatalf("token after an order without an answer: got %d, want above %d", got, former)
+					}
+				}
+			}
+			seen, sent := x.renewal.Renewal.FenceToken, x.now
+			token := claimAsOther(t, x.now, netip.MustParseAddrPort(test.addr), seen)
+			x.now = x.now.Add(100 * time.Millisecond)
+			x.h.RenewAnswered(x.now, sent, &x.renewal, &medlargw.RunReport{Clock: x.now.Sub(start), IncarnationStart: start}, nil)
+			x.takeActions()
+			if got := x.renewal.Renewal.FenceToken; got >= token {
+				t.Errorf("token after the claim of the other entry: got %d, want below %d", got, token)
+			}
+		})
+	}
+}
+
+// claimAsOther returns the token with which another entry claims the target, given the
+// highest one that the target has seen.
+func claimAsOther(t *testing.T, now time.Time, addr netip.AddrPort, seen uint64) uint64 {
+	t.Helper()
+	other := medlargw.Member{Host: "other", Zone: "z", Incarnation: 2, Addr: addr}
+	h := holder.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), other, pacer.New(0))
+	h.SetGroup(now, medlargw.Group{
+		Entries: []medlargw.Peer{{Host: other.Host, Zone: other.Zone, Incarnation: other.Incarnation}},
+		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
+	})
+	now = now.Add(time.Second)
+	h.Tick(now)
+	for range 64 {
+		claim := h.TakeActions().Renewals[0]
+		if claim.Renewal.FenceToken > seen {
+			return claim.Renewal.FenceToken
+		}
+		h.RenewAnswered(now, now, &claim, &medlargw.RunReport{Status: medlargw.OrderFenced}, nil)
+	}
+	t.Fatal("claim of the other entry: got none that the target accepts")
+	return 0
+}
--- a/holder/report.go
+++ b/holder/report.go
@@ -84,7 +84,7 @@
 // token that are under way, so each token is kept for as long as an order may be.
 func (h *Holder) claimAnew(now time.Time, t *target) {
 	h.log.Debug("target claimed anew", zap.String("target", string(t.info.Name)), zap.Int("unanswered", t.grants.unanswered))
-	t.token = h.tokens.next()
+	t.token = h.tokens.raise(t.token)
 	t.claimedAnewAt = now
 	t.grants.raise()
 }
--- a/holder/token.go
+++ b/holder/token.go
@@ -6,17 +6,19 @@
 	"medlargw.example/medlargw"
 )
 
-// The low bits of a fencing token identify the entry by the end of its address and
-// its port, so that two entries never use the same token, and its incarnation, so
-// that an entry that starts again does not use the tokens of before.
+// A fencing token is a rising term in the high bits, the ID of the entry and, in the low
+// bits, how often the entry has raised the token of a claim. The ID is the end of the
+// entry's address and its port, so that two entries never use the same token, and its
+// incarnation, so that an entry that starts again does not use the tokens of before.
 const (
 	addressBits     = 24
 	incarnationBits = 8
 	entryIDBits     = addressBits + incarnationBits
+	raiseBits       = 8
+	termShift       = entryIDBits + raiseBits
 )
 
-// tokenSource generates fencing tokens. A token is a rising term in the high
-// bits and the entry's ID in the low bits.
+// tokenSource generates fencing tokens.
 type tokenSource struct {
 	term         uint64
 	entryID      uint64
@@ -36,17 +38,27 @@
 // generated or observed.
 func (s *tokenSource) next() uint64 {
 	s.term++
-	return s.term<<entryIDBits | s.entryID
+	return s.term<<termShift | s.entryID<<raiseBits
+}
+
+// raise returns a higher token than that of a claim of this entry. It is lower than the
+// tokens of the entries that have claimed the target since, unless the claim was raised
+// too often.
+func (s *tokenSource) raise(token uint64) uint64 {
+	if (token+1)&(1<<raiseBits-1) == 0 {
+		return s.next()
+	}
+	return token + 1
 }
 
 // observe raises the term to that of a token that another entry uses.
-func (s *tokenSource) observe(token uint64) { s.term = max(s.term, token>>entryIDBits) }
+func (s *tokenSource) observe(token uint64) { s.term = max(s.term, token>>termShift) }
 
 // rejected raises the term after a target rejected a token. A rejection does
 // not tell the target's current token, so the term rises exponentially. It rises once
 // for all tokens that were generated before: many targets may be lost at the same time.
 func (s *tokenSource) rejected(token uint64) {
-	if token>>entryIDBits <= s.rejectedTerm {
+	if token>>termShift <= s.rejectedTerm {
 		return
 	}
 	s.rejectedTerm = s.term
