Conductor: the cancel of a relayed job is repeated until the peer answers

With relays on, the runs of a job went on after its caller had left, until the peer counted the sender of the relay as silent and ended the job.

Cause: the sender told the peer once, and that message was lost.

The sender now repeats the cancel until it is answered, for LeaseSettings.Silence; by then the peer ends the job itself. The peer answers a cancel at once instead of waiting for the end of the job, as the outcome is no longer wanted.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -342,11 +342,17 @@
 	return reply, err
 }
 
-// cancelRelay has a peer end a job whose outcome is no longer wanted.
+// cancelRelay has a peer end a job whose outcome is no longer wanted. It repeats the
+// message until it is answered or the peer has ended the job for the silence of this
+// entry.
 func (c *Conductor) cancelRelay(to netip.AddrPort, r medlargw.Relay) {
-	r.Cancel = true
-	c.send(c.settings.Call, c.settings.Call, func(ctx context.Context) event {
-		_, _ = c.relays.messenger.Relay(ctx, to, r)
+	r.Cancel, r.Wait = true, 0
+	c.send(c.settings.Silence, 0, func(ctx context.Context) event {
+		for ctx.Err() == nil {
+			if _, err := c.sendRelay(ctx, to, r); err == nil {
+				break
+			}
+		}
 		return nil
 	})
 }
--- a/conductor/relay_return_test.go
+++ b/conductor/relay_return_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+// TestLostCancelOfRelayIsRepeated guards against runs that go on at a peer until it counts
+// the sender of a relay as silent, since the one message that tells it of the end of the
+// caller's connection is lost.
+func TestLostCancelOfRelayIsRepeated(t *testing.T) {
+	const lag = 120 * time.Millisecond
+	runClusterWith(t, 1, []string{"a1", "a2", "b1"}, func(cl *cluster) { cl.relay = 50 * time.Millisecond }, func(cl *cluster) {
+		late, peer := cl.entries[0], cl.entries[1]
+		late.clock.freeze(lag)
+		time.Sleep(lag + 30*time.Millisecond)
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(200*time.Millisecond, func() { cl.sim.setLinkDown(late.host, peer.host, true) })
+		time.AfterFunc(201*time.Millisecond, leave)
+		time.AfterFunc(203*time.Millisecond, func() { cl.sim.setLinkDown(late.host, peer.host, false) })
+		late.conductor.Submit(ctx, cl.newJob("job", 4, 2*time.Second, 14000))
+		time.Sleep(2 * time.Second)
+		if got, want := peer.counter("relays.silent"), int64(0); got != want {
+			t.Errorf("jobs ended for a silent sender: got %d, want %d", got, want)
+		}
+	})
+}
+
 // setStopsLost takes the links from the entries to the targets down, or back up.
 func (cl *cluster) setStopsLost(lost bool) {
 	for _, target := range cl.sim.targets.Targets() {
