Messenger: a message is sent on another connection if an idle one was reset

The job had been given up with its tasks queued at another holder. Its cancel failed three times within 0.1 ms, each time on another idle connection that had been reset too; each failure counted as one of the peer and lengthened the pause before the next message. The cancel was answered after 86 ms; the holder had started the tasks 59 ms after the job was given up, beside the runs of its next submission.

A failure before the first byte says nothing of the peer, and the message can't have arrived. The transport may now repeat such a request on another connection, as it does for requests with GetBody. It repeats no POST request of which anything was sent.

TestMessageAfterReset before, 'nothing was sent': got 1 message and an error, want 2. It passes, and 'a part was sent' still fails without a second try.

--- a/messenger/signer.go
+++ b/messenger/signer.go
@@ -72,8 +72,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("read message: %w", err)
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	r.GetBody = nil // Keeps the transport from retrying the request.
+	// With GetBody, the transport sends a POST request on another connection if one that
+	// was idle has failed before the first byte. It never repeats a request of which
+	// anything was sent.
+	r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	r.Body, _ = r.GetBody()
 	r.Header.Set(headerSignature, c.signer.sign(r.URL.Path, body))
 	c.counters.requestsOut.Inc(1)
 	c.counters.countCall(r.URL.Path, len(body))
