--- a/messenger/signer_test.go
+++ b/messenger/signer_test.go
@@ -46,7 +46,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var received, reset = atomic.Int64{}, &atomic.Bool{}
+			received, reset := atomic.Int64{}, &atomic.Bool{}
 			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
 			defer server.Close()
 			transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
