Coordinator: a held job asks no holder for its resources

Tasks of a held job are counted from its admission on.

TestHeldJobAsksNobody before: 'messages while the job is held: got 1, tasks wait true, want none'. It passes, with the tests of package coordinator.

--- a/coordinator/ending_test.go
+++ b/coordinator/ending_test.go
@@ -132,3 +132,30 @@
 		t.Errorf("outcomes: got %+v, want one of tasks that may have run", got)
 	}
 }
+
+// TestHeldJobAsksNobody guards against messages to all holders in turn for as long as a
+// job waits for the ends of its former runs.
+func TestHeldJobAsksNobody(t *testing.T) {
+	h := newResubmissionFixture(t)
+	first := job(1)
+	h.c.Submit(h.now, first)
+	o := h.offers()[0]
+	h.answer(&o, medlargw.OfferStarted)
+	id := o.Offer.Tasks[0].ID
+	h.c.Cancel(h.now, first)
+	h.answerCancel(id, medlargw.OfferStarted)
+	h.c.Submit(h.now, job(1))
+	h.advance(time.Second, func() {
+		h.c.HandleHeartbeat(h.now, holder.Incarnation, 0, nil)
+		if got := len(h.offers()); got > 0 || h.c.AnyWaiting() {
+			t.Fatalf("messages while the job is held: got %d, tasks wait %v, want none", got, h.c.AnyWaiting())
+		}
+	})
+	h.report(holder, id, medlargw.TaskStopped)
+	if got := h.offers(); len(got) != 1 || len(got[0].Offer.Tasks) != 1 {
+		t.Errorf("messages after the end of the former run: got %v, want an offer", got)
+	}
+	if h.c.AnyWaiting() {
+		t.Error("tasks wait after the offer: got some, want none")
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -30,7 +30,7 @@
 	refusing bool               // Its tasks are being recalled so that it can be refused.
 	refusal  medlargw.Admission // Why it is being refused.
 	ended    bool
-	held     bool // Runs of a former submission of the job may go on.
+	held     bool // Runs of a former submission may go on. Its tasks are not placed, nor counted as idle.
 	// When it was first known that no holder had resources for a task; zero is not
 	// yet.
 	waitsSince    time.Time
@@ -125,7 +125,6 @@
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
 	}
 	c.jobs = append(c.jobs, j)
-	c.taskCounts[taskIdle] += len(j.tasks)
 	if j.held = c.isEnding(now, m.RequestID); !j.held {
 		c.admit(now, j)
 	}
@@ -134,6 +133,7 @@
 // admit places the tasks of a job, or refuses it.
 func (c *Coordinator) admit(now time.Time, j *job) {
 	m := j.job
+	c.taskCounts[taskIdle] += len(j.tasks)
 	c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work())
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
 	switch adm.Refusal {
@@ -256,7 +256,9 @@
 			c.trackEnd(now, t)
 		}
 		c.detach(t)
-		c.taskCounts[t.state]--
+		if !j.held {
+			c.taskCounts[t.state]--
+		}
 	}
 	c.finished = append(c.finished, medlargw.FinishedJob{
 		Job: j.job, Outcome: o, Refusal: reason, ExpectedStart: j.expectedStart, FirstStart: j.firstStart,
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -179,7 +179,7 @@
 	}
 	bytes := 0
 	for _, other := range c.jobs {
-		if other == j || other.job.Rank > j.job.Rank {
+		if other == j || other.held || other.job.Rank > j.job.Rank {
 			continue
 		}
 		for _, t := range other.tasks {
