Holder: the term of tokens rises by bounded steps

Each rejection of a claim doubles the step by which the term of the tokens rises. 24 rejections in a row, or 32 before a token had a part for its raises, made the term overflow, and the entry's tokens low for as long as its process ran. Found in the review; not seen.

The step is bounded by 4,096.

TestTokenRisesWithEachRejection failed before within its 200 rejections and passes now, with the tests of package holder.

--- a/holder/claim_test.go
+++ b/holder/claim_test.go
@@ -308,3 +308,23 @@
 	t.Fatal("claim of the other entry: got none that the target accepts")
 	return 0
 }
+
+// TestTokenRisesWithEachRejection guards against tokens that overflow, and are rejected
+// from then on, while a target rejects one claim after the other.
+func TestTokenRisesWithEachRejection(t *testing.T) {
+	x := &fixture{t: t, now: start, h: holder.New(zap.NewNop(), medlargw.DefaultLeaseSettings(), self, pacer.New(0))}
+	x.h.SetGroup(x.now, medlargw.Group{
+		Entries: []medlargw.Peer{{Host: self.Host, Zone: self.Zone, Incarnation: self.Incarnation}},
+		Targets: []medlargw.Target{{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000, Memory: 1000}}},
+	})
+	x.now = x.now.Add(time.Second)
+	x.h.Tick(x.now)
+	x.takeActions()
+	for i := range 200 {
+		former := x.renewal.Renewal.FenceToken
+		x.report(medlargw.RunReport{Status: medlargw.OrderFenced})
+		if got := x.renewal.Renewal.FenceToken; got <= former {
+			t.Fatalf("token after %d rejections: got %d, want above %d", i+1, got, former)
+		}
+	}
+}
--- a/holder/token.go
+++ b/holder/token.go
@@ -18,11 +18,14 @@
 	termShift       = entryIDBits + raiseBits
 )
 
+// maxTermStep bounds the step of the term: one that doubled without end would overflow.
+const maxTermStep = 1 << 12
+
 // tokenSource generates fencing tokens.
 type tokenSource struct {
 	term         uint64
 	entryID      uint64
-	termStep     uint64 // Added to the term by a rejection; doubles each time.
+	termStep     uint64 // Added to the term by a rejection; doubles each time, up to maxTermStep.
 	rejectedTerm uint64 // Tokens up to this term were generated before the last rejection that raised the term.
 }
 
@@ -63,7 +66,7 @@
 	}
 	s.rejectedTerm = s.term
 	s.term += s.termStep
-	s.termStep *= 2
+	s.termStep = min(2*s.termStep, maxTermStep)
 }
 
 // accepted resets the step after a target accepted a token.
