--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -217,7 +217,7 @@
 	var s string
 	for i := range t.Targets {
 		t := &t.Targets[i]
-		s += fmt.Sprintf("%s token %d acked %d runs", t.Name, t.FenceToken>>32, t.AckedSequence)
+		s += fmt.Sprintf("%s token %d acked %d runs", t.Name, t.FenceToken>>40, t.AckedSequence)
 		for _, r := range t.Runs {
 			s += fmt.Sprintf(" %v", r.Task.Run)
 		}
--- a/conductor/search_order_test.go
+++ b/conductor/search_order_test.go
@@ -29,7 +29,7 @@
 
 func (e *searchEntry) sendStart(c *medlargw.StartCommand) {
 	w, name := e.w, c.Target.Name
-	w.log("%s sends start of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>32, name)
+	w.log("%s sends start of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>40, name)
 	failed := func(err error) searchHandler {
 		return func(now time.Time) { e.holder.StartAnswered(now, c, medlargw.OrderReply{}, err) }
 	}
@@ -40,7 +40,7 @@
 			order.LeaseEnd += late
 			reply = w.targets.Start(name, order)
 		}
-		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
+		w.log("%s: start of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>40, reply.Status)
 		if reply.Status != medlargw.OrderDone {
 			w.refusals.rejected[c.Order.Run.Task] = true
 		}
@@ -71,10 +71,10 @@
 
 func (e *searchEntry) sendStop(c *medlargw.StopCommand) {
 	w, name := e.w, c.Target.Name
-	w.log("%s sends stop of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>32, name)
+	w.log("%s sends stop of %v with token %d to %s", e.host, c.Order.Run, c.Order.FenceToken>>40, name)
 	w.order(e, stopMessage, name, e.settings.Order, func(_ time.Duration, respond func(searchHandler)) {
 		reply := w.targets.Stop(name, c.Order)
-		w.log("%s: stop of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>32, reply.Status)
+		w.log("%s: stop of %v with token %d: %v", name, c.Order.Run, c.Order.FenceToken>>40, reply.Status)
 		w.targetChanged(name)
 		respond(func(now time.Time) { e.holder.StopAnswered(now, c, reply, nil) })
 	}, func(err error) searchHandler {
@@ -98,7 +98,7 @@
 			respond: func(report medlargw.RunReport) {
 				if len(report.Active)+len(report.Ended) > 0 || report.Status != medlargw.OrderDone {
 					w.log("%s: renewal of %s with token %d and acked %d: %v, active %v, ended %v",
-						name, e.host, c.Renewal.FenceToken>>32, c.Renewal.AckedSequence, report.Status, report.Active, report.Ended)
+						name, e.host, c.Renewal.FenceToken>>40, c.Renewal.AckedSequence, report.Status, report.Active, report.Ended)
 				}
 				respond(func(now time.Time) { e.holder.RenewAnswered(now, sent, c, &report, nil) })
 			},
