Test: proofs of the end by former holders, late offers and runs that were handed back

The review took three conditions out of the hold of submissions and no test failed: the answer must be of the present holder, an offer that came too late has not started, and a run may be handed back. Four rows of TestProofOfEndOfGivenUpJob; each of these changes, and one that takes any report of a start for a takeover, now fails one row.

--- a/coordinator/ending_test.go
+++ b/coordinator/ending_test.go
@@ -42,6 +42,21 @@
 			h.report(successor, id, medlargw.TaskStarted)
 			h.report(holder, id, medlargw.TaskStopped)
 		}, true},
+		{"a former holder answers the cancel as not started", func(h *fixture, id medlargw.TaskID) {
+			h.report(successor, id, medlargw.TaskStarted)
+			h.answerCancel(id, medlargw.OfferRefused)
+		}, true},
+		{"cancel answered, offer came too late", func(h *fixture, id medlargw.TaskID) { h.answerCancel(id, medlargw.OfferExpired) }, false},
+		{"handed back and stopped", func(h *fixture, id medlargw.TaskID) {
+			h.report(successor, id, medlargw.TaskStarted)
+			h.reportHandover(holder, id)
+			h.report(holder, id, medlargw.TaskStopped)
+		}, false},
+		{"late report of the start, and stopped by that holder", func(h *fixture, id medlargw.TaskID) {
+			h.report(successor, id, medlargw.TaskStarted)
+			h.report(holder, id, medlargw.TaskStarted)
+			h.report(holder, id, medlargw.TaskStopped)
+		}, true},
 		{"stopped by the new holder", func(h *fixture, id medlargw.TaskID) {
 			h.report(successor, id, medlargw.TaskStarted)
 			h.report(successor, id, medlargw.TaskStopped)
@@ -95,6 +110,14 @@
 	}
 }
 
+// reportHandover reports that a holder has taken the run of a task over.
+func (h *fixture) reportHandover(from medlargw.Peer, id medlargw.TaskID) {
+	h.c.HandleReport(h.now, &medlargw.Report{
+		From:  medlargw.Member{Host: from.Host, Incarnation: from.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskStarted, Reason: medlargw.ReasonHandedOver}},
+	})
+}
+
 // answerCancel answers the cancel of a task.
 func (h *fixture) answerCancel(id medlargw.TaskID, state medlargw.OfferState) {
 	for _, o := range h.offers() {
