--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -64,7 +64,7 @@
 		lostHolders:      metrics.GetOrRegisterCounter("peers.lost-holders", r),
 		revisedHolders:   metrics.GetOrRegisterCounter("peers.revised-holders", r),
 
-		endingJobs: metrics.GetOrRegisterGauge("jobs.ending", r),
+		endingJobs: metrics.GetOrRegisterGauge("ending.jobs", r),
 
 		targetsOwned:   metrics.GetOrRegisterGauge("share.owned", r),
 		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
