--- a/exporter/help.go
+++ b/exporter/help.go
@@ -10,6 +10,7 @@
 	"entry":                 "State of this entry: tasks, slots, members and ages in seconds where the name says so.",
 	"evacuations":           "Waiting tasks that were returned to their homes because the zone of their targets is evacuated.",
 	"intake":                "Requests of callers that were refused before decoding, for lack of processor time or of a configuration.",
+	"ending":                "Jobs that were given up or have failed and whose runs may go on (jobs).",
 	"jobs":                  "Jobs that ended, by outcome: complete, or the code of the refusal or failure.",
 	"lag":                   "Greatest lateness of timers and queued events of the control loop in the last second, in milliseconds.",
 	"limit-changes":         "Teams that reached their limit or fell below it again.",
