--- a/review/stage/drain.go
+++ b/review/stage/drain.go
@@ -3,30 +3,21 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	rollRounds  = 5
-	rollGap     = 2 * time.Second
-	sendFrom    = 1900 * time.Millisecond // After the SIGTERM; the balancer still uses the entry.
-	sendTo      = 1900 * time.Millisecond
+	rollTurns   = 14
+	rollGap     = 1150 * time.Millisecond
+	sendAt      = 1900 * time.Millisecond // After the SIGTERM; the balancer has yet to see the second miss.
+	drainJobs   = 80
 	routeTime   = 1500 * time.Millisecond
 	graceTime   = 6 * time.Second
 	drainWorkMs = 900
 )
 
-func envInt(name string, def int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return def
-}
-
 // playDrain stops the entries in turn, as planned, while each has jobs at work.
 func playDrain(s *stage) []string {
 	s.writeConfig(7)
@@ -39,20 +30,20 @@
 	s.await()
 	var mu sync.Mutex
 	var found []string
-	for round := range rollRounds {
-		s.record.say("round %d", round+1)
-		var wg sync.WaitGroup
-		for i, e := range s.entries {
-			wg.Go(func() {
-				time.Sleep(time.Duration(i) * rollGap)
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i, e := range s.entries {
+		wg.Go(func() {
+			for turn := range rollTurns {
+				time.Sleep(time.Until(began.Add(time.Duration(turn*len(s.entries)+i) * rollGap)))
 				lost := s.drainOne(e)
 				mu.Lock()
-				defer mu.Unlock()
 				found = append(found, lost...)
-			})
-		}
-		wg.Wait()
+				mu.Unlock()
+			}
+		})
 	}
+	wg.Wait()
 	return found
 }
 
@@ -66,10 +57,9 @@
 	var mu sync.Mutex
 	var found []string
 	var wg sync.WaitGroup
-	n := envInt("JOBS", 40)
-	for i := range n {
+	for range drainJobs {
 		wg.Go(func() {
-			time.Sleep(time.Until(began.Add(sendFrom + (sendTo-sendFrom)*time.Duration(i)/time.Duration(n))))
+			time.Sleep(time.Until(began.Add(sendAt)))
 			id := newID()
 			r := s.call(e, http.MethodPost, "/build/"+id, routeTime, jobBody(1, 1000, drainWorkMs))
 			s.record.say("%s: sent to %s %d ms after the SIGTERM, got after %d ms: %v", id, e.name, r.sent.Sub(began).Milliseconds(), r.at.Sub(r.sent).Milliseconds(), r)
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -12,7 +12,6 @@
 	"cancel": playCancel,
 	"drain":  playDrain,
 	"shrink": playShrink,
-	"soak":   playSoak,
 }
 
 func main() {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -165,7 +165,7 @@
 func (s *stage) start(e *entry) {
 	out, err := os.OpenFile(filepath.Join(s.work, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
-	e.cmd = exec.Command(entryProgram(), "serve", "--platform") //nolint:noctx // The stage ends it.
+	e.cmd = exec.Command("target/medlargw", "serve", "--platform") //nolint:noctx // The stage ends it.
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MEDLARGW_CONFIG=" + e.settings}
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	check(e.cmd.Start())
@@ -323,10 +323,3 @@
 Duties = []
 DutyPerS = 60.0
 `
-
-func entryProgram() string {
-	if p := os.Getenv("ENTRY"); p != "" {
-		return p
-	}
-	return "target/medlargw"
-}
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -66,7 +64,6 @@
 	state   string
 
 	resizedAt time.Time // Zero is never.
-	late      atomic.Bool
 }
 
 func newWorker(s *stage, id, addr, zone, rack string, cores int64) *worker {
@@ -125,16 +122,6 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if w.late.Load() && rand.IntN(2) == 0 {
-		born := w.born
-		time.AfterFunc(time.Duration(2000+rand.IntN(3000))*time.Millisecond, func() {
-			if w.born.Equal(born) {
-				w.carryOut(r.URL.Path, &o)
-			}
-		})
-		<-r.Context().Done()
-		return
-	}
 	switch r.URL.Path {
 	case "/run-start":
 		w.reply(rw, w.start(&o))
@@ -286,16 +273,3 @@
 }
 
 func (w *worker) String() string { return fmt.Sprintf("worker %s at %s", w.id, w.addr) }
-
-func (w *worker) carryOut(path string, o *order) {
-	switch path {
-	case "/run-start":
-		w.start(o)
-	case "/run-stop":
-		w.stop(o)
-	case "/hold":
-		w.mu.Lock()
-		w.accepts(o)
-		w.mu.Unlock()
-	}
-}
