--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -45,7 +45,7 @@
 func (s *stage) call(e *entry, method, path string, deadline time.Duration, body []byte) response {
 	ctx, cancel := context.WithTimeout(s.ctx, deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers()+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.callers()+path, bytes.NewReader(body)) //nolint:gosec // A loopback address.
 	check(err)
 	req.Host = "desk.example"
 	req.GetBody = nil
@@ -54,7 +54,7 @@
 	client := http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: false, MaxIdleConns: -1}}
 	defer client.CloseIdleConnections()
 	out := response{sent: time.Now()}
-	resp, err := client.Do(req)
+	resp, err := client.Do(req) //nolint:gosec // A loopback address.
 	out.at, out.err = time.Now(), err
 	if err != nil {
 		return out
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -155,7 +155,7 @@
 	e := &entry{name: fmt.Sprintf("frontend-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.%d", s.block, 10+i)}
 	e.settings = filepath.Join(s.work, e.name+".toml")
 	text := strings.NewReplacer("NAME", e.name, "IP", e.ip, "ZONE", e.zone, "STORE", s.storeAddr).Replace(settings)
-	check(os.WriteFile(e.settings, []byte(text), 0o600))
+	check(os.WriteFile(e.settings, []byte(text), 0o600)) //nolint:gosec // In a folder of its own.
 	s.entries = append(s.entries, e)
 	s.start(e)
 	return e
@@ -209,9 +209,9 @@
 func (s *stage) isReady(e *entry) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ip+":8167/readyz", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ip+":8167/readyz", nil) //nolint:gosec // A loopback address.
 	check(err)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(req) //nolint:gosec // A loopback address.
 	if err != nil {
 		return false
 	}
@@ -230,10 +230,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
-	if dir := os.Getenv("KEEP_LOGS"); dir != "" {
-		_ = os.CopyFS(dir, os.DirFS(s.work))
-	}
-	_ = os.RemoveAll(s.work)
+	_ = os.RemoveAll(s.work) //nolint:gosec // A folder of its own.
 }
 
 func newID() string {
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -72,13 +72,6 @@
 	}
 }
 
-// del removes an item for the operator or a worker.
-func (s *store) del(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(key)
-}
-
 func (s *store) write(key string, value []byte, lease uint64) {
 	s.revision++
 	it := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
