--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -9,9 +9,10 @@
 // cases are the cases that this program plays, by name. Each returns what broke the
 // rule, or nothing.
 var cases = map[string]func(s *stage) []string{
-	"cancel": playCancel,
-	"drain":  playDrain,
-	"shrink": playShrink,
+	"cancel":  playCancel,
+	"drain":   playDrain,
+	"refused": playRefused,
+	"shrink":  playShrink,
 }
 
 func main() {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -55,9 +56,11 @@
 	record    *record
 	workers   []*worker
 	entries   []*entry
-	servers   []*http.Server
-	ctx       context.Context //nolint:containedctx // Ends with the stage.
-	cancel    context.CancelFunc
+	trap      atomic.Bool // The next start order is left unanswered.
+
+	storeServer *http.Server
+	ctx         context.Context //nolint:containedctx // Ends with the stage.
+	cancel      context.CancelFunc
 }
 
 // entry is one process of the system.
@@ -78,7 +81,8 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.record = newRecord(filepath.Join(dir, "record.txt"))
 	s.block = freeBlock()
-	s.storeAddr = s.serve(s.block+".250:8169", s.store)
+	s.storeAddr = s.block + ".250:8169"
+	s.storeServer = s.listenAt(s.storeAddr, s.store)
 	return s
 }
 
@@ -103,13 +107,12 @@
 	return lc.Listen(context.Background(), "tcp", addr)
 }
 
-func (s *stage) serve(addr string, h http.Handler) string {
+func (s *stage) listenAt(addr string, h http.Handler) *http.Server {
 	l, err := listen(addr)
 	check(err)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 3 * time.Second}
-	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
-	return l.Addr().String()
+	return server
 }
 
 // route is one route of the configuration.
@@ -143,7 +146,8 @@
 	for range n {
 		i := len(s.workers)
 		w := newWorker(s, fmt.Sprintf("i-%04x", 0x7f3a+i), "", zone, "r1-1", 32000)
-		w.addr = s.serve(fmt.Sprintf("%s.%d:8080", s.block, 100+i), w)
+		w.addr = fmt.Sprintf("%s.%d:8080", s.block, 100+i)
+		w.server = s.listenAt(w.addr, w)
 		s.workers = append(s.workers, w)
 		go w.beat(s.ctx)
 	}
@@ -227,8 +231,9 @@
 		<-e.exited
 	}
 	s.cancel()
-	for _, server := range s.servers {
-		_ = server.Close()
+	_ = s.storeServer.Close()
+	for _, w := range s.workers {
+		_ = w.server.Close()
 	}
 	_ = os.RemoveAll(s.work) //nolint:gosec // A folder of its own.
 }
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -43,13 +43,14 @@
 
 // worker is one life of a worker, as the pages describe it.
 type worker struct {
-	stage *stage
-	id    string
-	addr  string
-	zone  string
-	rack  string
-	cores int64
-	born  time.Time
+	stage  *stage
+	server *http.Server // Replaced while the worker is cut off.
+	id     string
+	addr   string
+	zone   string
+	rack   string
+	cores  int64
+	born   time.Time
 
 	mu      sync.Mutex
 	fence   uint64
@@ -122,6 +123,10 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.isTrapped(r.URL.Path, &o) {
+		<-r.Context().Done()
+		return
+	}
 	switch r.URL.Path {
 	case "/run-start":
 		w.reply(rw, w.start(&o))
