--- a/review/stage/cancel.go
+++ b/review/stage/cancel.go
@@ -11,7 +11,7 @@
 
 // playCancel cancels jobs whose tasks are at work, and looks how long the tasks go on.
 func playCancel(s *stage) []string {
-	s.writeConfig(7)
+	s.writeConfig()
 	s.addWorkers("detroit", 4)
 	e, other := s.addEntry("detroit"), s.addEntry("detroit")
 	s.await()
--- a/review/stage/drain.go
+++ b/review/stage/drain.go
@@ -20,7 +20,7 @@
 
 // playDrain stops the entries in turn, as planned, while each has jobs at work.
 func playDrain(s *stage) []string {
-	s.writeConfig(7)
+	s.writeConfig()
 	for _, zone := range []string{"detroit", "cleveland"} {
 		s.addWorkers(zone, 8)
 		for range 3 {
--- a/review/stage/refused.go
+++ b/review/stage/refused.go
@@ -14,7 +14,7 @@
 // playRefused cuts workers off that have left a start order unanswered: they run on, carry
 // the order out late, and connections to them are refused meanwhile.
 func playRefused(s *stage) []string {
-	s.writeConfig(7)
+	s.writeConfig()
 	s.addWorkers("detroit", 6)
 	e := s.addEntry("detroit")
 	s.addEntry("detroit")
--- a/review/stage/shrink.go
+++ b/review/stage/shrink.go
@@ -18,7 +18,7 @@
 // playShrink has workers tell a smaller capacity while the store is silent, and looks
 // whether tasks are started beyond it once the shrunk room counts.
 func playShrink(s *stage) []string {
-	s.writeConfig(7)
+	s.writeConfig()
 	s.addWorkers("detroit", 4)
 	s.addEntry("detroit")
 	s.addEntry("detroit")
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -126,9 +126,9 @@
 }
 
 // writeConfig writes the operator's configuration.
-func (s *stage) writeConfig(version int) {
+func (s *stage) writeConfig() {
 	s.store.put("op/config", map[string]any{
-		"Version": version,
+		"Version": 7,
 		"Routes": []route{{
 			"r-cure", "desk.example", "/cure/", "unsafe", 1500, 60, 1, "desk-pool", 3, 1.6,
 		}, {
