--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case "drain". TROUBLE=0 plays it without the disruption.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+[ -x target/review-stage ] && [ -x target/medlargw ] || exit 2
+exec target/review-stage drain review/5
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(s *stage) []string{
 	"cancel":  playCancel,
 	"drain":   playDrain,
+	"lost":    playLost,
 	"refused": playRefused,
 	"shrink":  playShrink,
 }
--- a/review/stage/refused.go
+++ b/review/stage/refused.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	lateTime = 2500 * time.Millisecond // After which the order is carried out; 2 to 12 s in the bench.
+	lateTime = 2500 * time.Millisecond // After which an order is carried out; 2 to 12 s in the bench.
 	cutTime  = 5500 * time.Millisecond
 )
 
@@ -62,13 +62,7 @@
 	if path != "/run-start" || !w.stage.trap.CompareAndSwap(true, false) {
 		return false
 	}
-	lease := time.Duration(o.UntilMs)*time.Millisecond - w.clock()
-	w.stage.record.say("%s leaves the start of %s run %d unanswered and is cut off", w.id, o.Task, o.Attempt)
-	late := *o
-	time.AfterFunc(lateTime, func() {
-		late.UntilMs = (w.clock() + lease).Milliseconds() // It counts from the arrival.
-		w.stage.record.say("%s carries out the start of %s run %d: %q", w.id, late.Task, late.Attempt, w.start(&late))
-	})
+	w.carryOutLate(o, lateTime)
 	go w.cutOff()
 	return true
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -56,7 +56,8 @@
 	record    *record
 	workers   []*worker
 	entries   []*entry
-	trap      atomic.Bool // The next start order is left unanswered.
+	trap      atomic.Bool               // The next start order is left unanswered, and its worker cut off.
+	onStart   func(w *worker, o *order) // Called for the next start order, which is left unanswered.
 
 	storeServer *http.Server
 	ctx         context.Context //nolint:containedctx // Ends with the stage.
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -65,6 +65,7 @@
 	state   string
 
 	resizedAt time.Time // Zero is never.
+	lateLeft  int       // Orders to come that get no answer.
 }
 
 func newWorker(s *stage, id, addr, zone, rack string, cores int64) *worker {
@@ -123,7 +124,7 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if w.isTrapped(r.URL.Path, &o) {
+	if w.isTrapped(r.URL.Path, &o) || w.isLate(r.URL.Path, &o) {
 		<-r.Context().Done()
 		return
 	}
@@ -278,3 +279,45 @@
 }
 
 func (w *worker) String() string { return fmt.Sprintf("worker %s at %s", w.id, w.addr) }
+
+// isLate reports whether the worker leaves the order unanswered and carries it out late.
+func (w *worker) isLate(path string, o *order) bool {
+	w.mu.Lock()
+	onStart := w.stage.onStart
+	if path != "/run-start" {
+		onStart = nil
+	}
+	if onStart != nil {
+		w.stage.onStart = nil
+	}
+	late := onStart == nil && w.lateLeft > 0
+	if late {
+		w.lateLeft--
+	}
+	w.mu.Unlock()
+	switch {
+	case onStart != nil:
+		onStart(w, o)
+		return true
+	case late:
+		w.stage.record.say("%s leaves an order to %s with fence number %d unanswered", w.id, path, o.FencingToken)
+		x := *o
+		time.AfterFunc(lateTime, func() { // Only its fence number and lease have an effect.
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.accepts(&x)
+		})
+	}
+	return late
+}
+
+// carryOutLate carries a start order out after a delay, with its time counted from then.
+func (w *worker) carryOutLate(o *order, delay time.Duration) {
+	lease := time.Duration(o.UntilMs)*time.Millisecond - w.clock()
+	w.stage.record.say("%s leaves the start of %s run %d unanswered", w.id, o.Task, o.Attempt)
+	late := *o
+	time.AfterFunc(delay, func() {
+		late.UntilMs = (w.clock() + lease).Milliseconds()
+		w.stage.record.say("%s carries out the start of %s run %d: %q", w.id, late.Task, late.Attempt, w.start(&late))
+	})
+}
