--- a/review/stage/lost.go
+++ b/review/stage/lost.go
@@ -43,20 +43,24 @@
 	s.record.say("POST /build/%s to %s: 1 task of 3600 ms", id, e.name)
 	r := s.call(e, http.MethodPost, "/build/"+id, 8*time.Second, jobBody(1, 14000, 3600))
 	s.record.say("answer to POST /build/%s: %v", id, r)
-	lostAt := time.Now()
+	back := make(chan struct{})
+	go func() {
+		defer close(back)
+		if s.trouble {
+			<-e.exited
+			time.Sleep(darkTime)
+			s.start(e)
+		}
+	}()
 	if r.status == 0 {
 		time.Sleep(retransmitTime)
 		s.record.say("POST /build/%s to %s", id, other.name)
 		r = s.call(other, http.MethodPost, "/build/"+id, 8*time.Second, jobBody(1, 14000, 3600))
 		s.record.say("answer to POST /build/%s: %v", id, r)
 	}
-	if s.trouble {
-		time.Sleep(time.Until(lostAt.Add(darkTime)))
-		<-e.exited
-		s.start(e)
-		if !s.isReadyWithin(e, 20*time.Second) {
-			fail(fmt.Errorf("%s is not ready", e.name))
-		}
+	<-back
+	if !s.isReadyWithin(e, 20*time.Second) {
+		fail(fmt.Errorf("%s is not ready", e.name))
 	}
 	time.Sleep(4 * time.Second)
 	return twice(s.record.runsOf(id))
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"log"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the cases that this program plays, by name. Each returns what broke the
@@ -25,6 +28,9 @@
 	dir, err := filepath.Abs(os.Args[2])
 	check(err)
 	s := newStage(dir)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
+	go func() { fail(fmt.Errorf("ended by a signal: %v", <-interrupted)) }()
 	found := cases[os.Args[1]](s)
 	s.close()
 	for _, f := range found {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -227,6 +227,9 @@
 // close ends all processes and servers.
 func (s *stage) close() {
 	for _, e := range s.entries {
+		if e.exited == nil {
+			continue // It was not started.
+		}
 		_ = e.cmd.Process.Signal(syscall.SIGCONT)
 		_ = e.cmd.Process.Kill()
 		<-e.exited
