Holder: a refused connection is no proof that a target has ended

The target left a start order unanswered, a cut refused connections to it, and the task started elsewhere after 0.85 s; 2.5 s later the target carried the order out.

Cause: ECONNREFUSED counted as the end of the target's process. So a start order without an answer counted as void (mayStart), open renewals were left out of the end of the lease (leasesEnded), and an unlisted target was dropped with such orders under way (droppable, by mayStart). A cut that rejects connections looks the same as a process that is gone.

Change: neither of the three asks whether connections were refused. What proves an end is unchanged: the answer of the target in its incarnation, a higher token that it has seen, another incarnation, or the end of all leases that may still count. An order whose own connection was refused was not sent, so its task is placed again at once instead of waiting for that proof; the runner says "refused" of dials alone, since an ICMP message fails a connection that has carried an order the same way.

Ruled out: a retry of the order by the HTTP client (TestOrderIsSentOnce).

--- a/conductor/search_order_test.go
+++ b/conductor/search_order_test.go
@@ -112,6 +112,10 @@
 	e *searchEntry, k messageKind, name medlargw.TargetName, limit time.Duration, serve func(late time.Duration, respond func(searchHandler)), failed func(error) searchHandler,
 ) {
 	w.call(e, k, string(name), limit, func(respond func(searchHandler)) {
+		if w.refusing[name].After(w.now) {
+			respond(failed(medlargw.ErrConnectionRefused))
+			return
+		}
 		if w.targets.IsDown(name) {
 			if !w.silentCrashes {
 				respond(failed(medlargw.ErrConnectionRefused))
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -47,8 +47,9 @@
 	searchSpread   = 3                // Factor of the times of jobs while targets are resized.
 	searchDeadline = 15 * time.Second // Of a job that crashes targets.
 	maxAvoided     = 4
-	searchSlack    = 50                    // Of a job that crashes targets.
-	resetLead      = 20 * time.Millisecond // From the reset of connections to a cut.
+	searchSlack    = 50                     // Of a job that crashes targets.
+	resetLead      = 20 * time.Millisecond  // From the reset of connections to a cut.
+	refusalLead    = 300 * time.Millisecond // From the first order that is carried out late to a cut that refuses connections.
 )
 
 // TestRulesOfTargetsUnderFaults checks that no target starts a task while another
--- a/error.go
+++ b/error.go
@@ -13,6 +13,7 @@
 // was closed before the reply.
 var ErrConnectionClosed = errors.New("connection closed by the target")
 
-// ErrConnectionRefused is returned by a Runner when nothing accepts connections at
-// the address of a target.
+// ErrConnectionRefused is returned by a Runner when no connection could be opened since
+// nothing accepts any at the address of a target. The order was not sent. The target may
+// have ended or be cut off.
 var ErrConnectionRefused = errors.New("connection refused by the target")
--- a/holder/order.go
+++ b/holder/order.go
@@ -15,6 +15,10 @@
 // It gives time for the next report, which lists the runs that take them.
 const fullPause = 50 * time.Millisecond
 
+// refusalPause is the pause of a target that has refused a connection. The renewal that
+// follows tells whether it is silent.
+const refusalPause = 50 * time.Millisecond
+
 // minOrderWait is the least time after which a start order counts as unanswered. It
 // allows for the pause of a target that is throttled for a part of its quota.
 const minOrderWait = 60 * time.Millisecond
@@ -51,8 +55,11 @@
 	if r == nil || r.state == runRunning || !r.isOrderedBy(c) {
 		return
 	}
-	if errors.Is(err, medlargw.ErrNotSent) {
+	if errors.Is(err, medlargw.ErrNotSent) || errors.Is(err, medlargw.ErrConnectionRefused) {
 		h.log.Info("start not sent", append(t.runFields(r.id), zap.Error(err))...)
+		if errors.Is(err, medlargw.ErrConnectionRefused) {
+			t.pause(now, refusalPause)
+		}
 		h.requeue(now, r)
 		h.place(now)
 		return
--- a/holder/target.go
+++ b/holder/target.go
@@ -187,21 +187,16 @@
 }
 
 // mayStart reports whether the start order of a run may still be carried out. It is not
-// once the target has confirmed the start, nor after the end of the target's process. A
-// target that refuses connections has ended; one that has closed some may be cut off.
-func (r *run) mayStart() bool {
-	return r.state != runRunning && r.acked.IsZero() && r.target.refusedAt.IsZero()
-}
+// once the target has confirmed the start. A target that closes or refuses connections
+// proves nothing: it may be cut off and run on.
+func (r *run) mayStart() bool { return r.state != runRunning && r.acked.IsZero() }
 
 // leasesEnded reports whether all leases of the runs that have started on the target
 // have certainly ended. Until the target has answered the claim, a former holder may
 // renew them. An order without an answer may be carried out as late as at the end of
-// the lease, and the lease in it count from then, unless the target's process has ended.
+// the lease, and the lease in it count from then.
 func (t *target) leasesEnded(now time.Time, s *medlargw.LeaseSettings) bool {
-	end := t.leaseEnd + medlargw.ClockRounding
-	if t.refusedAt.IsZero() {
-		end += time.Duration(t.grants.open()) * s.Lease
-	}
+	end := t.leaseEnd + medlargw.ClockRounding + time.Duration(t.grants.open())*s.Lease
 	return t.claimed && !t.clockAt.IsZero() && t.clockLowerBound(now, s.Drift) > end && t.hasStarted()
 }
 
