Holder, coordinator: a target that refuses connections has crashed only likely

What callers saw: a sound job was answered as failed ("task ... crashed 2 targets") after two targets under its task were cut off in turn by something that refuses connections.

Change: such a crash is likely until a later incarnation proves it (to the holder, or to the home by the host list), or the target answers in the same incarnation or stays listed as it was (none). A likely crash makes its task a suspect as before. A task is not started while its proven and likely crashes would end its job if all were proven, so a deadly task costs no more targets than before. The attributor's rates are statistics and count it as before. Builds that don't know the state read it as none.

--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -107,6 +107,45 @@
 	t.Errorf("outcome: got none within %v, want one", deadline)
 }
 
+// TestCutThatRefusesIsNoCrash guards against a job that is told that its task has failed
+// although the task is sound: two targets that run it are cut off in turn, and connections
+// to them are refused meanwhile.
+func TestCutThatRefusesIsNoCrash(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runCluster(t, seed, []string{"a1", "a2", "b1", "b2"}, func(cl *cluster) {
+				job := cl.newJob("sound", 1, 900*time.Millisecond, 14000)
+				job.Deadline = time.Now().Add(20 * time.Second)
+				job.SlackFactor = 60
+				cuts := 0
+				cl.sim.started = func(name medlargw.TargetName) {
+					if cuts++; cuts <= 2 {
+						cl.sim.refused[name] = time.Now().Add(3 * time.Second)
+					}
+				}
+				stop := make(chan struct{})
+				defer close(stop)
+				go func() { // The host list is read each second.
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(time.Second):
+							cl.setGroups()
+						}
+					}
+				}()
+				if o := cl.entries[0].conductor.Submit(context.Background(), job); !o.Complete || cuts < 3 {
+					t.Errorf("outcome: got code %q (%s) after %d starts, want it complete after 3", o.Code, o.Message, cuts)
+				}
+				for _, violation := range cl.sim.targets.Violations() {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
 // TestServiceThatCrashesTargetsIsConfined guards against one kind of jobs that takes
 // the targets of all others with it. The load: 50 jobs a second of one short task, a
 // tenth of which crashes its target for 3 s, beside 40 a second of two tasks of 300 ms,
--- a/conductor/fake_test.go
+++ b/conductor/fake_test.go
@@ -30,6 +30,9 @@
 
 	silentCrashes bool // Targets that crash neither close nor refuse connections.
 
+	refused map[medlargw.TargetName]time.Time // Until when connections to a target are refused, by a cut.
+	started func(name medlargw.TargetName)    // Called with the lock held when a target has carried a start order out; nil is not.
+
 	claims *claims // Nil to record none.
 
 	linkRate    float64 // Of each entry host and direction, in bytes per second; zero is unlimited.
@@ -45,6 +48,7 @@
 		downLinks: map[[2]string]bool{},
 		taskWork:  map[string]medlargw.SimulatedTask{},
 		lastStart: map[medlargw.ZoneName]time.Time{},
+		refused:   map[medlargw.TargetName]time.Time{},
 
 		isEntryHost: map[string]bool{},
 		hostLinks:   map[string]hostLinks{},
@@ -70,6 +74,12 @@
 	return s.downLinks[[2]string{from, to}]
 }
 
+func (s *simulation) isRefused(name medlargw.TargetName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused[name].After(time.Now())
+}
+
 // setLinkDown takes the link from one host or target to another down, or back
 // up.
 func (s *simulation) setLinkDown(from, to string, down bool) {
@@ -106,6 +116,9 @@
 		<-ctx.Done()
 		return errLinkDown
 	}
+	if r.sim.isRefused(name) {
+		return medlargw.ErrConnectionRefused
+	}
 	if r.sim.targets.IsDown(name) {
 		return r.sim.downError(ctx, medlargw.ErrConnectionRefused)
 	}
@@ -156,6 +169,9 @@
 	reply := r.sim.targets.Start(t.Name, o)
 	r.sim.mu.Lock()
 	r.sim.lastStart[t.Zone] = time.Now()
+	if r.sim.started != nil {
+		r.sim.started(t.Name)
+	}
 	r.sim.mu.Unlock()
 	return reply, r.respond(ctx, t.Name)
 }
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -43,6 +43,7 @@
 	target      medlargw.Target // As it was listed when the run started.
 	at          time.Time
 	holderLives bool // The holder found the target silent; otherwise the holder is lost itself.
+	likely      bool // The target refused connections.
 }
 
 // blame returns the sum of the task's shares in crashes.
@@ -66,14 +67,37 @@
 	return n
 }
 
+// likelyCrashes returns the number of targets that have crashed or have probably crashed
+// under the task, and the sum of its shares in that.
+func (t *task) likelyCrashes() (n int, blame float64) {
+	n, blame = len(t.crashes), t.blame()
+	for _, l := range t.losses {
+		if l.likely {
+			n++
+			blame += l.blame
+		}
+	}
+	return n, blame
+}
+
 // isSuspect reports whether the task is likely to crash the target that starts it.
 func (t *task) isSuspect() bool {
-	return t.suspectedCrashes() >= minCrashes || t.blame() >= suspectBlame
+	_, blame := t.likelyCrashes()
+	return t.suspectedCrashes() >= minCrashes || blame >= suspectBlame
 }
 
 // mustWait reports whether the task is not started until it is known how many of the
 // targets that it was lost with have crashed.
-func (t *task) mustWait() bool { return t.suspectedCrashes() >= maxCrashes }
+func (t *task) mustWait() bool {
+	n, blame := t.likelyCrashes()
+	return t.suspectedCrashes() >= maxCrashes || isDeadly(n, blame)
+}
+
+// isDeadly reports whether a task that has crashed n targets, with the sum of its shares in
+// the crashes, is given up.
+func isDeadly(n int, blame float64) bool {
+	return n >= maxCrashes || n >= minCrashes && blame >= maxBlame
+}
 
 // recordCrash records that a target has crashed under a run of a task. It fails the
 // job if the task has crashed as many targets as allowed, and reports whether it has.
@@ -87,7 +111,7 @@
 	id := t.job.job.Tasks[t.index].ID
 	c.log.Info("target crashed under a task", zap.String("task", id), zap.Int("attempt", k.attempt),
 		zap.Int("crashes", len(t.crashes)), zap.Float64("share", k.blame), zap.Float64("blame", sum))
-	if n := len(t.crashes); n >= maxCrashes || n >= minCrashes && sum >= maxBlame {
+	if n := len(t.crashes); isDeadly(n, sum) {
 		c.abort(now, t.job, medlargw.CodeTaskFailed, fmt.Sprintf("task %s crashed %d targets", id, n))
 	}
 	return t.job.ended
@@ -102,8 +126,8 @@
 	case e.Event.Terminal():
 		t.withdrawCrash(t.attempt)
 	}
-	if e.Crash == medlargw.CrashPossible && e.Event.Terminal() {
-		c.recordLoss(now, t, e.Blame, true)
+	if e.Crash != medlargw.CrashNone && e.Event.Terminal() {
+		c.recordLoss(now, t, &loss{crash: crash{blame: e.Blame}, holderLives: true, likely: e.Crash == medlargw.CrashLikely})
 	}
 	return false
 }
@@ -115,11 +139,12 @@
 
 // recordLoss records that the current run of a task has ended with a target that may
 // have crashed.
-func (c *Coordinator) recordLoss(now time.Time, t *task, share float64, holderLives bool) {
+func (c *Coordinator) recordLoss(now time.Time, t *task, l *loss) {
 	if t.target.Name == "" {
 		return
 	}
-	t.losses = append(t.losses, loss{crash: crash{attempt: t.attempt, blame: share}, target: t.target, at: now, holderLives: holderLives})
+	l.attempt, l.target, l.at = t.attempt, t.target, now
+	t.losses = append(t.losses, *l)
 	c.hasLosses = true
 }
 
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -122,6 +122,67 @@
 	}
 }
 
+// TestLikelyCrashes guards against a job that is failed for cuts that refuse connections,
+// and against a task that is started on a third target before it is known whether it has
+// crashed two. The first target was back as a new incarnation or is listed as it was.
+func TestLikelyCrashes(t *testing.T) {
+	addr, born := netip.MustParseAddrPort("10.1.0.7:80"), start.Add(-time.Minute)
+	first := medlargw.Target{Name: "t1", Pool: "pool", Addr: addr, IncarnationStart: born}
+	second := medlargw.Target{Name: "t2", Pool: "pool", IncarnationStart: born}
+	reborn, rebornSecond := first, second
+	reborn.IncarnationStart, rebornSecond.IncarnationStart = start.Add(time.Second), start.Add(time.Second)
+	tests := []struct {
+		name    string
+		list    []medlargw.Target
+		failed  bool
+		offered bool // Within 8 s.
+	}{
+		{"both crashed", []medlargw.Target{reborn, rebornSecond}, true, false},
+		{"one crashed", []medlargw.Target{reborn, second}, false, true},
+		{"both were cut off", []medlargw.Target{first, second}, false, true},
+		{"both have left the list", nil, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newFixture(t)
+			setTargets := func(targets []medlargw.Target) {
+				h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}, Targets: targets})
+				h.c.SetFreeResources(h.now, holder.Incarnation, freeResources(uint64(100+h.now.Sub(start)), 2))
+			}
+			setTargets([]medlargw.Target{first, second})
+			j := job(1)
+			j.Deadline = h.now.Add(time.Minute)
+			h.c.Submit(h.now, j)
+			offer := h.offers()[0]
+			h.answer(&offer, medlargw.OfferStarted)
+			id := offer.Offer.Tasks[0].ID
+			for _, name := range []medlargw.TargetName{"t1", "t2"} {
+				if id == 0 {
+					t.Fatalf("offer before the run on %s: got none, want one", name)
+				}
+				h.c.SetFreeResources(h.now, holder.Incarnation, freeResources(uint64(50+len(name)), 2))
+				id = h.reportEnd(id, medlargw.TaskReport{Event: medlargw.TaskStopped, Target: name, Crash: medlargw.CrashLikely, Blame: 0.9})
+			}
+			if id != 0 || h.c.JobCount() != 1 {
+				t.Errorf("after two likely crashes: got offer %d and %d jobs, want a job that waits", id, h.c.JobCount())
+			}
+			offered := false
+			h.advance(8*time.Second, func() {
+				setTargets(test.list)
+				for _, o := range h.offers() {
+					offered = offered || len(o.Offer.Tasks) > 0
+				}
+			})
+			if got := h.c.JobCount() == 0; got != test.failed {
+				t.Errorf("job failed: got %v, want %v", got, test.failed)
+			}
+			if offered != test.offered {
+				t.Errorf("offered again: got %v, want %v", offered, test.offered)
+			}
+		})
+	}
+}
+
 // TestLostHolderOfCrashedTarget guards against crashes that are forgotten with the
 // holder: the target crashes and its holder is lost before it tells.
 func TestLostHolderOfCrashedTarget(t *testing.T) {
--- a/coordinator/holder.go
+++ b/coordinator/holder.go
@@ -237,7 +237,7 @@
 		}
 	case !now.Before(t.endedBy):
 		attempt := t.attempt
-		c.recordLoss(now, t, unknownBlame, false)
+		c.recordLoss(now, t, &loss{crash: crash{blame: unknownBlame}})
 		c.retry(now, t, "")
 		c.logEndedByTime(now, t, attempt, h)
 	}
--- a/crash.go
+++ b/crash.go
@@ -14,6 +14,9 @@
 	// CrashProven means that the process of the target has ended under the run, and
 	// nobody had planned it.
 	CrashProven
+	// CrashLikely means that the target refused connections until its last lease ended.
+	// Its process has ended, or a cut rejects connections to it.
+	CrashLikely
 )
 
 // String returns the name used in logs.
@@ -25,6 +28,8 @@
 		return "possible"
 	case CrashProven:
 		return "proven"
+	case CrashLikely:
+		return "likely"
 	}
 	return "unknown"
 }
--- a/holder/crash.go
+++ b/holder/crash.go
@@ -20,7 +20,8 @@
 )
 
 // recordBreak records that a target has closed or refused a connection. When nothing
-// accepts connections at its address any more, its process has ended.
+// accepts connections at its address any more, its process has ended, or it is cut off by
+// something that rejects connections.
 func (h *Holder) recordBreak(now time.Time, t *target, err error) {
 	refused := errors.Is(err, medlargw.ErrConnectionRefused)
 	if t.closedAt.IsZero() && (refused || errors.Is(err, medlargw.ErrConnectionClosed)) {
@@ -28,14 +29,20 @@
 		h.breaks = slices.DeleteFunc(h.breaks, func(at time.Time) bool { return now.Sub(at) > time.Second })
 		h.breaks = append(h.breaks, now)
 	}
-	if !refused || !t.refusedAt.IsZero() {
+	if !refused || t.refusing {
 		return
 	}
-	t.refusedAt = now
-	if len(t.runs) > 0 {
-		h.log.Info("target refuses connections", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)),
-			zap.Duration("silent", now.Sub(t.lastAnswer)))
-		h.recordCrash(now, t, nil, "connections refused")
+	t.refusing = true
+	if len(t.runs) == 0 {
+		return
+	}
+	h.log.Info("target refuses connections", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)),
+		zap.Duration("silent", now.Sub(t.lastAnswer)))
+	if t.isEndPlanned() {
+		return
+	}
+	for _, r := range h.blameRuns(now, t, nil) {
+		r.crash = medlargw.CrashLikely
 	}
 }
 
@@ -50,11 +57,10 @@
 		return
 	}
 	t.crashed = true
-	runs, suspects := h.attributeCrash(t, notStarted)
+	runs := h.blameRuns(now, t, notStarted)
 	if len(runs) == 0 {
 		return
 	}
-	h.recordBlame(now, runs, suspects)
 	h.log.Info("target crashed", zap.String("target", string(t.info.Name)), zap.Int("runs", len(runs)), zap.String("reason", reason))
 	for _, r := range runs {
 		r.crash = medlargw.CrashProven
@@ -70,7 +76,7 @@
 // suspectCrash records that a target which has not answered renewals until the last
 // lease ended may have crashed.
 func (h *Holder) suspectCrash(t *target) {
-	if t.crashed || t.isEndPlanned() || t.failedRenewals == 0 {
+	if t.crashed || t.blamed || t.isEndPlanned() || t.failedRenewals == 0 {
 		return // The last case is a pause of this entry, which has not renewed the lease.
 	}
 	runs, _ := h.attributeCrash(t, nil)
@@ -79,6 +85,26 @@
 	}
 }
 
+// blameRuns returns the runs of a target that were on board of its likely or proven crash.
+// It records their shares in the crash with the attributor, once.
+func (h *Holder) blameRuns(now time.Time, t *target, notStarted *run) []*run {
+	if !t.blamed {
+		t.blamed = true
+		runs, suspects := h.attributeCrash(t, notStarted)
+		if len(runs) > 0 {
+			h.recordBlame(now, runs, suspects)
+		}
+		return runs
+	}
+	var runs []*run
+	for _, r := range t.sortedRuns() {
+		if r.task != nil && r != notStarted {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
 // attributeCrash computes the shares of the runs of a target in its crash, and returns
 // the runs. They have no share in one that has a cause in common with others.
 func (h *Holder) attributeCrash(t *target, notStarted *run) ([]*run, []medlargw.CrashSuspect) {
@@ -131,11 +157,11 @@
 // withdrawCrash withdraws the crash of a target that answers in the incarnation that
 // seemed to have ended. Its runs go on.
 func (h *Holder) withdrawCrash(t *target, report *medlargw.RunReport) {
-	t.closedAt, t.refusedAt = time.Time{}, time.Time{}
-	if !t.crashed || !report.IncarnationStart.Equal(t.incarnationStart) {
+	t.closedAt, t.refusing = time.Time{}, false
+	if !t.crashed && !t.blamed || !report.IncarnationStart.Equal(t.incarnationStart) {
 		return
 	}
-	t.crashed = false
+	t.crashed, t.blamed = false, false
 	h.log.Info("target has not crashed", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
 	for _, r := range t.runs {
 		r.crash, r.blame = medlargw.CrashNone, 0
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -16,7 +16,8 @@
 // proven by the target's report, by a new incarnation of the target, or by the
 // expiry of the lease on the target's own clock after the claim was answered.
 // An order without an answer may be carried out late, as if it was new, until the
-// target has seen a higher token; no time proves that it is not.
+// target has seen a higher token; no time proves that it is not, nor does a target that
+// closes or refuses connections.
 //
 // The holder is a state machine without I/O. The time is an argument of each
 // event, and the messages to send are collected until TakeActions is called.
--- a/holder/report.go
+++ b/holder/report.go
@@ -239,7 +239,7 @@
 	if !t.incarnationStart.IsZero() {
 		h.log.Info("new incarnation of a target", zap.String("target", string(t.info.Name)), zap.Int("runs", len(t.runs)))
 		h.recordCrash(now, t, nil, "new incarnation")
-		t.crashed = false
+		t.crashed, t.blamed = false, false
 	}
 	t.incarnationStart = report.IncarnationStart
 	t.lastEnd = 0
--- a/holder/target.go
+++ b/holder/target.go
@@ -74,7 +74,8 @@
 	failedRenewals int       // Consecutive renewals that were not answered.
 	closedAt       time.Time // When the target first closed or refused a connection since it last answered; zero is not.
 	crashed        bool      // Its process has ended unplanned since it last answered.
-	refusedAt      time.Time // When the target first refused a connection since it last answered; zero is not.
+	refusing       bool      // The target has refused a connection since it last answered.
+	blamed         bool      // The runs have their shares in the crash that is likely or proven.
 	addedAt        time.Time // When this entry became its owner.
 	unheld         bool      // It was claimed knowing that no living entry holds it.
 
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -259,7 +259,7 @@
 
 // decodeCrash returns CrashNone for a state that this build does not know.
 func decodeCrash(state int32) medlargw.CrashState {
-	if s := medlargw.CrashState(state); s == medlargw.CrashPossible || s == medlargw.CrashProven {
+	if s := medlargw.CrashState(state); s >= medlargw.CrashNone && s <= medlargw.CrashLikely {
 		return s
 	}
 	return medlargw.CrashNone
