Receiver: a planned stop sends the answers that are written

Under thousands of requests a second a stop could end late, with status 2.

Change: package drainer ends the listening, waits until each request that was read is answered, and closes the connections that are idle (at once) or have sent no whole header (after 0.1 s). http.Server.Shutdown alone was ruled out: it closes a new connection whose request it reads meanwhile without an answer, and waits up to 5 s for one that has sent nothing. Jobs are counted by a count that may grow while it is waited for.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -25,6 +25,7 @@
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/describer"
+	"medlargw.example/medlargw/drainer"
 	"medlargw.example/medlargw/exporter"
 	"medlargw.example/medlargw/registrar"
 )
@@ -63,6 +64,7 @@
 	inForce  atomic.Pointer[generationStart]
 	listener net.Listener
 	server   *http.Server
+	drainer  *drainer.Drainer
 	serving  conc.WaitGroup
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -132,6 +134,7 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(a.log),
 	}
+	a.drainer = drainer.New(a.server, a.listener)
 	follow, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.serving.Go(a.serve)
@@ -159,9 +162,9 @@
 func (a *Administrator) serve() {
 	var err error
 	if a.tls != nil {
-		err = a.server.ServeTLS(a.listener, "", "")
+		err = a.server.ServeTLS(a.drainer, "", "")
 	} else {
-		err = a.server.Serve(a.listener)
+		err = a.server.Serve(a.drainer)
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("HTTP server failed", zap.Error(err))
@@ -198,7 +201,7 @@
 func (a *Administrator) Stop(ctx context.Context) error {
 	defer close(a.done)
 	a.cancel()
-	err := a.server.Shutdown(ctx)
+	err := a.drainer.Drain(ctx)
 	a.serving.Wait()
 	return err
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/drainer"
 	"medlargw.example/medlargw/encoder"
 	"medlargw.example/medlargw/registrar"
 )
@@ -44,6 +45,7 @@
 	configSource medlargw.ConfigSource
 	listener     net.Listener
 	server       *http.Server
+	drainer      *drainer.Drainer
 	serving      conc.WaitGroup
 	stoppingOnce sync.Once
 	stopping     chan struct{}
@@ -103,6 +105,7 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(rc.log),
 	}
+	rc.drainer = drainer.New(rc.server, rc.listener)
 	rc.serving.Go(rc.serve)
 	return nil
 }
@@ -110,9 +113,9 @@
 func (rc *Receiver) serve() {
 	var err error
 	if rc.tls != nil {
-		err = rc.server.ServeTLS(rc.listener, "", "")
+		err = rc.server.ServeTLS(rc.drainer, "", "")
 	} else {
-		err = rc.server.Serve(rc.listener)
+		err = rc.server.Serve(rc.drainer)
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		rc.log.Error("HTTP server failed", zap.Error(err))
@@ -141,11 +144,11 @@
 }
 
 // Stop makes the readiness check fail, closes the listener and waits for the
-// running requests.
+// running requests. If the context ends before, it cuts off what is left.
 func (rc *Receiver) Stop(ctx context.Context) error {
 	defer close(rc.done)
 	_ = rc.PreStop(ctx)
-	err := rc.server.Shutdown(ctx)
+	err := rc.drainer.Drain(ctx)
 	rc.serving.Wait()
 	return err
 }
