Holder: a target without a recent report gets no new runs

Cause: the resources of the last host list were used however old it was, and nothing kept when a target had last told them: heartbeats that change nothing else were dropped. The age of the list is not that age: the first list after an outage still shows what was written before it.

Change: package chronicler keeps a lower bound of the time of each target's last report from successive reads; entries that don't read the list fetch the ages from peers (fetch "told"; an older build is asked for the age of its read). The holder starts nothing on a target whose last report is older than ContactMs and a heartbeat, less the time of an order, and does not offer its resources. The zone's readers retry within 1 s (others 3 s; 2 s for all before) and read each 0.25 s after an outage until all targets have reported.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/chronicler"
 	"medlargw.example/medlargw/differ"
 	"medlargw.example/medlargw/hedger"
 	"medlargw.example/medlargw/registrar"
@@ -46,6 +47,7 @@
 	hosts            medlargw.HostLister
 	calls            *hedger.Hedger
 	groupSetter      groupSetter
+	toldSetter       toldSetter // Nil if resources are relied on without limit.
 	listedAddrSetter listedAddrSetter
 	gossiper         medlargw.Gossiper
 	members          medlargw.Members
@@ -55,6 +57,9 @@
 	encoded      atomic.Pointer[encodedList]       // The list as it was last sent to a peer.
 	lastZoneRead atomic.Int64                      // When an entry of the zone last read the list, in nanoseconds since createdAt.
 	createdAt    time.Time
+	lastOwnRead  atomic.Int64 // When this entry last sent a read of the list that was answered, as lastZoneRead.
+	toldMu       sync.Mutex
+	chronicler   *chronicler.Chronicler // Guarded by toldMu.
 	fetches      spacer.Spacer
 	mu           sync.Mutex // Held while a list or a change of the membership is applied.
 	differ       *differ.Differ
@@ -76,12 +81,15 @@
 // New returns an assigner that has not started.
 func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, hosts medlargw.HostLister, calls *hedger.Hedger) *Assigner {
 	return &Assigner{
-		log:       log.Named("assigner"),
-		registry:  reg,
-		settings:  settings,
-		hosts:     hosts,
-		calls:     calls,
-		differ:    differ.New(),
+		log:      log.Named("assigner"),
+		registry: reg,
+		settings: settings,
+		hosts:    hosts,
+		calls:    calls,
+		differ:   differ.New(),
+
+		chronicler: chronicler.New(settings.Lease.Report),
+
 		createdAt: time.Now(),
 		spawner:   spawner.New(),
 		done:      make(chan struct{}),
@@ -98,6 +106,9 @@
 		return err
 	}
 	a.spawner.Go(a.run)
+	if a.toldSetter != nil {
+		a.spawner.Go(a.followTold)
+	}
 	return nil
 }
 
@@ -106,6 +117,11 @@
 	if a.groupSetter, err = registrar.Find[groupSetter](a.registry, "dispatcher"); err != nil {
 		return err
 	}
+	if a.settings.Lease.Told > 0 {
+		if a.toldSetter, err = registrar.Find[toldSetter](a.registry, "dispatcher"); err != nil {
+			return err
+		}
+	}
 	if a.listedAddrSetter, err = registrar.Find[listedAddrSetter](a.registry, "tracker"); err != nil {
 		return err
 	}
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -23,7 +23,8 @@
 	startupPollInterval = 100 * time.Millisecond
 	staleAfter          = 2 * time.Second        // All entries of the zone read the list when none has read it for so long.
 	minRetryPause       = 200 * time.Millisecond // Shortest pause after a failed read.
-	maxRetryPause       = 2 * time.Second        // Longest pause after a failed read.
+	maxRetryPause       = 3 * time.Second        // Longest pause after a failed read.
+	maxReaderRetryPause = time.Second            // That of the zone's readers.
 	readersPerZone      = 2
 	fetchTimeout        = 5 * time.Second
 	pauseJitter         = 0.2 // Share by which a pause varies.
@@ -33,6 +34,7 @@
 func (a *Assigner) run(ctx context.Context) {
 	interval := cmp.Or(a.settings.Group.Read, pollInterval)
 	retryPause := minRetryPause
+	var recovered time.Time // Start of the first read that was answered after others were not.
 	for {
 		startedAt, pause := time.Now(), interval
 		switch {
@@ -40,11 +42,18 @@
 			pause = pollInterval
 		case !a.readList(ctx):
 			startedAt, pause = time.Now(), retryPause // The pause follows the failure.
-			retryPause = min(2*retryPause, maxRetryPause)
+			retryPause = min(2*retryPause, a.maxRetryPause())
+			recovered = time.Time{}
 		case time.Since(a.createdAt) < startupTime:
 			retryPause, pause = minRetryPause, min(startupPollInterval, interval)
 		default:
 			retryPause = minRetryPause
+			if recovered.IsZero() {
+				recovered = startedAt
+			}
+			if a.awaitsReports(recovered) {
+				pause = min(quickReadPause, interval)
+			}
 		}
 		select {
 		case <-time.After(withJitter(pause) - time.Since(startedAt)):
@@ -54,6 +63,15 @@
 	}
 }
 
+// maxRetryPause returns the longest pause after a failed read. The readers look sooner
+// whether the platform is back: targets are not used for long without their reports.
+func (a *Assigner) maxRetryPause() time.Duration {
+	if a.isReader() {
+		return maxReaderRetryPause
+	}
+	return maxRetryPause
+}
+
 func withJitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + pauseJitter*(2*rand.Float64()-1))) //nolint:gosec // Spreads load, not used for security.
 }
@@ -96,6 +114,7 @@
 		return false
 	}
 	a.recordZoneRead(sentAt)
+	a.recordReports(sentAt, &list)
 	recentChanged := a.setRecent(&list)
 	switch {
 	case a.applyList(&list):
@@ -170,9 +189,12 @@
 // maxEncodedAge is the time for which an encoded list is used again.
 const maxEncodedAge = time.Second
 
-// HandleFetch returns what has changed in the list to a peer that has an older
+// HandleFetch returns when the targets have reported, or what has changed in the list to a peer that has an older
 // one, or the whole list if the changes are not known.
 func (a *Assigner) HandleFetch(_ context.Context, r medlargw.FetchRequest) (medlargw.FetchReply, error) {
+	if r.Kind == medlargw.FetchTold {
+		return a.serveTold(), nil
+	}
 	list := a.list.Load()
 	if list == nil || list.Version <= r.Version {
 		return medlargw.FetchReply{Version: a.HostsVersion()}, nil
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -295,6 +295,20 @@
 	})
 }
 
+// SetTold takes when targets have reported their resources to the platform, at the
+// earliest.
+func (c *Conductor) SetTold(told map[medlargw.TargetName]time.Time) {
+	now, own := time.Now(), c.clock.Now()
+	onOwnClock := make(map[medlargw.TargetName]time.Time, len(told))
+	for name, at := range told {
+		onOwnClock[name] = own.Add(at.Sub(now))
+	}
+	c.post(func(now time.Time) {
+		c.holder.SetTold(now, onOwnClock)
+		c.counters.untoldTargets.Update(int64(c.holder.Untold()))
+	})
+}
+
 // recordShare publishes this entry's share of the targets as metrics. It logs a
 // share that has changed otherwise than by the coming and going of targets.
 func (c *Conductor) recordShare(s medlargw.TargetShare) {
--- a/conductor/search_disturbance_test.go
+++ b/conductor/search_disturbance_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 	resetTarget
 	refusingTarget
 	returningCallers
+	storeAway
 	sheddingTarget
 	evacuatedZone
 	burst
@@ -55,6 +57,10 @@
 	resetTarget, resetTarget, resetTarget, refusingTarget, refusingTarget, refusingTarget, returningCallers,
 }
 
+// drawnWithResizes lists the kinds for searches of targets whose resources change: at times
+// nobody can read the host list.
+var drawnWithResizes = slices.Concat(drawnDisturbances, []disturbance{storeAway, storeAway, storeAway, storeAway})
+
 // drawnWithRefusals lists the kinds for searches of refused jobs: targets reject orders,
 // and demand exceeds what they can serve.
 var drawnWithRefusals = []disturbance{
@@ -69,6 +75,7 @@
 		"planned stop", "planned stop taken back", "lost entry", "cut entries", "cut one way", "cut target", "cut answers of target",
 		"crashed target", "slow target", "hanging target", "failing target", "late orders", "frozen entry", "unlisted target", "late grants",
 		"broken connections", "broken connections and a holder cut off", "reset and cut target", "refusing target", "callers that return soon",
+		"store away",
 		"shedding target", "evacuated zone", "burst",
 	}[d]
 }
@@ -119,6 +126,9 @@
 			w.resetConnections(name)
 			w.refusing[name] = w.now.Add(2 * f.Length)
 		})
+	case storeAway:
+		w.listUntil = w.now.Add(3 * f.Length)
+		w.list, w.listedAt = w.targetList(), w.now
 	case crashedTarget:
 		w.crash(name)
 	case slowTarget, hangingTarget, failingTarget:
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -76,6 +76,9 @@
 		// The list of targets is read each second.
 		listLag: w.upTo(time.Second),
 	}
+	if w.reports {
+		e.settings.Told = searchTold
+	}
 	e.self = medlargw.Member{Host: e.peer.Host, Zone: e.peer.Zone, Addr: addr, Incarnation: e.peer.Incarnation}
 	log = log.Named(fmt.Sprintf("%s/%d", host, w.lastIncarnation))
 	link := pacer.New(0)
--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -122,6 +122,9 @@
 			e.w.after(e.listLag, func() { e.post(func(now time.Time) { e.setTargets(now, next) }) })
 		}
 	}
+	if e.w.reports {
+		e.readReports(g.Targets)
+	}
 	slices.SortFunc(g.Entries[1:], func(a, b medlargw.Peer) int { return int(a.Incarnation) - int(b.Incarnation) })
 	key := groupKey(&g)
 	if key == e.groupKey {
@@ -132,6 +135,20 @@
 	e.post(func(now time.Time) { e.setGroup(now, g) })
 }
 
+// readReports tells the entry, with the lag of its list, as of when the list shows the
+// targets.
+func (e *searchEntry) readReports(targets []medlargw.Target) {
+	at := e.w.now
+	if e.w.listUntil.After(at) {
+		at = e.w.listedAt
+	}
+	told := map[medlargw.TargetName]time.Time{}
+	for i := range targets {
+		told[targets[i].Name] = at
+	}
+	e.w.after(e.listLag, func() { e.post(func(now time.Time) { e.holder.SetTold(now, told) }) })
+}
+
 func (e *searchEntry) setGroup(now time.Time, g medlargw.Group) {
 	e.group = g
 	e.holder.SetGroup(now, g)
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -47,9 +47,10 @@
 	searchSpread   = 3                // Factor of the times of jobs while targets are resized.
 	searchDeadline = 15 * time.Second // Of a job that crashes targets.
 	maxAvoided     = 4
-	searchSlack    = 50                     // Of a job that crashes targets.
-	resetLead      = 20 * time.Millisecond  // From the reset of connections to a cut.
-	refusalLead    = 300 * time.Millisecond // From the first order that is carried out late to a cut that refuses connections.
+	searchSlack    = 50                      // Of a job that crashes targets.
+	resetLead      = 20 * time.Millisecond   // From the reset of connections to a cut.
+	searchTold     = 4300 * time.Millisecond // How long the resources in the host list are relied on: 4.5 s less the time of an order.
+	refusalLead    = 300 * time.Millisecond  // From the first order that is carried out late to a cut that refuses connections.
 )
 
 // TestRulesOfTargetsUnderFaults checks that no target starts a task while another
@@ -86,13 +87,13 @@
 
 // TestRulesOfTargetsThatCrashAndResize checks the same rules while tasks crash the
 // targets that start them, and while the resources of targets shrink and grow with
-// runs on them: no task is started a third time after its third crash, and no start
-// brings a target over resources that it has had for longer than holders need to learn
-// of them.
+// runs on them and at times nobody can read the host list: no task is started a third time
+// after its third crash, and no start brings a target over resources that it has had for
+// longer than holders need to learn of them.
 func TestRulesOfTargetsThatCrashAndResize(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		runSearch(t, &searchPlan{idempotent: rapid.Bool().Draw(t, "idempotent"), crashAndResize: true, kinds: drawnDisturbances}, func(w *searchWorld) []string {
+		runSearch(t, &searchPlan{idempotent: rapid.Bool().Draw(t, "idempotent"), crashAndResize: true, kinds: drawnWithResizes}, func(w *searchWorld) []string {
 			return slices.Concat(w.targets.Violations(), w.problems, w.endless)
 		})
 	})
@@ -116,7 +117,7 @@
 // runSearch plays one drawn course of events. It fails at the first broken rule.
 func runSearch(t *rapid.T, p *searchPlan, broken func(w *searchWorld) []string) *searchWorld {
 	w := newSearchWorld(rapid.Uint64().Draw(t, "seed"), t.Logf)
-	w.idempotent, w.returns = p.idempotent, p.returns
+	w.idempotent, w.returns, w.reports = p.idempotent, p.returns, p.crashAndResize
 	w.suspect = drawDuration(t, 300, 1200, "suspect")
 	w.indirect = rapid.Bool().Draw(t, "indirect")
 	w.listed = rapid.Bool().Draw(t, "listed")
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -100,6 +100,10 @@
 	lateGrants    map[medlargw.TargetName]time.Time
 	refusing      map[medlargw.TargetName]time.Time // Until when nothing at a target's address accepts connections.
 	unlisted      map[medlargw.TargetName]time.Time
+	reports       bool              // Entries rely on the resources of targets for a time only.
+	list          []medlargw.Target // What the host list shows until listUntil, as of listedAt.
+	listedAt      time.Time
+	listUntil     time.Time
 	idempotent    bool                              // The jobs are idempotent.
 	suspect       time.Duration                     // Silence after which an entry leaves the group of another.
 	indirect      bool                              // Entries tell each other whom they have heard.
@@ -282,6 +286,9 @@
 
 // targetList returns the host list of the platform.
 func (w *searchWorld) targetList() []medlargw.Target {
+	if w.listUntil.After(w.now) && w.list != nil {
+		return w.list
+	}
 	var all []medlargw.Target
 	for _, t := range w.targets.Targets() {
 		if !w.unlisted[t.Name].After(w.now) {
--- a/holder/target.go
+++ b/holder/target.go
@@ -79,6 +79,7 @@
 	addedAt        time.Time // When this entry became its owner.
 	unheld         bool      // It was claimed knowing that no living entry holds it.
 
+	toldAt        time.Time // When the target has reported its resources, at the earliest; zero is unknown.
 	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
 	isolated      bool      // It is set apart for tasks that are likely to crash it.
 	reserved      bool      // A suspect task waits until it is idle.
@@ -161,7 +162,13 @@
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && t.token <= t.grants.seen && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
 		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() &&
-		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.mustLapse(now, s)
+		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.isUntold(now, s) && !t.mustLapse(now, s)
+}
+
+// isUntold reports whether the target may have fewer resources than the host list shows:
+// it has not reported to the platform for so long that it counts as having changed.
+func (t *target) isUntold(now time.Time, s *medlargw.LeaseSettings) bool {
+	return s.Told > 0 && now.Sub(t.toldAt) > s.Told
 }
 
 // isListedBefore reports whether the host list describes a former incarnation of the
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"medlargw.example/medlargw"
@@ -213,6 +215,10 @@
 	reply, err := m.clientFor(to).Fetch(ctx, &wire.FetchRequest{
 		Kind: string(r.Kind), Version: r.Version, Protocol: int32(r.Protocol),
 	})
+	var refusal twirp.Error
+	if errors.As(err, &refusal) && refusal.Code() == twirp.Unimplemented {
+		err = fmt.Errorf("%w: %w", medlargw.ErrUnknownFetch, err)
+	}
 	if err != nil {
 		return medlargw.FetchReply{}, err
 	}
--- a/target.go
+++ b/target.go
@@ -52,6 +52,11 @@
 	// that was read from the platform has them, and they don't change its version.
 	Recent []EntryHost
 
+	// Numbers that change with each report of a target, of the targets' state at the time
+	// of the read. Only a list that was read from the platform has them, and they don't
+	// change its version.
+	Reports map[TargetName]uint64
+
 	// Zones whose targets get no new tasks until the operators take the request
 	// back, sorted. Nil is unknown: the list comes from a peer of an older build.
 	Evacuated []ZoneName
