Holder, assigner: reports are dated by the targets' own clocks

Cause: the lower bound of the time of a report was taken from successive reads. The report itself has the target's clock, which the holder knows from each answer of the target.

Change: the list that is read has the clock and the incarnation of each report; the chronicler keeps the latest ones, peers pass them on (8 bytes a target), and the holder compares with the target's clock, drift added. An entry whose peers are of an older build reads the list itself. Reports count only with the list that shows what was reported: the list is applied first, and a peer's reports are dropped while its list is newer.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -47,7 +47,7 @@
 	hosts            medlargw.HostLister
 	calls            *hedger.Hedger
 	groupSetter      groupSetter
-	toldSetter       toldSetter // Nil if resources are relied on without limit.
+	reportSetter     reportSetter // Nil if resources are relied on without limit.
 	listedAddrSetter listedAddrSetter
 	gossiper         medlargw.Gossiper
 	members          medlargw.Members
@@ -58,8 +58,9 @@
 	lastZoneRead atomic.Int64                      // When an entry of the zone last read the list, in nanoseconds since createdAt.
 	createdAt    time.Time
 	lastOwnRead  atomic.Int64 // When this entry last sent a read of the list that was answered, as lastZoneRead.
-	toldMu       sync.Mutex
-	chronicler   *chronicler.Chronicler // Guarded by toldMu.
+	unawareUntil atomic.Int64 // Until when peers count as not knowing the reports of targets, as lastZoneRead.
+	reportsMu    sync.Mutex
+	chronicler   *chronicler.Chronicler // Guarded by reportsMu.
 	fetches      spacer.Spacer
 	mu           sync.Mutex // Held while a list or a change of the membership is applied.
 	differ       *differ.Differ
@@ -88,7 +89,7 @@
 		calls:    calls,
 		differ:   differ.New(),
 
-		chronicler: chronicler.New(settings.Lease.Report),
+		chronicler: chronicler.New(),
 
 		createdAt: time.Now(),
 		spawner:   spawner.New(),
@@ -106,8 +107,8 @@
 		return err
 	}
 	a.spawner.Go(a.run)
-	if a.toldSetter != nil {
-		a.spawner.Go(a.followTold)
+	if a.reportSetter != nil {
+		a.spawner.Go(a.followReports)
 	}
 	return nil
 }
@@ -117,8 +118,8 @@
 	if a.groupSetter, err = registrar.Find[groupSetter](a.registry, "dispatcher"); err != nil {
 		return err
 	}
-	if a.settings.Lease.Told > 0 {
-		if a.toldSetter, err = registrar.Find[toldSetter](a.registry, "dispatcher"); err != nil {
+	if a.settings.Lease.Reported > 0 {
+		if a.reportSetter, err = registrar.Find[reportSetter](a.registry, "dispatcher"); err != nil {
 			return err
 		}
 	}
--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -78,9 +78,9 @@
 
 // ReadsPlatform reports whether this entry reads the list from the platform: it
 // is one of the zone's readers, or no entry of the zone has read the list
-// recently.
+// recently, or the readers' build does not pass on all of it.
 func (a *Assigner) ReadsPlatform() bool {
-	return a.isReader() || a.HostsAge() > staleAfter
+	return a.isReader() || a.HostsAge() > staleAfter || a.hasUnawarePeers()
 }
 
 // isReader reports whether this entry is one of the zone's readers.
@@ -114,7 +114,6 @@
 		return false
 	}
 	a.recordZoneRead(sentAt)
-	a.recordReports(sentAt, &list)
 	recentChanged := a.setRecent(&list)
 	switch {
 	case a.applyList(&list):
@@ -122,6 +121,7 @@
 	case recentChanged:
 		a.MembersChanged(nil)
 	}
+	a.recordReports(sentAt, &list)
 	return true
 }
 
@@ -189,11 +189,11 @@
 // maxEncodedAge is the time for which an encoded list is used again.
 const maxEncodedAge = time.Second
 
-// HandleFetch returns when the targets have reported, or what has changed in the list to a peer that has an older
+// HandleFetch returns the reports of targets, or what has changed in the list to a peer that has an older
 // one, or the whole list if the changes are not known.
 func (a *Assigner) HandleFetch(_ context.Context, r medlargw.FetchRequest) (medlargw.FetchReply, error) {
-	if r.Kind == medlargw.FetchTold {
-		return a.serveTold(), nil
+	if r.Kind == medlargw.FetchReports {
+		return a.serveReports(), nil
 	}
 	list := a.list.Load()
 	if list == nil || list.Version <= r.Version {
--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -1,5 +1,5 @@
-// Package chronicler derives from successive reads of the host list when each target has
-// last told its state.
+// Package chronicler keeps what the targets have last reported of themselves to the
+// platform, and passes it on to peers.
 package chronicler
 
 import (
@@ -13,116 +13,108 @@
 	"medlargw.example/medlargw"
 )
 
-// Chronicler knows a lower bound of the time at which each target last reported to the
-// platform. A report that a read shows, and the read before it did not, was written after
-// that read was sent. What a target reports holds from then on until it changes, but not
-// from the time of a read on: the store may have been away, or the target cut off from it.
-// It is not safe for concurrent use.
+// Chronicler keeps the latest report of each target. A report is dated by the target's own
+// clock: neither a read of the host list nor its way through peers makes it younger. It is
+// not safe for concurrent use.
 type Chronicler struct {
-	interval time.Duration // Of the reports of a target.
-	lastRead time.Time     // When the last read was sent; zero is never.
-	reports  map[medlargw.TargetName]uint64
-	told     map[medlargw.TargetName]time.Time
+	reports map[medlargw.TargetName]medlargw.TargetReport
+	seen    map[medlargw.TargetName]time.Time // When each of the reports was first seen here.
 }
 
-// New returns a chronicler without any read. The interval is that of the reports of a
-// target.
-func New(interval time.Duration) *Chronicler {
-	return &Chronicler{interval: interval, reports: map[medlargw.TargetName]uint64{}, told: map[medlargw.TargetName]time.Time{}}
+// New returns a chronicler without reports.
+func New() *Chronicler {
+	return &Chronicler{reports: map[medlargw.TargetName]medlargw.TargetReport{}, seen: map[medlargw.TargetName]time.Time{}}
 }
 
-// Record records the reports that a read of the list has shown, as numbers that change with
-// each report, and when the read was sent. Before the first read, a target is taken to have
-// reported within the interval.
-func (c *Chronicler) Record(sentAt time.Time, reports map[medlargw.TargetName]uint64) {
-	if sentAt.Before(c.lastRead) {
-		return
-	}
-	since := c.lastRead
-	if since.IsZero() {
-		since = sentAt.Add(-c.interval)
-	}
-	for name, n := range reports {
-		if before, known := c.reports[name]; known && before == n {
-			continue
-		}
-		c.reports[name] = n
-		c.raise(name, since)
+// Record records the reports in a host list that was read. Targets that it lacks are
+// forgotten.
+func (c *Chronicler) Record(now time.Time, reports map[medlargw.TargetName]medlargw.TargetReport) {
+	for name, r := range reports {
+		c.raise(now, name, r)
 	}
-	c.lastRead = sentAt
-	gone := func(name medlargw.TargetName) bool { _, listed := reports[name]; return !listed }
-	maps.DeleteFunc(c.reports, func(name medlargw.TargetName, _ uint64) bool { return gone(name) })
-	maps.DeleteFunc(c.told, func(name medlargw.TargetName, _ time.Time) bool { return gone(name) })
+	maps.DeleteFunc(c.reports, func(name medlargw.TargetName, _ medlargw.TargetReport) bool {
+		_, listed := reports[name]
+		return !listed
+	})
+	maps.DeleteFunc(c.seen, func(name medlargw.TargetName, _ time.Time) bool {
+		_, listed := reports[name]
+		return !listed
+	})
 }
 
-func (c *Chronicler) raise(name medlargw.TargetName, at time.Time) {
-	if at.After(c.told[name]) {
-		c.told[name] = at
+// raise takes a report that is later than the known one.
+func (c *Chronicler) raise(now time.Time, name medlargw.TargetName, r medlargw.TargetReport) {
+	known, ok := c.reports[name]
+	if ok && (known.IncarnationStart.After(r.IncarnationStart) || known.IncarnationStart.Equal(r.IncarnationStart) && known.Clock >= r.Clock) {
+		return
 	}
+	c.reports[name] = r
+	c.seen[name] = now
 }
 
-// Raise takes a lower bound for the listed targets that another source vouches for.
-func (c *Chronicler) Raise(names []medlargw.TargetName, at time.Time) {
-	for _, name := range names {
-		c.raise(name, at)
-	}
+// Reports returns a copy of the reports.
+func (c *Chronicler) Reports() map[medlargw.TargetName]medlargw.TargetReport {
+	return maps.Clone(c.reports)
 }
 
-// Told returns a copy of the times.
-func (c *Chronicler) Told() map[medlargw.TargetName]time.Time { return maps.Clone(c.told) }
-
-// Oldest returns the earliest of the times, zero if there is none.
-func (c *Chronicler) Oldest() time.Time {
-	var oldest time.Time
-	for _, at := range c.told {
-		if oldest.IsZero() || at.Before(oldest) {
-			oldest = at
+// AllSince reports whether each target's latest report was first seen after the given time.
+func (c *Chronicler) AllSince(since time.Time) bool {
+	for _, at := range c.seen {
+		if !at.After(since) {
+			return false
 		}
 	}
-	return oldest
+	return true
 }
 
-// Sizes of the encoding: the start of the hash of a name, and an age in milliseconds.
+// Sizes of the encoding: the start of a hash of the name and the incarnation of a target,
+// and the clock in its report in milliseconds.
 const (
-	hashBytes = 4
-	ageBytes  = 2
-	maxAge    = 1<<16 - 1
+	hashBytes  = 4
+	clockBytes = 4
+	maxClock   = 1<<32 - 1
 )
 
 // errLength is returned for an encoding that is cut off.
-var errLength = errors.New("ages of reports: the length is not that of whole rows")
+var errLength = errors.New("reports of targets: the length is not that of whole rows")
 
-func hashOf(name medlargw.TargetName) uint32 { return uint32(xxhash.Sum64String(string(name))) } //nolint:gosec // Truncated on purpose.
+func hashOf(name medlargw.TargetName, born time.Time) uint32 {
+	key := binary.BigEndian.AppendUint64([]byte(name), uint64(born.UnixMilli())) //nolint:gosec // Only hashed.
+	return uint32(xxhash.Sum64(key))                                             //nolint:gosec // Truncated on purpose.
+}
 
-// Encode returns the ages of the reports for a peer. Those that are too old are left out.
-func (c *Chronicler) Encode(now time.Time) []byte {
-	body := make([]byte, 0, len(c.told)*(hashBytes+ageBytes))
-	for name, at := range c.told {
-		age := (now.Sub(at) + time.Millisecond - 1) / time.Millisecond
-		if age < 0 || age > maxAge {
+// Encode returns the reports for a peer.
+func (c *Chronicler) Encode() []byte {
+	body := make([]byte, 0, len(c.reports)*(hashBytes+clockBytes))
+	for name, r := range c.reports {
+		ms := r.Clock.Milliseconds()
+		if ms < 0 || ms > maxClock {
 			continue
 		}
-		body = binary.BigEndian.AppendUint32(body, hashOf(name))
-		body = binary.BigEndian.AppendUint16(body, uint16(age)) //nolint:gosec // Bounded above.
+		body = binary.BigEndian.AppendUint32(body, hashOf(name, r.IncarnationStart))
+		body = binary.BigEndian.AppendUint32(body, uint32(ms)) //nolint:gosec // Bounded above.
 	}
 	return body
 }
 
-// Merge takes the ages of a peer's encoding for the given targets, counted from the time at
-// which it was requested. Of two targets with the same hash the older age counts.
-func (c *Chronicler) Merge(body []byte, requestedAt time.Time, names []medlargw.TargetName) error {
-	if len(body)%(hashBytes+ageBytes) != 0 {
+// Merge takes the reports of a peer's encoding for the given targets. Of two targets with
+// the same hash the earlier clock counts for both.
+func (c *Chronicler) Merge(now time.Time, body []byte, targets []medlargw.Target) error {
+	if len(body)%(hashBytes+clockBytes) != 0 {
 		return errLength
 	}
-	ages := make(map[uint32]time.Duration, len(body)/(hashBytes+ageBytes))
-	for ; len(body) > 0; body = body[hashBytes+ageBytes:] {
+	clocks := make(map[uint32]time.Duration, len(body)/(hashBytes+clockBytes))
+	for ; len(body) > 0; body = body[hashBytes+clockBytes:] {
 		hash := binary.BigEndian.Uint32(body)
-		age := time.Duration(binary.BigEndian.Uint16(body[hashBytes:])) * time.Millisecond
-		ages[hash] = max(ages[hash], age)
+		clock := time.Duration(binary.BigEndian.Uint32(body[hashBytes:])) * time.Millisecond
+		if known, ok := clocks[hash]; !ok || clock < known {
+			clocks[hash] = clock
+		}
 	}
-	for _, name := range names {
-		if age, ok := ages[hashOf(name)]; ok {
-			c.raise(name, requestedAt.Add(-age))
+	for i := range targets {
+		t := &targets[i]
+		if clock, ok := clocks[hashOf(t.Name, t.IncarnationStart)]; ok {
+			c.raise(now, t.Name, medlargw.TargetReport{Clock: clock, IncarnationStart: t.IncarnationStart})
 		}
 	}
 	return nil
--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -11,78 +11,85 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-const interval = 1500 * time.Millisecond
-
-// read is one read of the list: the number of the report of target "t", zero if it is not
-// listed.
-type read struct {
-	at     time.Duration
-	report uint64
-}
-
-// TestTimeOfReport guards against a target that counts as having reported when the list is
-// read: the list is read again after an outage and still shows the report of before.
-func TestTimeOfReport(t *testing.T) {
+// TestLatestReport guards against a report that replaces a later one: a read was overtaken,
+// or a peer knows an older report or a former incarnation.
+func TestLatestReport(t *testing.T) {
+	report := func(clock time.Duration, incarnation int) medlargw.TargetReport {
+		return medlargw.TargetReport{Clock: clock, IncarnationStart: start.Add(time.Duration(incarnation) * time.Minute)}
+	}
 	tests := []struct {
-		name  string
-		reads []read
-		want  time.Duration // Lower bound of the last report; negative is unknown.
+		name    string
+		reports []medlargw.TargetReport // Of successive reads.
+		want    medlargw.TargetReport
 	}{
-		{"first read", []read{{2 * time.Second, 1}}, 500 * time.Millisecond},
-		{"no new report", []read{{2 * time.Second, 1}, {3 * time.Second, 1}}, 500 * time.Millisecond},
-		{"a new report", []read{{2 * time.Second, 1}, {3 * time.Second, 2}}, 2 * time.Second},
-		{"right after an outage", []read{{2 * time.Second, 1}, {3 * time.Second, 2}, {12 * time.Second, 2}}, 2 * time.Second},
-		{"reported before the first read after an outage", []read{{2 * time.Second, 1}, {12 * time.Second, 2}}, 2 * time.Second},
-		{"reported after it", []read{{2 * time.Second, 1}, {12 * time.Second, 1}, {13 * time.Second, 2}}, 12 * time.Second},
-		{"appeared", []read{{2 * time.Second, 0}, {3 * time.Second, 7}}, 2 * time.Second},
-		{"has left the list", []read{{2 * time.Second, 1}, {3 * time.Second, 0}}, -1},
-		{"an answer that was overtaken", []read{{3 * time.Second, 2}, {2 * time.Second, 1}}, 1500 * time.Millisecond},
+		{"first", []medlargw.TargetReport{report(5*time.Second, 0)}, report(5*time.Second, 0)},
+		{"later", []medlargw.TargetReport{report(5*time.Second, 0), report(7*time.Second, 0)}, report(7*time.Second, 0)},
+		{"overtaken", []medlargw.TargetReport{report(7*time.Second, 0), report(5*time.Second, 0)}, report(7*time.Second, 0)},
+		{"next incarnation", []medlargw.TargetReport{report(7*time.Second, 0), report(time.Second, 1)}, report(time.Second, 1)},
+		{"former incarnation", []medlargw.TargetReport{report(time.Second, 1), report(7*time.Second, 0)}, report(time.Second, 1)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := chronicler.New(interval)
-			for _, r := range test.reads {
-				reports := map[medlargw.TargetName]uint64{"other": uint64(r.at)}
-				if r.report > 0 {
-					reports["t"] = r.report
-				}
-				c.Record(start.Add(r.at), reports)
+			c := chronicler.New()
+			for i, r := range test.reports {
+				c.Record(start.Add(time.Duration(i)*time.Second), map[medlargw.TargetName]medlargw.TargetReport{"t": r})
 			}
-			got, known := c.Told()["t"]
-			if want := start.Add(test.want); known != (test.want >= 0) || known && !got.Equal(want) {
-				t.Errorf("got %v (known: %v), want %v", got.Sub(start), known, test.want)
+			if got := c.Reports()["t"]; got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
 			}
 		})
 	}
 }
 
-// TestAgesOfPeer checks that ages pass to a peer with another clock without becoming
-// younger, and never replace younger ones.
-func TestAgesOfPeer(t *testing.T) {
-	var names []medlargw.TargetName
-	reports := map[medlargw.TargetName]uint64{}
+// TestReportsOfTargetsThatLeft checks that targets which have left the list are forgotten,
+// and are not waited for.
+func TestReportsOfTargetsThatLeft(t *testing.T) {
+	c := chronicler.New()
+	c.Record(start, map[medlargw.TargetName]medlargw.TargetReport{"gone": {Clock: time.Second}, "t": {Clock: time.Second}})
+	c.Record(start.Add(2*time.Second), map[medlargw.TargetName]medlargw.TargetReport{"t": {Clock: 3 * time.Second}})
+	if got := c.Reports(); len(got) != 1 {
+		t.Errorf("reports: got %+v, want that of t alone", got)
+	}
+	if since := start.Add(time.Second); !c.AllSince(since) {
+		t.Errorf("all reported since %v: got false, want true", since)
+	}
+	if since := start.Add(2 * time.Second); c.AllSince(since) {
+		t.Errorf("all reported since %v: got true, want false", since)
+	}
+}
+
+// TestReportsOfPeer checks that reports pass to a peer, never replace later ones, and are
+// not taken for those of another incarnation.
+func TestReportsOfPeer(t *testing.T) {
+	var targets []medlargw.Target
+	reports := map[medlargw.TargetName]medlargw.TargetReport{}
 	for i := range 350 {
-		names = append(names, medlargw.TargetName(fmt.Sprintf("i-%04x", i)))
-		reports[names[i]] = uint64(i + 1)
+		target := medlargw.Target{Name: medlargw.TargetName(fmt.Sprintf("i-%04x", i)), IncarnationStart: start.Add(time.Duration(i) * time.Millisecond)}
+		targets = append(targets, target)
+		reports[target.Name] = medlargw.TargetReport{Clock: time.Duration(i+1) * time.Second, IncarnationStart: target.IncarnationStart}
 	}
-	reader, peer := chronicler.New(interval), chronicler.New(interval)
+	reader, peer := chronicler.New(), chronicler.New()
 	reader.Record(start, reports)
-	body := reader.Encode(start.Add(500 * time.Millisecond))
-	requestedAt := start.Add(time.Hour)
-	peer.Raise(names[:1], requestedAt)
-	if err := peer.Merge(body, requestedAt, names); err != nil {
+	body := reader.Encode()
+	targets[1].IncarnationStart = start.Add(time.Hour)
+	later := medlargw.TargetReport{Clock: time.Hour, IncarnationStart: targets[0].IncarnationStart}
+	peer.Record(start, map[medlargw.TargetName]medlargw.TargetReport{targets[0].Name: later})
+	if err := peer.Merge(start, body, targets); err != nil {
 		t.Fatal(err)
 	}
-	for i, name := range names {
-		want := requestedAt.Add(-interval - 500*time.Millisecond)
-		if i == 0 {
-			want = requestedAt
+	for i := range targets {
+		want := reports[targets[i].Name]
+		switch i {
+		case 0:
+			want = later
+		case 1:
+			want = medlargw.TargetReport{}
 		}
-		if got := peer.Told()[name]; !got.Equal(want) {
-			t.Fatalf("%s: got %v, want %v", name, got, want)
+		if got := peer.Reports()[targets[i].Name]; got != want {
+			t.Fatalf("%s: got %+v, want %+v", targets[i].Name, got, want)
 		}
 	}
-	if err := peer.Merge(body[:len(body)-1], requestedAt, names); err == nil {
-		t.Error("ages that are cut off: got no error, want one")
+	if err := peer.Merge(start, body[:len(body)-1], targets); err == nil {
+		t.Error("reports that are cut off: got no error, want one")
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -295,17 +295,11 @@
 	})
 }
 
-// SetTold takes when targets have reported their resources to the platform, at the
-// earliest.
-func (c *Conductor) SetTold(told map[medlargw.TargetName]time.Time) {
-	now, own := time.Now(), c.clock.Now()
-	onOwnClock := make(map[medlargw.TargetName]time.Time, len(told))
-	for name, at := range told {
-		onOwnClock[name] = own.Add(at.Sub(now))
-	}
+// SetReports takes the latest reports of the targets to the platform.
+func (c *Conductor) SetReports(reports map[medlargw.TargetName]medlargw.TargetReport) {
 	c.post(func(now time.Time) {
-		c.holder.SetTold(now, onOwnClock)
-		c.counters.untoldTargets.Update(int64(c.holder.Untold()))
+		c.holder.SetReports(now, reports)
+		c.counters.unreportedTargets.Update(int64(c.holder.Unreported()))
 	})
 }
 
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -37,13 +37,13 @@
 
 	endingJobs metrics.Gauge // Ended jobs with runs that may go on.
 
-	targetsOwned   metrics.Gauge
-	targetsDue     metrics.GaugeFloat64
-	capacity       metrics.Gauge
-	untoldTargets  metrics.Gauge   // Targets of this entry that get no new runs since their last reports are too old.
-	evacuatedZones metrics.Gauge   // Zones that this entry knows to be evacuated.
-	ignoredShares  metrics.Counter // Minimum shares of classes that are invalid.
-	evacuatedTasks metrics.Counter // Waiting tasks that were returned because of an evacuation.
+	targetsOwned      metrics.Gauge
+	targetsDue        metrics.GaugeFloat64
+	capacity          metrics.Gauge
+	unreportedTargets metrics.Gauge   // Targets of this entry that get no new runs since their last reports are too old.
+	evacuatedZones    metrics.Gauge   // Zones that this entry knows to be evacuated.
+	ignoredShares     metrics.Counter // Minimum shares of classes that are invalid.
+	evacuatedTasks    metrics.Counter // Waiting tasks that were returned because of an evacuation.
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -67,13 +67,13 @@
 
 		endingJobs: metrics.GetOrRegisterGauge("ending.jobs", r),
 
-		targetsOwned:   metrics.GetOrRegisterGauge("share.owned", r),
-		targetsDue:     metrics.GetOrRegisterGaugeFloat64("share.due", r),
-		capacity:       metrics.GetOrRegisterGauge("share.capacity", r),
-		untoldTargets:  metrics.GetOrRegisterGauge("reports.missing", r),
-		evacuatedZones: metrics.GetOrRegisterGauge("zones.evacuated", r),
-		ignoredShares:  metrics.GetOrRegisterCounter("config.ignored-shares", r),
-		evacuatedTasks: metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
+		targetsOwned:      metrics.GetOrRegisterGauge("share.owned", r),
+		targetsDue:        metrics.GetOrRegisterGaugeFloat64("share.due", r),
+		capacity:          metrics.GetOrRegisterGauge("share.capacity", r),
+		unreportedTargets: metrics.GetOrRegisterGauge("reports.missing", r),
+		evacuatedZones:    metrics.GetOrRegisterGauge("zones.evacuated", r),
+		ignoredShares:     metrics.GetOrRegisterCounter("config.ignored-shares", r),
+		evacuatedTasks:    metrics.GetOrRegisterCounter("evacuations.returned-tasks", r),
 	}
 }
 
--- a/conductor/search_disturbance_test.go
+++ b/conductor/search_disturbance_test.go
@@ -128,7 +128,8 @@
 		})
 	case storeAway:
 		w.listUntil = w.now.Add(3 * f.Length)
-		w.list, w.listedAt = w.targetList(), w.now
+		w.list = w.targetList()
+		w.lastReports = w.reportsOf(w.list)
 	case crashedTarget:
 		w.crash(name)
 	case slowTarget, hangingTarget, failingTarget:
--- a/conductor/search_entry_test.go
+++ b/conductor/search_entry_test.go
@@ -77,7 +77,7 @@
 		listLag: w.upTo(time.Second),
 	}
 	if w.reports {
-		e.settings.Told = searchTold
+		e.settings.Reported = searchReported
 	}
 	e.self = medlargw.Member{Host: e.peer.Host, Zone: e.peer.Zone, Addr: addr, Incarnation: e.peer.Incarnation}
 	log = log.Named(fmt.Sprintf("%s/%d", host, w.lastIncarnation))
--- a/conductor/search_group_test.go
+++ b/conductor/search_group_test.go
@@ -135,18 +135,14 @@
 	e.post(func(now time.Time) { e.setGroup(now, g) })
 }
 
-// readReports tells the entry, with the lag of its list, as of when the list shows the
-// targets.
+// readReports tells the entry, with the lag of its list, when the targets have reported what
+// the list shows.
 func (e *searchEntry) readReports(targets []medlargw.Target) {
-	at := e.w.now
-	if e.w.listUntil.After(at) {
-		at = e.w.listedAt
+	reports := e.w.reportsOf(targets)
+	if e.w.listUntil.After(e.w.now) {
+		reports = e.w.lastReports
 	}
-	told := map[medlargw.TargetName]time.Time{}
-	for i := range targets {
-		told[targets[i].Name] = at
-	}
-	e.w.after(e.listLag, func() { e.post(func(now time.Time) { e.holder.SetTold(now, told) }) })
+	e.w.after(e.listLag, func() { e.post(func(now time.Time) { e.holder.SetReports(now, reports) }) })
 }
 
 func (e *searchEntry) setGroup(now time.Time, g medlargw.Group) {
--- a/conductor/search_test.go
+++ b/conductor/search_test.go
@@ -49,7 +49,7 @@
 	maxAvoided     = 4
 	searchSlack    = 50                      // Of a job that crashes targets.
 	resetLead      = 20 * time.Millisecond   // From the reset of connections to a cut.
-	searchTold     = 4300 * time.Millisecond // How long the resources in the host list are relied on: 4.5 s less the time of an order.
+	searchReported = 4300 * time.Millisecond // How long the resources in the host list are relied on: 4.5 s less the time of an order.
 	refusalLead    = 300 * time.Millisecond  // From the first order that is carried out late to a cut that refuses connections.
 )
 
--- a/conductor/search_world_test.go
+++ b/conductor/search_world_test.go
@@ -100,9 +100,9 @@
 	lateGrants    map[medlargw.TargetName]time.Time
 	refusing      map[medlargw.TargetName]time.Time // Until when nothing at a target's address accepts connections.
 	unlisted      map[medlargw.TargetName]time.Time
-	reports       bool              // Entries rely on the resources of targets for a time only.
-	list          []medlargw.Target // What the host list shows until listUntil, as of listedAt.
-	listedAt      time.Time
+	reports       bool                                          // Entries rely on the resources of targets for a time only.
+	list          []medlargw.Target                             // What the host list shows until listUntil.
+	lastReports   map[medlargw.TargetName]medlargw.TargetReport // Those of list.
 	listUntil     time.Time
 	idempotent    bool                              // The jobs are idempotent.
 	suspect       time.Duration                     // Silence after which an entry leaves the group of another.
@@ -298,6 +298,16 @@
 	return all
 }
 
+// reportsOf returns reports of the targets' present state.
+func (w *searchWorld) reportsOf(targets []medlargw.Target) map[medlargw.TargetName]medlargw.TargetReport {
+	reports := map[medlargw.TargetName]medlargw.TargetReport{}
+	for i := range targets {
+		t := &targets[i]
+		reports[t.Name] = medlargw.TargetReport{Clock: w.targets.Clock(t.Name), IncarnationStart: t.IncarnationStart}
+	}
+	return reports
+}
+
 // searchPoll is a renewal that waits at a target for the end of a run.
 type searchPoll struct {
 	name    medlargw.TargetName
--- a/faker/endpoint.go
+++ b/faker/endpoint.go
@@ -47,7 +47,7 @@
 	for kind, name := range map[medlargw.FetchKind]string{
 		medlargw.FetchConfig:  "watcher",
 		medlargw.FetchHosts:   "assigner",
-		medlargw.FetchTold:    "assigner",
+		medlargw.FetchReports: "assigner",
 		medlargw.FetchMembers: "tracker",
 	} {
 		if h, err := registrar.Find[medlargw.FetchHandler](e.registry, name); err == nil {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -53,8 +53,8 @@
 	lapsed            map[medlargw.TargetName]time.Time     // When the targets in owners that are not listed left the list.
 	candidates        candidates                            // Computed at the last assignment.
 	apportioner       *apportioner.Apportioner              // Divides the targets among the candidates.
-	told              map[medlargw.TargetName]time.Time     // When targets have reported their resources.
-	untold            int                                   // Number of targets whose resources are not known any more.
+	reports           map[medlargw.TargetName]medlargw.TargetReport
+	unreported        int // Number of claimed targets without a recent report.
 	homes             map[medlargw.Incarnation]*home
 	waiting           []*task
 	held              []*task // Tasks that wait for the end of other submissions' runs.
@@ -148,7 +148,7 @@
 		h.tickTarget(now, t)
 	}
 	h.dropExpired(now)
-	h.countUntold(now)
+	h.countUnreported(now)
 	h.pruneUnlisted(now)
 	h.updateConfined(now)
 	h.returnUnserved(now)
@@ -192,7 +192,7 @@
 	t.addedAt = now
 	t.isolated = h.isolator.IsIsolated(t.info.Addr)
 	t.evacuated = h.evacuated[t.info.Zone]
-	t.toldAt = h.told[t.info.Name]
+	t.report = h.reports[t.info.Name]
 	h.targets[t.info.Name] = t
 	h.sorted = append(h.sorted, t)
 	slices.SortFunc(h.sorted, func(a, b *target) int { return cmp.Compare(a.info.Name, b.info.Name) })
--- a/holder/target.go
+++ b/holder/target.go
@@ -79,15 +79,15 @@
 	addedAt        time.Time // When this entry became its owner.
 	unheld         bool      // It was claimed knowing that no living entry holds it.
 
-	toldAt        time.Time // When the target has reported its resources, at the earliest; zero is unknown.
-	unlistedSince time.Time // When the host list first lacked the target; zero is listed.
-	isolated      bool      // It is set apart for tasks that are likely to crash it.
-	reserved      bool      // A suspect task waits until it is idle.
-	evacuated     bool      // The operators evacuate its zone: it gets no new runs.
-	releasing     bool      // Another entry should hold the target.
-	transferring  bool      // The transfer is in flight.
-	nextTransfer  time.Time // No transfer is sent before.
-	fenced        bool      // During the transfer, the target has rejected an order of this holder.
+	report        medlargw.TargetReport // The target's last one to the platform.
+	unlistedSince time.Time             // When the host list first lacked the target; zero is listed.
+	isolated      bool                  // It is set apart for tasks that are likely to crash it.
+	reserved      bool                  // A suspect task waits until it is idle.
+	evacuated     bool                  // The operators evacuate its zone: it gets no new runs.
+	releasing     bool                  // Another entry should hold the target.
+	transferring  bool                  // The transfer is in flight.
+	nextTransfer  time.Time             // No transfer is sent before.
+	fenced        bool                  // During the transfer, the target has rejected an order of this holder.
 	releaseTo     medlargw.Peer
 	transferred   medlargw.TransferredTarget // Content of that transfer.
 	transferredTo medlargw.HostName          // Receiver of that transfer.
@@ -162,13 +162,17 @@
 func (t *target) usable(now time.Time, s *medlargw.LeaseSettings) bool {
 	return t.claimed && t.token <= t.grants.seen && !t.info.Draining && !t.evacuated && !t.releasing && t.failedRenewals == 0 &&
 		!now.Before(t.pausedUntil) && (!t.probing || len(t.runs) == 0) && !t.hasUnknownRuns() &&
-		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.isUntold(now, s) && !t.mustLapse(now, s)
+		!t.delisted(now, s.Unlisted) && !t.isListedBefore() && !t.lacksReport(now, s) && !t.mustLapse(now, s)
 }
 
-// isUntold reports whether the target may have fewer resources than the host list shows:
-// it has not reported to the platform for so long that it counts as having changed.
-func (t *target) isUntold(now time.Time, s *medlargw.LeaseSettings) bool {
-	return s.Told > 0 && now.Sub(t.toldAt) > s.Told
+// lacksReport reports whether the target may have fewer resources than the host list shows:
+// by its own clock, its last report to the platform is too old.
+func (t *target) lacksReport(now time.Time, s *medlargw.LeaseSettings) bool {
+	if s.Reported <= 0 {
+		return false
+	}
+	age := time.Duration(float64(t.clock-t.report.Clock)/(1-s.Drift)) + now.Sub(t.clockAt)
+	return t.report.Clock == 0 || !t.report.IncarnationStart.Equal(t.incarnationStart) || age > s.Reported
 }
 
 // isListedBefore reports whether the host list describes a former incarnation of the
--- a/imitator/order.go
+++ b/imitator/order.go
@@ -15,6 +15,13 @@
 	return time.Duration(float64(im.now().Sub(t.startedAt)) * t.clockRate)
 }
 
+// Clock returns a target's clock.
+func (im *Imitator) Clock(name medlargw.TargetName) time.Duration {
+	im.mu.Lock()
+	defer im.mu.Unlock()
+	return im.clock(im.targets[name])
+}
+
 // endDueRuns ends the runs that are due to end, and stops the others if the
 // lease has expired.
 func (im *Imitator) endDueRuns(t *target) {
--- a/lease.go
+++ b/lease.go
@@ -21,8 +21,7 @@
 	Lag      time.Duration // Longest lag, of this entry or of a peer, that excuses silence; zero judges by silence alone.
 	Quiet    time.Duration // Time without a crash after which a service that crashes targets is no longer confined; zero confines none.
 	Refused  time.Duration // Pause before a target is claimed again that was lost to a higher fencing token.
-	Report   time.Duration // Interval at which a target reports its resources to the platform.
-	Told     time.Duration // How long the resources that a target has reported are relied on; zero is without limit.
+	Reported time.Duration // How long the resources that a target has reported are relied on; zero is without limit.
 	Resubmit time.Duration // Time after which a caller without an outcome may submit its job again, at any entry.
 }
 
--- a/message.go
+++ b/message.go
@@ -62,7 +62,7 @@
 	FetchConfig  FetchKind = "config"
 	FetchHosts   FetchKind = "hosts"
 	FetchMembers FetchKind = "members"
-	FetchTold    FetchKind = "told" // When the targets have last reported to the platform.
+	FetchReports FetchKind = "reports" // The latest reports of targets to the platform.
 )
 
 // FetchRequest asks a peer for state that the sender lacks.
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -32,7 +32,7 @@
 		fetch: map[medlargw.FetchKind]medlargw.FetchHandler{
 			medlargw.FetchConfig:  findHandler[medlargw.FetchHandler](reg, "watcher"),
 			medlargw.FetchHosts:   findHandler[medlargw.FetchHandler](reg, "assigner"),
-			medlargw.FetchTold:    findHandler[medlargw.FetchHandler](reg, "assigner"),
+			medlargw.FetchReports: findHandler[medlargw.FetchHandler](reg, "assigner"),
 			medlargw.FetchMembers: findHandler[medlargw.FetchHandler](reg, "tracker"),
 		},
 	}
--- a/target.go
+++ b/target.go
@@ -28,6 +28,12 @@
 	LeavesAt  time.Time // When it ends while it is draining, at the earliest; zero is unknown.
 }
 
+// TargetReport dates what a target has reported of itself to the platform.
+type TargetReport struct {
+	Clock            time.Duration // The target's clock when it made the report; zero is unknown.
+	IncarnationStart time.Time     // Of the incarnation that made it.
+}
+
 // EntryHost is one entry host in the platform's host list.
 type EntryHost struct {
 	Name      HostName
@@ -52,10 +58,9 @@
 	// that was read from the platform has them, and they don't change its version.
 	Recent []EntryHost
 
-	// Numbers that change with each report of a target, of the targets' state at the time
-	// of the read. Only a list that was read from the platform has them, and they don't
-	// change its version.
-	Reports map[TargetName]uint64
+	// The latest reports of the targets. Only a list that was read from the platform has
+	// them, and they don't change its version.
+	Reports map[TargetName]TargetReport
 
 	// Zones whose targets get no new tasks until the operators take the request
 	// back, sorted. Nil is unknown: the list comes from a peer of an older build.
