Assigner: a peer's reports wait for a list that is being applied

Read, not seen: a list is stored before the dispatcher gets it. Reports of a peer that were merged in between would count as recent before the resources that they report. They are merged under the lock with which a list is applied now. Reports of targets that have left the list are forgotten where they come from peers too; they were kept until the entry's next own read.

--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -189,8 +189,8 @@
 // maxEncodedAge is the time for which an encoded list is used again.
 const maxEncodedAge = time.Second
 
-// HandleFetch returns the reports of targets, or what has changed in the list to a peer that has an older
-// one, or the whole list if the changes are not known.
+// HandleFetch returns the reports of targets; or what has changed in the list, to a peer
+// that has an older one, or the whole list if the changes are not known.
 func (a *Assigner) HandleFetch(_ context.Context, r medlargw.FetchRequest) (medlargw.FetchReply, error) {
 	if r.Kind == medlargw.FetchReports {
 		return a.serveReports(), nil
--- a/assigner/reports.go
+++ b/assigner/reports.go
@@ -69,19 +69,25 @@
 	if errors.Is(err, medlargw.ErrUnknownFetch) {
 		a.unawareUntil.Store(int64(time.Since(a.createdAt) + unawareTime))
 	}
-	list := a.list.Load()
-	if err == nil && list != nil && reply.Version <= list.Version {
-		err = a.mergeReports(reply.Body, list)
+	if err == nil {
+		err = a.mergeReports(&reply)
 	}
 	if err != nil {
 		a.log.Debug("fetching the reports of targets failed", zap.String("peer", string(from.Host)), zap.Error(err))
 	}
 }
 
-func (a *Assigner) mergeReports(body []byte, list *medlargw.HostList) error {
+// mergeReports takes the reports of a peer, if the list in use is not older than its.
+func (a *Assigner) mergeReports(reply *medlargw.FetchReply) error {
+	a.mu.Lock() // A list that is being applied goes first.
+	defer a.mu.Unlock()
+	list := a.list.Load()
+	if list == nil || list.Version < reply.Version {
+		return nil
+	}
 	a.reportsMu.Lock()
 	defer a.reportsMu.Unlock()
-	if err := a.chronicler.Merge(time.Now(), body, list.Targets); err != nil {
+	if err := a.chronicler.Merge(time.Now(), reply.Body, list.Targets); err != nil {
 		return err
 	}
 	a.reportSetter.SetReports(a.chronicler.Reports())
--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -32,16 +32,18 @@
 	for name, r := range reports {
 		c.raise(now, name, r)
 	}
-	maps.DeleteFunc(c.reports, func(name medlargw.TargetName, _ medlargw.TargetReport) bool {
+	c.retain(func(name medlargw.TargetName) bool {
 		_, listed := reports[name]
-		return !listed
-	})
-	maps.DeleteFunc(c.seen, func(name medlargw.TargetName, _ time.Time) bool {
-		_, listed := reports[name]
-		return !listed
+		return listed
 	})
 }
 
+// retain forgets the reports of all other targets.
+func (c *Chronicler) retain(listed func(name medlargw.TargetName) bool) {
+	maps.DeleteFunc(c.reports, func(name medlargw.TargetName, _ medlargw.TargetReport) bool { return !listed(name) })
+	maps.DeleteFunc(c.seen, func(name medlargw.TargetName, _ time.Time) bool { return !listed(name) })
+}
+
 // raise takes a report that is later than the known one.
 func (c *Chronicler) raise(now time.Time, name medlargw.TargetName, r medlargw.TargetReport) {
 	known, ok := c.reports[name]
@@ -97,8 +99,9 @@
 	return body
 }
 
-// Merge takes the reports of a peer's encoding for the given targets. Of two targets with
-// the same hash the earlier clock counts for both.
+// Merge takes the reports of a peer's encoding for the given targets, which are those of
+// the host list; others are forgotten. Of two targets with the same hash the earlier clock
+// counts for both.
 func (c *Chronicler) Merge(now time.Time, body []byte, targets []medlargw.Target) error {
 	if len(body)%(hashBytes+clockBytes) != 0 {
 		return errLength
@@ -111,11 +114,14 @@
 			clocks[hash] = clock
 		}
 	}
+	listed := make(map[medlargw.TargetName]bool, len(targets))
 	for i := range targets {
 		t := &targets[i]
+		listed[t.Name] = true
 		if clock, ok := clocks[hashOf(t.Name, t.IncarnationStart)]; ok {
 			c.raise(now, t.Name, medlargw.TargetReport{Clock: clock, IncarnationStart: t.IncarnationStart})
 		}
 	}
+	c.retain(func(name medlargw.TargetName) bool { return listed[name] })
 	return nil
 }
