Drainer: answers over HTTP/2 are not cut off

Seen by a new test of the package, TestDrain/request_under_way,_HTTP/2 (failed in 2 of 2 runs): the answer to a request that ended during the drain was lost. The receiver of the own protocol serves HTTP/2 with TLS.

Cause: with HTTP/2 a connection counts as idle just before the end of its last answer is sent, and the drainer closed connections as soon as they were idle.

Change: it closes those that have been idle for 5 ms. Switching keep-alives off closes them at once too and is left out. The test passes 10 times with the race detector, TestLengthOfStop as before.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -16,6 +16,10 @@
 // once the server has stopped listening.
 const headerWait = 100 * time.Millisecond
 
+// flushWait is the time for which a connection must have been idle before it is closed: with
+// HTTP/2, it counts as idle just before the end of the last answer is sent.
+const flushWait = 5 * time.Millisecond
+
 // connPhase says what a connection waits for.
 type connPhase int
 
@@ -103,9 +107,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[conn] = connState{phase: p, since: time.Now()}
-	if d.draining && p == phaseIdle {
-		_ = conn.Close()
-	}
 }
 
 func (d *Drainer) remove(conn net.Conn) {
@@ -135,11 +136,10 @@
 	d.draining = true
 	d.mu.Unlock()
 	err := d.Close()
-	d.server.SetKeepAlivesEnabled(false)
-	d.closeConns(phaseIdle, 0)
+	d.closeConns(phaseIdle, flushWait)
 	var closing conc.WaitGroup
 	ended := make(chan struct{})
-	closing.Go(func() { d.closeLate(ended) })
+	closing.Go(func() { d.closeRest(ended) })
 	select {
 	case <-d.empty:
 	case <-ctx.Done():
@@ -150,9 +150,9 @@
 	return errors.Join(err, d.server.Close())
 }
 
-// closeLate closes the connections that send no header within headerWait, until the
-// channel is closed.
-func (d *Drainer) closeLate(ended <-chan struct{}) {
+// closeRest closes the connections that become idle, and those that send no header within
+// headerWait, until the channel is closed.
+func (d *Drainer) closeRest(ended <-chan struct{}) {
 	ticker := time.NewTicker(headerWait / 4)
 	defer ticker.Stop()
 	began := time.Now()
@@ -162,6 +162,7 @@
 		case <-ended:
 			return
 		}
+		d.closeConns(phaseIdle, flushWait)
 		if time.Since(began) >= headerWait {
 			d.closeConns(phaseHeader, headerWait)
 		}
