--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -14,7 +14,7 @@
 
 // headerWait is the time within which a connection must have sent the header of a request
 // once the server has stopped listening.
-const headerWait = 100 * time.Millisecond
+const headerWait = 250 * time.Millisecond
 
 // flushWait is the time for which a connection must have been idle before it is closed: with
 // HTTP/2, it counts as idle just before the end of the last answer is sent.
