Coordinator: jobs are refused at once while no target has reported

Cause: without any known target a job is admitted, as at the start of an entry.

Change: where no holder has a target to offer and targets of the home lack recent reports, a job is refused at once as not run, with 1 s to come back and the reason "unreported"; so is one that waits. An entry that has just started is left out.

--- a/admission.go
+++ b/admission.go
@@ -31,6 +31,7 @@
 	RefusalTooLate    RefusalReason = "too-late"   // It was admitted and has not started in time.
 	RefusalHopeless   RefusalReason = "hopeless"   // One task takes longer than the time until the deadline.
 	RefusalEvacuated  RefusalReason = "evacuated"  // All zones of its pool are evacuated.
+	RefusalUnreported RefusalReason = "unreported" // None of its targets has reported its resources recently.
 	RefusalUnread     RefusalReason = "unread"     // Its request may have waited unread for too long.
 )
 
@@ -39,6 +40,8 @@
 	switch r {
 	case RefusalEvacuated:
 		return "all zones of the targets are evacuated"
+	case RefusalUnreported:
+		return "no target has reported its resources to the platform recently"
 	case RefusalUnread:
 		return "the request was read late"
 	default:
@@ -61,6 +64,7 @@
 	Learning    bool             // Whether the home has just started, and knows few of the holders' resources.
 	Starting    bool             // Whether the home has started in the last seconds.
 	Evacuated   bool             // Whether all targets of the pool are in evacuated zones.
+	Unreported  bool             // Whether targets of this entry have not reported their resources recently.
 	LinkWait    time.Duration    // Time until the home's network link can take its tasks.
 	Holders     []*PoolResources // The latest reports of the holders that accept offers.
 	Waiting     []WaitingJob     // The home's other jobs of the pool that wait for resources.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -92,11 +92,12 @@
 
 // Admit decides on a job that has just arrived.
 func (a *Admitter) Admit(now time.Time, r *medlargw.AdmissionRequest) medlargw.Admission {
-	switch { // Neither is a lack of resources.
-	case isHopeless(now, r):
-		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalHopeless}
-	case r.Evacuated:
-		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalEvacuated}
+	reason := targetsMissing(r)
+	if isHopeless(now, r) {
+		reason = medlargw.RefusalHopeless
+	}
+	if reason != medlargw.RefusalNone { // None of them is a lack of resources.
+		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: reason}
 	}
 	adm, known := assess(now, r)
 	switch {
@@ -123,8 +124,8 @@
 // Review decides on an admitted job of which no task has started. A job whose
 // chance is lost is refused as soon as that is certain.
 func (a *Admitter) Review(now time.Time, r *medlargw.AdmissionRequest) medlargw.Admission {
-	if r.Evacuated {
-		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalEvacuated}
+	if reason := targetsMissing(r); reason != medlargw.RefusalNone {
+		return medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: reason}
 	}
 	adm, known := assess(now, r)
 	objective := r.LatestStart.Add(r.Estimate).Sub(r.Arrived)
@@ -141,6 +142,22 @@
 	return adm
 }
 
+// targetsMissing returns the reason for which no target takes new tasks, or RefusalNone.
+func targetsMissing(r *medlargw.AdmissionRequest) medlargw.RefusalReason {
+	switch {
+	case r.Evacuated:
+		return medlargw.RefusalEvacuated
+	case !r.Unreported || r.Learning:
+		return medlargw.RefusalNone
+	}
+	for _, p := range r.Holders {
+		if p.TotalCores > 0 {
+			return medlargw.RefusalNone
+		}
+	}
+	return medlargw.RefusalUnreported
+}
+
 // record keeps the time of a refusal for lack of resources.
 func (a *Admitter) record(now time.Time, r *medlargw.AdmissionRequest, reason medlargw.RefusalReason) {
 	if reason != medlargw.RefusalNone {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -49,6 +49,12 @@
 	return r
 }
 
+// unreported returns the request of a home with targets that have not reported recently.
+func unreported(r *medlargw.AdmissionRequest) *medlargw.AdmissionRequest {
+	r.Unreported = true
+	return r
+}
+
 // learning returns the request of a home that has just started.
 func learning(r *medlargw.AdmissionRequest) *medlargw.AdmissionRequest {
 	r.Learning = true
@@ -66,6 +72,12 @@
 		want     medlargw.Admission
 	}{
 		{name: "no target known", request: request(1)},
+		{
+			name: "no target has reported", request: unreported(request(1)),
+			want: medlargw.Admission{Prospect: medlargw.ProspectUseless, Refusal: medlargw.RefusalUnreported},
+		},
+		{name: "some targets have reported", request: unreported(request(1, free()))},
+		{name: "too little known after the start, without reports", request: learning(unreported(request(1)))},
 		{name: "calm", request: request(1, free())},
 		{name: "all busy and no queue", request: request(1, full(1, 0))},
 		{
@@ -177,6 +189,8 @@
 		{"chance lost", 100 * time.Millisecond, request(1, full(1, 100*time.Millisecond)), medlargw.RefusalWait},
 		{"latest start passed with room elsewhere", 181 * time.Millisecond, request(1, free()), medlargw.RefusalTooLate},
 		{"no target known", 100 * time.Millisecond, request(1), medlargw.RefusalWait},
+		{"no target has reported", time.Millisecond, unreported(request(1)), medlargw.RefusalUnreported},
+		{"some targets have reported", time.Millisecond, unreported(request(1, full(1, 50*time.Millisecond))), medlargw.RefusalNone},
 		{"no target known yet after the start", 100 * time.Millisecond, learning(request(1)), medlargw.RefusalNone},
 		{"latest start passed after the start", 181 * time.Millisecond, learning(request(1)), medlargw.RefusalTooLate},
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -189,6 +189,7 @@
 			now = c.drainEvents(now) // Answers that wait here are no silence.
 			c.holder.Tick(now)
 			c.updateLink(now)
+			c.recordUnreported()
 			c.coord.Tick(now)
 			c.counters.countVerdicts(c.coord.TakeVerdicts())
 			c.counters.endingJobs.Update(int64(c.coord.EndingJobs()))
@@ -299,10 +300,16 @@
 func (c *Conductor) SetReports(reports map[medlargw.TargetName]medlargw.TargetReport) {
 	c.post(func(now time.Time) {
 		c.holder.SetReports(now, reports)
-		c.counters.unreportedTargets.Update(int64(c.holder.Unreported()))
+		c.recordUnreported()
 	})
 }
 
+func (c *Conductor) recordUnreported() {
+	n := c.holder.Unreported()
+	c.counters.unreportedTargets.Update(int64(n))
+	c.coord.SetUnreported(n > 0)
+}
+
 // recordShare publishes this entry's share of the targets as metrics. It logs a
 // share that has changed otherwise than by the coming and going of targets.
 func (c *Conductor) recordShare(s medlargw.TargetShare) {
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -27,7 +27,7 @@
 		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
 		Learning: c.isLearning(now, m.Pool), Starting: now.Sub(c.firstGroupAt) < startTime,
-		Evacuated: c.evacuated[m.Pool], LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+		Evacuated: c.evacuated[m.Pool], Unreported: c.unreported, LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
@@ -71,6 +71,10 @@
 // SetMinShares replaces the minimum shares of the starts, by rank.
 func (c *Coordinator) SetMinShares(shares map[int]float64) { c.admitter.SetMinShares(shares) }
 
+// SetUnreported tells whether targets of this entry have not reported their resources
+// recently. Jobs are then refused at once where no holder has a target to offer.
+func (c *Coordinator) SetUnreported(unreported bool) { c.unreported = unreported }
+
 // waits reports whether a job has not started because no holder had resources
 // for it. Offers that are not answered yet are no evidence of that.
 func (j *job) waits() bool { return !j.started && !j.waitsSince.IsZero() }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -46,6 +46,8 @@
 	endingTasks map[medlargw.TaskID]*endingTask
 	holders     map[medlargw.Incarnation]*holder
 	byDistance  []*holder // This entry first, then its zone, then the other zones.
+	unreported  bool      // Targets of this entry have not reported their resources recently.
+
 	// Pools all of whose targets are in evacuated zones.
 	evacuated map[medlargw.PoolName]bool
 	// The host list, and the positions of the targets in it.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -14,7 +14,8 @@
 	// maxAvoidedTargets is the number of targets, those of its latest failed runs,
 	// that a task avoids.
 	maxAvoidedTargets = 4
-	// minRetryAfter is the delay that a caller is told to wait during an evacuation.
+	// minRetryAfter is the delay that a caller is told to wait during an evacuation, or
+	// while no target has reported its resources recently.
 	minRetryAfter = time.Second
 )
 
@@ -206,7 +207,7 @@
 // refuse ends a job none of whose tasks was started.
 func (c *Coordinator) refuse(now time.Time, j *job, adm *medlargw.Admission) {
 	after := minRetryAfter
-	if adm.Refusal != medlargw.RefusalEvacuated {
+	if adm.Refusal != medlargw.RefusalEvacuated && adm.Refusal != medlargw.RefusalUnreported {
 		after = c.inviter.Invite(now, c.invitationRequest(now, j, adm))
 	}
 	c.log.Info("job refused", zap.String("job", j.job.RequestID), zap.String("service", string(j.job.Service)),
