--- a/loader/loader.go
+++ b/loader/loader.go
@@ -173,6 +173,7 @@
 		Lag:      p.Duration("lag", defaults.Lag, 0, maximum),
 		Quiet:    p.Duration("quiet", defaults.Quiet, 0, maximum),
 		Refused:  p.Duration("refused", defaults.Refused, minimum, maximum),
+		Reported: p.Duration("reported", defaults.Reported, 0, maximum),
 		Resubmit: p.Duration("resubmit", defaults.Resubmit, minimum, maximum),
 	}
 	if l.Lease > l.Longest {
