Drainer: a listener that is closed twice is no error

Read, then shown by TestDrainWithoutConnections (failed in the first of 1 run: "use of closed network connection"): a stop without connections could end with an error, and the process with a status other than 0.

Cause: the drainer closes the listener, and the server closes it once more if it is closed before its Serve has returned.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -42,7 +42,9 @@
 type Drainer struct {
 	net.Listener
 
-	server *http.Server
+	server    *http.Server
+	closeOnce sync.Once
+	closeErr  error
 
 	mu        sync.Mutex
 	conns     map[net.Conn]connState
@@ -92,6 +94,13 @@
 	return nil, http.ErrServerClosed
 }
 
+// Close ends the listening. Further calls return the result of the first one: the server
+// closes its listener too.
+func (d *Drainer) Close() error {
+	d.closeOnce.Do(func() { d.closeErr = d.Listener.Close() })
+	return d.closeErr
+}
+
 func (d *Drainer) setState(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew, http.StateActive:
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -103,3 +103,23 @@
 		})
 	}
 }
+
+// TestDrainWithoutConnections guards against a stop that fails since the listener is closed
+// twice, by the drainer and by the server.
+func TestDrainWithoutConnections(t *testing.T) {
+	for range 300 {
+		var lc net.ListenConfig
+		listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.NotFoundHandler()}
+		d := drainer.New(server, listener)
+		var running conc.WaitGroup
+		running.Go(func() { _ = server.Serve(d) })
+		if err := d.Drain(t.Context()); err != nil {
+			t.Errorf("drain: got %v, want no error", err)
+		}
+		running.Wait()
+	}
+}
