--- a/assigner/poll.go
+++ b/assigner/poll.go
@@ -34,7 +34,8 @@
 func (a *Assigner) run(ctx context.Context) {
 	interval := cmp.Or(a.settings.Group.Read, pollInterval)
 	retryPause := minRetryPause
-	var recovered time.Time // Start of the first read that was answered after others were not.
+	failing := false
+	var recovered time.Time // Start of the first read that was answered after others were not; zero is none.
 	for {
 		startedAt, pause := time.Now(), interval
 		switch {
@@ -43,13 +44,13 @@
 		case !a.readList(ctx):
 			startedAt, pause = time.Now(), retryPause // The pause follows the failure.
 			retryPause = min(2*retryPause, a.maxRetryPause())
-			recovered = time.Time{}
+			failing = true
 		case time.Since(a.createdAt) < startupTime:
 			retryPause, pause = minRetryPause, min(startupPollInterval, interval)
 		default:
 			retryPause = minRetryPause
-			if recovered.IsZero() {
-				recovered = startedAt
+			if failing {
+				failing, recovered = false, startedAt
 			}
 			if a.awaitsReports(recovered) {
 				pause = min(quickReadPause, interval)
--- a/assigner/reports.go
+++ b/assigner/reports.go
@@ -65,7 +65,7 @@
 func (a *Assigner) fetchReports(ctx context.Context, from *medlargw.Member) {
 	ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
 	defer cancel()
-	reply, err := a.messenger.Fetch(ctx, from.Addr, medlargw.FetchRequest{Kind: medlargw.FetchReports, Protocol: medlargw.ProtocolChanges})
+	reply, err := a.messenger.Fetch(ctx, from.Addr, medlargw.FetchRequest{Kind: medlargw.FetchReports}) // Hashes don't compress.
 	if errors.Is(err, medlargw.ErrUnknownFetch) {
 		a.unawareUntil.Store(int64(time.Since(a.createdAt) + unawareTime))
 	}
