--- a/conductor/crash_test.go
+++ b/conductor/crash_test.go
@@ -64,8 +64,7 @@
 }
 
 // checkDeadlyTask submits a job, the first task of which crashes each target that starts
-// it, and checks that the job is answered as failed as soon as enough
-// crashes are known.
+// it, and checks that the job is answered as failed as soon as enough crashes are known.
 func (cl *cluster) checkDeadlyTask(tasks int, disturb func(cl *cluster, crashes int)) {
 	const deadline = 20 * time.Second
 	t, deadly := cl.sim.t, "deadly.0"
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -38,13 +38,13 @@
 			var protocols http.Protocols
 			protocols.SetHTTP1(!test.http2)
 			protocols.SetUnencryptedHTTP2(test.http2)
-			began := make(chan struct{}, 1)
+			began, release := make(chan struct{}, 1), make(chan struct{})
 			server := &http.Server{
 				ReadHeaderTimeout: time.Second, Protocols: &protocols,
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/slow" {
 						began <- struct{}{}
-						time.Sleep(work)
+						<-release
 					}
 					_, _ = io.WriteString(w, "answer")
 				}),
@@ -87,6 +87,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), test.limit)
 			defer cancel()
+			time.AfterFunc(work, func() { close(release) })
 			start := time.Now()
 			err = d.Drain(ctx)
 			if got := time.Since(start); got > test.within {
