--- a/review/rig/entry.go
+++ b/review/rig/entry.go
@@ -259,3 +259,11 @@
 	}
 	_ = e.log.Close()
 }
+
+// Restart starts the process again after it has ended.
+func (e *Entry) Restart() error {
+	if err := awaitPorts(e.IP); err != nil {
+		return err
+	}
+	return e.start()
+}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -92,17 +92,19 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// serve starts a server on a free port of an address, and returns where it listens.
-func (r *Rig) serve(ip string, h http.Handler) (string, error) {
+// serveAt starts a server at an address, and returns it and where it listens.
+func (r *Rig) serveAt(addr string, h http.Handler) (*http.Server, string, error) {
 	var lc net.ListenConfig
-	l, err := lc.Listen(context.Background(), "tcp", net.JoinHostPort(ip, "0"))
+	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 3 * time.Second}
+	r.mu.Lock()
 	r.servers = append(r.servers, s)
+	r.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), nil
+	return s, l.Addr().String(), nil
 }
 
 // Route is a queue of the configuration.
@@ -205,11 +207,11 @@
 // Start starts the store, the workers and the entries, and waits until the entries
 // serve. Each worker has the given thousandths of a core.
 func (r *Rig) Start(entries, workers int, cores int64, routes ...Route) error {
-	addr, err := r.serve("127.0.0.1", r.Store)
+	server, addr, err := r.serveAt("127.0.0.1:0", r.Store)
 	if err != nil {
 		return err
 	}
-	r.Store.addr = addr
+	r.Store.server, r.Store.addr = server, addr
 	if err := r.Configure(1, routes...); err != nil {
 		return err
 	}
@@ -241,12 +243,12 @@
 // signals that they have changed. The former address is closed after a while.
 func (r *Rig) MoveStore(after time.Duration) error {
 	former := r.servers[0] // That of the store is the first.
-	addr, err := r.serve("127.0.0.1", r.Store)
+	server, addr, err := r.serveAt("127.0.0.1:0", r.Store)
 	if err != nil {
 		return err
 	}
 	r.Logf("platform: the store moves from %s to %s", r.Store.addr, addr)
-	r.Store.addr = addr
+	r.Store.server, r.Store.addr = server, addr
 	for i, e := range r.Entries {
 		if err := e.writeSettings(i); err != nil {
 			return err
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -35,8 +35,9 @@
 
 // Store is the platform's metadata store.
 type Store struct {
-	rig  *Rig
-	addr string
+	rig    *Rig
+	addr   string
+	server *http.Server
 
 	mu       sync.Mutex
 	revision uint64
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -51,71 +50,78 @@
 	lastEnd  uint64
 	highest  map[string]int // Highest attempt that was stopped or has ended, by task.
 	changed  chan struct{}
-	late     lateness
+	ambush   *Ambush // Nil if there is none.
+	server   *http.Server
 }
 
-// lateness is a disturbance: a share of the orders gets no answer and is carried out
-// seconds later, and the time in it counts from then.
-type lateness struct {
-	share float64
-	until time.Time
-	rand  *rand.Rand
-}
+// Ambush is a disturbance: the first start order to one of some workers gets no answer
+// and is carried out later, and the time in it counts from then. Right after the order,
+// the worker is cut off so that connections to it are refused, and runs on.
+type Ambush struct {
+	Delay time.Duration // Until the order is carried out.
+	Cut   time.Duration
 
-// The time after which such an order is carried out, as on the pages.
-const (
-	leastLate = 2 * time.Second
-	mostLate  = 12 * time.Second
-)
+	once sync.Once
+	hit  bool
+}
 
-// CarryOutLate has the worker leave a share of its orders unanswered for a while, and
-// carry them out 2 to 12 s later.
-func (w *Worker) CarryOutLate(share float64, length time.Duration, seed uint64) {
+// Arm lets an ambush wait at the worker.
+func (w *Worker) Arm(a *Ambush) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.late = lateness{share: share, until: time.Now().Add(length), rand: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // Reproducible.
-	w.rig.Logf("%s: %.0f of 100 orders get no answer for %v and are carried out late", w.id, 100*share, length)
+	w.ambush = a
 }
 
 // postpone reports whether an order is left unanswered, and has it carried out later.
 func (w *Worker) postpone(path string, o *order) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().After(w.late.until) || w.late.rand.Float64() >= w.late.share {
+	if w.ambush == nil || path != "/run-start" {
 		return false
 	}
-	delay := leastLate + time.Duration(w.late.rand.Float64()*float64(mostLate-leastLate))
-	length := time.Duration(o.UntilMs)*time.Millisecond - w.clock()
-	if path == "/run-start" {
-		w.rig.Logf("%s: the start of %s gets no answer, it is carried out %d ms later", w.id, o.Task, delay.Milliseconds())
+	mine := false
+	w.ambush.once.Do(func() { mine, w.ambush.hit = true, true })
+	if !mine {
+		return false
 	}
-	time.AfterFunc(delay, func() {
+	a := w.ambush
+	length := time.Duration(o.UntilMs)*time.Millisecond - w.clock()
+	w.rig.Logf("%s: the start of %s, run %d, gets no answer, it is carried out %d ms later", w.id, o.Task, o.Attempt, a.Delay.Milliseconds())
+	time.AfterFunc(a.Delay, func() {
 		late := *o
 		late.UntilMs = (w.clock() + length).Milliseconds()
-		w.carryOut(path, &late)
+		w.rig.Logf("%s: the start of %s, run %d, is carried out late: %s", w.id, o.Task, o.Attempt, cmp.Or(w.start(&late), "done"))
 	})
+	go w.refuse(a.Cut)
 	return true
 }
 
-// carryOut carries out an order whose sender waits no more.
-func (w *Worker) carryOut(path string, o *order) {
-	switch path {
-	case "/run-start":
-		w.rig.Logf("%s: the start of %s is carried out late: %s", w.id, o.Task, cmp.Or(w.start(o), "done"))
-	case "/run-stop":
-		w.stop(o)
-	case "/hold":
-		w.lists(o, true)
+// refuse has connections to the worker refused for a while.
+func (w *Worker) refuse(length time.Duration) {
+	w.rig.Logf("%s: is cut off for %v, connections are refused", w.id, length)
+	_ = w.server.Close()
+	time.Sleep(length)
+	select {
+	case <-w.rig.closing:
+		return
+	default:
+	}
+	s, _, err := w.rig.serveAt(w.addr, w)
+	if err != nil {
+		w.rig.Logf("%s: is not back: %v", w.id, err)
+		return
 	}
+	w.server = s
+	w.rig.Logf("%s: is reached again", w.id)
 }
 
 func (r *Rig) addWorker(id, zone string, cores int64) error {
 	w := &Worker{rig: r, id: id, zone: zone, cores: cores, born: time.Now().Add(-time.Minute), highest: map[string]int{}, changed: make(chan struct{})}
-	addr, err := r.serve("127.0.0.1", w)
+	server, addr, err := r.serveAt("127.0.0.1:0", w)
 	if err != nil {
 		return err
 	}
-	w.addr = addr
+	w.server, w.addr = server, addr
 	r.Workers = append(r.Workers, w)
 	w.report()
 	go w.work()
