--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,4 +1,5 @@
-// A requester cancels a job that it has handed in and whose answer it waits for.
+// The operator adds a queue whose priority is a large number, and requesters hand jobs in
+// there.
 package main
 
 import (
@@ -10,41 +11,55 @@
 )
 
 const (
-	taskMs   = 6000
-	deadline = 12 * time.Second
-	// Of the sheet.
-	cancelTime = 3 * time.Second
-	stopTime   = 50 * time.Millisecond
+	priority   = 10_000_000
+	memoryMb   = 284                     // Of the sheet: a process that exceeds it is killed.
+	retransmit = 1300 * time.Millisecond // RetransmitMs.
+	ends       = 3                       // Of processes by themselves, on two machines at least.
+	limit      = 50 * time.Second
 )
 
 func main() {
 	rig.Main(func(r *rig.Rig, trouble bool) ([]string, error) {
-		if err := r.Start(2, 4, 32000, rig.Queue("long", 2)); err != nil {
+		usual := rig.Queue("usual", 0)
+		if err := r.Start(2, 4, 32000, usual); err != nil {
 			return nil, err
 		}
-		const id = "00000000000000c1"
-		e := r.Entries[0]
-		answer := e.SendAsync(http.MethodPost, "/long/"+id, rig.Body(rig.Step{Count: 2, Cpu: 14000, Ms: taskMs}), deadline)
-		time.Sleep(500 * time.Millisecond)
-		if len(r.Runs()) == 0 {
-			return nil, fmt.Errorf("no task of the job has started")
+		for _, e := range r.Entries {
+			e.GuardMemory(memoryMb)
 		}
-		var cancelled time.Time
 		if trouble {
-			a := e.Send(http.MethodDelete, "/long/"+id, "", 2*time.Second)
-			if a.Status/100 != 2 && a.Status != http.StatusGone {
-				return nil, fmt.Errorf("the cancel was not acknowledged")
+			if err := r.Configure(5, usual, rig.Queue("batch", priority)); err != nil {
+				return nil, err
 			}
-			cancelled = a.At
+		} else if err := r.Configure(5, usual, rig.Queue("batch", 3)); err != nil {
+			return nil, err
 		}
-		<-answer
-		var broken []string
-		for _, run := range r.Runs() {
-			if limit := cancelled.Add(cancelTime + stopTime); trouble && run.Ended.After(limit) {
-				broken = append(broken, fmt.Sprintf("%s on %s ran on for %d ms after the cancel was acknowledged, want %d at most",
-					run.Task, run.Worker, run.Ended.Sub(cancelled).Milliseconds(), (cancelTime+stopTime).Milliseconds()))
+		time.Sleep(3 * time.Second) // ConfigApplyMs is 2,000.
+		body := rig.Body(rig.Step{Count: 2, Cpu: 8000, Ms: 60})
+		began := time.Now()
+		answered := 0
+		for n := 0; time.Since(began) < limit && !allKilled(r) && answered < 40; n++ {
+			a := r.Entries[n%2].Send(http.MethodPost, fmt.Sprintf("/batch/%016x", 0xb000+n), body, 1500*time.Millisecond)
+			if a.Err != nil {
+				time.Sleep(retransmit)
+				continue
 			}
+			answered++
+			time.Sleep(100 * time.Millisecond)
+		}
+		if allKilled(r) {
+			return []string{fmt.Sprintf("the processes of both machines were killed for their memory %d times", ends)}, nil
 		}
-		return broken, nil
+		return nil, nil
 	})
 }
+
+// allKilled reports whether the process of each machine has ended as often as it takes.
+func allKilled(r *rig.Rig) bool {
+	for _, e := range r.Entries {
+		if e.Killed() < ends {
+			return false
+		}
+	}
+	return true
+}
