--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -58,7 +58,7 @@
 }
 
 func (e *Entry) exchange(ctx context.Context, method, path, body string, deadline time.Duration) (int, string, error) {
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", e.IP, frontendPort, path), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", e.IP, e.rig.ports.frontend, path), strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/review/rig/entry.go
+++ b/review/rig/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,12 +16,29 @@
 	"time"
 )
 
-// Ports of an entry, the same at each address.
-const (
-	frontendPort = 8161
-	readyPort    = 8167
-	peersPort    = 7720
-)
+// ports are those of an entry, the same at each address.
+type ports struct{ frontend, ready, peers int }
+
+// choosePorts returns ports that are free at the addresses of all entries.
+func choosePorts(entries int) (ports, error) {
+	var err error
+	for range 100 {
+		base := 20000 + 10*rand.IntN(1000) //nolint:gosec // Any number does.
+		p := ports{frontend: base, ready: base + 1, peers: base + 2}
+		for n := range entries {
+			if err = p.free(addressOf(n)); err != nil {
+				break
+			}
+		}
+		if err == nil {
+			return p, nil
+		}
+	}
+	return ports{}, err
+}
+
+// addressOf returns the address of the nth entry.
+func addressOf(n int) string { return fmt.Sprintf("127.0.%d.%d", 20+n%2, 10+n) }
 
 // settings is the settings file of an entry, as on the pages.
 const settings = `NodeName = "frontend-%[1]s-%[2]d"
@@ -30,7 +48,7 @@
 Ip = "%[3]s"
 Zone = "%[1]s"
 Region = "region"
-InternalPorts = [7720,7735]
+InternalPorts = [%[7]d,%[7]d]
 Seeds = []
 Bootstrap = true
 CountsAsLoss = false
@@ -43,8 +61,8 @@
 zone-a = "region"
 zone-b = "region"
 [ListenAddrs]
-Frontend = "%[3]s:8161"
-Ready = "%[3]s:8167"
+Frontend = "%[3]s:%[5]d"
+Ready = "%[3]s:%[6]d"
 [Limits]
 CpuShare = 0.4
 Cores = 1
@@ -89,10 +107,7 @@
 
 // addEntry starts an entry with the command of the deploy file.
 func (r *Rig) addEntry(n int) error {
-	ip := fmt.Sprintf("127.0.%d.%d", 20+n%2, 10+n)
-	if err := awaitPorts(ip); err != nil {
-		return err
-	}
+	ip := addressOf(n)
 	name := fmt.Sprintf("entry-%d", n+1)
 	e := &Entry{Name: name, IP: ip, rig: r, path: filepath.Join(r.dir, name+".toml")}
 	if err := e.writeSettings(n); err != nil {
@@ -159,7 +174,7 @@
 			e.killed++
 			e.mu.Unlock()
 			time.Sleep(restartDelay)
-			if awaitPorts(e.IP) != nil || e.start() != nil {
+			if e.rig.ports.await(e.IP) != nil || e.start() != nil {
 				return
 			}
 		}
@@ -174,24 +189,25 @@
 }
 
 func (e *Entry) writeSettings(n int) error {
-	text := fmt.Sprintf(settings, zoneOf(n), n+1, e.IP, e.rig.Store.addr)
+	p := e.rig.ports
+	text := fmt.Sprintf(settings, zoneOf(n), n+1, e.IP, e.rig.Store.addr, p.frontend, p.ready, p.peers)
 	return os.WriteFile(e.path, []byte(text), 0o600)
 }
 
-// awaitPorts waits until the ports of an entry are free: those of an earlier run may be
+// await waits until the ports of an entry are free: those of an earlier run may be
 // taken for a moment.
-func awaitPorts(ip string) error {
+func (p ports) await(ip string) error {
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
-		err := portsFree(ip)
+		err := p.free(ip)
 		if err == nil || time.Now().After(deadline) {
 			return err
 		}
 	}
 }
 
-// portsFree returns an error if a port of an entry is in use at the address.
-func portsFree(ip string) error {
-	for _, port := range []int{frontendPort, readyPort, peersPort} {
+// free returns an error if a port is in use at the address.
+func (p ports) free(ip string) error {
+	for _, port := range []int{p.frontend, p.ready, p.peers} {
 		var lc net.ListenConfig
 		l, err := lc.Listen(context.Background(), "tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
 		if err != nil {
@@ -206,7 +222,7 @@
 func (e *Entry) Ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readyz", e.IP, readyPort), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readyz", e.IP, e.rig.ports.ready), nil)
 	if err != nil {
 		return false
 	}
@@ -262,7 +278,7 @@
 
 // Restart starts the process again after it has ended.
 func (e *Entry) Restart() error {
-	if err := awaitPorts(e.IP); err != nil {
+	if err := e.rig.ports.await(e.IP); err != nil {
 		return err
 	}
 	return e.start()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,6 +45,7 @@
 	Workers []*Worker
 
 	dir     string // Temporary folder.
+	ports   ports  // Of the entries.
 	record  io.WriteCloser
 	began   time.Time
 	mu      sync.Mutex
@@ -220,6 +221,9 @@
 			return err
 		}
 	}
+	if r.ports, err = choosePorts(entries); err != nil {
+		return err
+	}
 	for i := range entries {
 		if err := r.addEntry(i); err != nil {
 			return err
