--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-for n in 6 7 8 9 10; do
+for n in 6 7 8 9; do
 	go build -o "target/review-$n" "./review/$n"
 done
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -244,9 +244,10 @@
 }
 
 // MoveStore serves the store at another address, writes that into all settings files and
-// signals that they have changed. The former address is closed after a while.
-func (r *Rig) MoveStore(after time.Duration) error {
-	former := r.servers[0] // That of the store is the first.
+// signals to the first entries, over a time, that they have changed. The former address is
+// closed after a while.
+func (r *Rig) MoveStore(signalled int, over, after time.Duration) error {
+	former := r.Store.server
 	server, addr, err := r.serveAt("127.0.0.1:0", r.Store)
 	if err != nil {
 		return err
@@ -257,7 +258,10 @@
 		if err := e.writeSettings(i); err != nil {
 			return err
 		}
+	}
+	for _, e := range r.Entries[:signalled] {
 		e.Signal(syscall.SIGHUP)
+		time.Sleep(over / time.Duration(signalled))
 	}
 	time.Sleep(after)
 	r.Logf("platform: the former address of the store is closed")
