Gatekeeper: a rank that starts in an overload is not refused for good

Callers of a rank whose first requests came while the intake was limited, and while more urgent ranks used all of it, were answered 503 in that overload and in each later one, until the entry was started again.

Cause: updateShares divided what was left of the limit, zero, by the rate of a rank without requests, zero. The rank's credit became NaN and stayed so; no comparison admits a request then. Ruled out: the rate, which is as sent after four measurements.

What is left doesn't fall below zero now, and a rank that needs no more has the share 1. Shares of ranks with requests are as before.

TestRankThatStartsInAnOverload failed before (10 of 10 requests refused in the next overload, want 0) and passes now; the other tests of the package pass untouched.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -157,8 +157,8 @@
 		if !g.limited || i <= first || r.rate <= left {
 			r.share = 1
 		} else {
-			r.share = max(left, 0) / r.rate
+			r.share = left / r.rate
 		}
-		left -= r.rate
+		left = max(0, left-r.rate)
 	}
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -175,3 +175,37 @@
 		})
 	}
 }
+
+// TestRankThatStartsInAnOverload has a rank send its first requests while the intake is
+// limited and more urgent ranks use all of it. It guards against a share of zero by zero,
+// which refused all requests of that rank in this overload and in each later one.
+func TestRankThatStartsInAnOverload(t *testing.T) {
+	const busy = 20 * time.Millisecond
+	g := gatekeeper.New()
+	now := start
+	measure := func(wait time.Duration, ranks ...int) (refused int) {
+		now = now.Add(interval)
+		g.Measure(now, wait)
+		for range 10 {
+			for _, rank := range ranks {
+				if _, ok := g.Admit(now, rank, grace); !ok && rank == 2 {
+					refused++
+				}
+			}
+		}
+		return refused
+	}
+	for range 4 {
+		measure(busy, 0, 1, 3)
+	}
+	measure(busy, 0, 1, 2, 3)
+	for range 200 { // The overload is over.
+		measure(0, 0, 1, 2, 3)
+	}
+	// The least urgent rank alone brings as much as is to be refused.
+	for range 3 {
+		if got := measure(busy, 0, 1, 2, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3); got > 0 {
+			t.Errorf("requests of rank 2 refused in the next overload: got %d of 10, want 0", got)
+		}
+	}
+}
