Gatekeeper: memory and time don't grow with the number of a rank

Cause: Admit used the rank as an index of a slice and appended until it was one, 32 bytes for each number; Measure walked over all of them each 50 ms under the lock of each request. Ranks of the product's own declarations are at most 31, those of the platform's store have no limit. Ruled out: the configuration itself (the entry lives on for 3 s after the version) and decoding or queues (the gatekeeper alone allocates 1.88 GB).

The gatekeeper keeps a sorted slice of the ranks that have sent requests within the last minute. A bound on priorities or dense ranks would change the order that teams have paid for.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -11,6 +11,7 @@
 package gatekeeper
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -32,23 +33,27 @@
 	minOverloads = 2
 	// rateWeight is the weight of the last measurement in the arrival rates.
 	rateWeight = 0.4
+	// maxIdle is the time without requests after which a rank is forgotten.
+	maxIdle = time.Minute
 	// minRetryAfter is the least delay that a refused caller is told to wait.
 	minRetryAfter = time.Second
 )
 
 // rankState is the intake of one rank.
 type rankState struct {
-	arrived int     // Requests since the last measurement.
-	rate    float64 // Requests per second.
-	share   float64 // Of the requests to admit while the intake is limited.
-	credit  float64 // A request is admitted for each whole one.
+	rank        int
+	lastArrival time.Time // Of its last request.
+	arrived     int       // Requests since the last measurement.
+	rate        float64   // Requests per second.
+	share       float64   // Of the requests to admit while the intake is limited.
+	credit      float64   // A request is admitted for each whole one.
 }
 
 // Gatekeeper holds the limit on the intake of one entry. It is safe for concurrent
 // use.
 type Gatekeeper struct {
 	mu           sync.Mutex
-	ranks        []rankState
+	ranks        []rankState   // Of the ranks that have sent requests lately, the most urgent first.
 	grace        time.Duration // The least of the services whose requests have arrived; zero if none declares one.
 	overloads    int           // Consecutive measurements of an overload.
 	measured     time.Time     // Of the last measurement; zero before the first.
@@ -66,17 +71,12 @@
 func (g *Gatekeeper) Admit(now time.Time, rank int, grace time.Duration) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if rank < 0 {
-		rank = 0
-	}
-	for len(g.ranks) <= rank {
-		g.ranks = append(g.ranks, rankState{share: 1})
-	}
 	if grace > 0 && (g.grace == 0 || grace < g.grace) {
 		g.grace = grace
 	}
-	r := &g.ranks[rank]
+	r := g.rank(max(rank, 0))
 	r.arrived++
+	r.lastArrival = now
 	if !g.limited {
 		return 0, true
 	}
@@ -89,6 +89,22 @@
 	return max(minRetryAfter, now.Sub(g.limitedSince)), false
 }
 
+// rank returns the state of a rank, and adds it if there is none yet. Ranks are chosen by
+// operators and may be any numbers, so that no index can be made of them.
+func (g *Gatekeeper) rank(rank int) *rankState {
+	i, ok := slices.BinarySearchFunc(g.ranks, rank, func(r rankState, rank int) int { return cmp.Compare(r.rank, rank) })
+	if !ok {
+		g.ranks = slices.Insert(g.ranks, i, rankState{rank: rank, share: 1})
+	}
+	return &g.ranks[i]
+}
+
+// forgetIdle removes the ranks that have sent no requests for a while, such as those of
+// queues that were removed.
+func (g *Gatekeeper) forgetIdle(now time.Time) {
+	g.ranks = slices.DeleteFunc(g.ranks, func(r rankState) bool { return now.Sub(r.lastArrival) > maxIdle })
+}
+
 // Measure records how long the goroutines that messages wake have waited for a
 // processor since the last call, and adjusts the limit. It is to be called several times per
 // second. It reports whether the intake is limited.
@@ -101,6 +117,7 @@
 	if first || elapsed <= 0 {
 		return g.limited
 	}
+	g.forgetIdle(now)
 	total := g.updateRates(elapsed)
 	overloads := g.overloads
 	g.overloads = 0
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -1,6 +1,9 @@
 package gatekeeper_test
 
 import (
+	"fmt"
+	"math"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -140,6 +143,7 @@
 		{"a single rank", []time.Duration{0, busy, busy, busy}, grace, []int{2}, false, []bool{false}},
 		{"a single rank that grows", []time.Duration{0, busy, busy, 0, 0}, grace, []int{0}, true, []bool{false}},
 		{"the first rank grows", []time.Duration{0, busy, busy, 0, 0}, grace, []int{0, 1}, true, []bool{false, true}},
+		{"large ranks", []time.Duration{0, busy, busy}, grace, []int{40, 10_000_000, math.MaxInt}, false, []bool{false, false, true}},
 		{"negative rank", []time.Duration{0, busy, busy}, grace, []int{-1}, false, []bool{false}},
 		{"on time again", []time.Duration{0, busy, busy, busy, 0, 0, 0, 0, 0}, grace, []int{0, 1}, false, []bool{false, false}},
 		{"no objective declared", []time.Duration{0, busy, busy}, 0, []int{0, 1}, false, []bool{false, false}},
@@ -209,3 +213,92 @@
 		}
 	}
 }
+
+// allocated returns the bytes that f allocates.
+func allocated(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// TestMemoryOfLargeRanks has queues with large priorities send requests. It guards against
+// memory that grows with the number of the rank, which ended an entry at the first request
+// of a queue with priority 10,000,000.
+func TestMemoryOfLargeRanks(t *testing.T) {
+	const want = 4 << 10 // Bytes for the state of one rank.
+	for _, rank := range []int{3, 10_000_000, 1 << 32, math.MaxInt} {
+		g := gatekeeper.New()
+		got := allocated(func() {
+			g.Admit(start, rank, grace)
+			g.Measure(start, 0)
+			g.Measure(start.Add(interval), 0)
+		})
+		if got > want {
+			t.Fatalf("bytes for a request of rank %d: got %d, want at most %d", rank, got, want)
+		}
+	}
+}
+
+// TestMemoryOfFormerRanks has each configuration bring another priority. It guards against
+// a rank that is kept after its queue was removed.
+func TestMemoryOfFormerRanks(t *testing.T) {
+	const (
+		versions = 30_000
+		want     = 256 << 10
+	)
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	g := gatekeeper.New()
+	now := start
+	before := heap()
+	for rank := range versions {
+		now = now.Add(100 * time.Millisecond)
+		g.Admit(now, rank, grace)
+		g.Measure(now, 0)
+	}
+	if got := int64(heap() - before); got > want {
+		t.Errorf("bytes after %d ranks, one at a time: got %d, want at most %d", versions, got, want)
+	}
+	runtime.KeepAlive(g)
+}
+
+// BenchmarkMeasure measures under overload, with a request of each rank between two
+// measurements. Requests wait for the lock that a measurement holds.
+func BenchmarkMeasure(b *testing.B) {
+	for _, ranks := range []int{3, 2000} {
+		b.Run(fmt.Sprintf("ranks=%d", ranks), func(b *testing.B) {
+			g := gatekeeper.New()
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				now = now.Add(interval)
+				for rank := range ranks {
+					g.Admit(now, rank*1000, grace)
+				}
+				b.StartTimer()
+				g.Measure(now, 2*grace)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmit admits requests of all ranks in turn.
+func BenchmarkAdmit(b *testing.B) {
+	for _, ranks := range []int{3, 2000} {
+		b.Run(fmt.Sprintf("ranks=%d", ranks), func(b *testing.B) {
+			g := gatekeeper.New()
+			n := 0
+			for b.Loop() {
+				g.Admit(start, n%ranks*1000, grace)
+				n++
+			}
+		})
+	}
+}
