--- a/lender/size_test.go
+++ b/lender/size_test.go
@@ -22,7 +22,7 @@
 		Host: string(r.Host), Incarnation: 1, Number: r.Sequence, View: r.ViewHash, Any: int32(r.AnySlots),
 	}
 	for _, d := range r.Waiting {
-		m.Waiting = append(m.Waiting, &wire.Demand{Rank: int32(d.Rank), Tasks: int32(d.Tasks), Running: int32(d.Running)})
+		m.Waiting = append(m.Waiting, &wire.Demand{Rank: int64(d.Rank), Tasks: int32(d.Tasks), Running: int32(d.Running)})
 	}
 	m.Slots = wireClaims(r.Slots)
 	m.Units = wireClaims(r.Units)
--- a/messenger/members.go
+++ b/messenger/members.go
@@ -132,7 +132,7 @@
 func encodeDemand(all []medlargw.ClassDemand) []*wire.Demand {
 	var demand []*wire.Demand
 	for _, d := range all {
-		demand = append(demand, &wire.Demand{Rank: int32(d.Rank), Tasks: int32(d.Tasks), Running: int32(d.Running)})
+		demand = append(demand, &wire.Demand{Rank: int64(d.Rank), Tasks: int32(d.Tasks), Running: int32(d.Running)})
 	}
 	return demand
 }
--- a/messenger/offers.go
+++ b/messenger/offers.go
@@ -86,7 +86,7 @@
 		Payload:    t.Payload,
 		Pool:       string(t.Pool),
 		Room:       encodeResources(t.Resources),
-		Rank:       int32(t.Rank),
+		Rank:       int64(t.Rank),
 		EstimateUs: t.Estimate.Microseconds(),
 		DueUs:      t.TimeToObjective.Microseconds(),
 		DeadlineUs: t.TimeToDeadline.Microseconds(),
--- a/messenger/resources.go
+++ b/messenger/resources.go
@@ -30,7 +30,7 @@
 		}
 		for _, work := range p.Waiting {
 			pool.Waiting = append(pool.Waiting, &wire.RankWork{
-				Rank: int32(work.Rank), Work: work.Work, Arriving: work.Arriving, Invited: work.Invited,
+				Rank: int64(work.Rank), Work: work.Work, Arriving: work.Arriving, Invited: work.Invited,
 			})
 		}
 		for _, free := range p.Isolated {
