Coordinator: jobs that no target can run are refused at once and don't count

Cause: a task that fits no target was queued at a holder before less urgent ones, and its refusal held them back. Its work, cores times run time times tasks, was counted as demand in the reports to all entries and wrapped; so did that of hopeless jobs. Ruled out: negative estimates, which the estimator takes as none.

Neither they nor hopeless jobs count as demand, refusal or invitation. Work is computed in one place and bounded; sums of peers out of range are ignored. Times from numbers that others choose are bounded by medlargw.Duration.

--- a/admission.go
+++ b/admission.go
@@ -32,6 +32,7 @@
 	RefusalHopeless   RefusalReason = "hopeless"   // One task takes longer than the time until the deadline.
 	RefusalEvacuated  RefusalReason = "evacuated"  // All zones of its pool are evacuated.
 	RefusalUnreported RefusalReason = "unreported" // None of its targets has reported its resources recently.
+	RefusalTooLarge   RefusalReason = "too-large"  // No target of its pool has the resources for one task.
 	RefusalUnread     RefusalReason = "unread"     // Its request may have waited unread for too long.
 )
 
@@ -42,6 +43,8 @@
 		return "all zones of the targets are evacuated"
 	case RefusalUnreported:
 		return "no target has reported its resources to the platform recently"
+	case RefusalTooLarge:
+		return "no target has the resources for a task"
 	case RefusalUnread:
 		return "the request was read late"
 	default:
@@ -64,6 +67,7 @@
 	Learning    bool             // Whether the home has just started, and knows few of the holders' resources.
 	Starting    bool             // Whether the home has started in the last seconds.
 	Evacuated   bool             // Whether all targets of the pool are in evacuated zones.
+	TooLarge    bool             // Whether no target of the pool has the resources for one task.
 	Unreported  bool             // Whether targets of this entry have not reported their resources recently.
 	LinkWait    time.Duration    // Time until the home's network link can take its tasks.
 	Holders     []*PoolResources // The latest reports of the holders that accept offers.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -142,11 +142,14 @@
 	return adm
 }
 
-// targetsMissing returns the reason for which no target takes new tasks, or RefusalNone.
+// targetsMissing returns the reason for which no target takes a task of the job, or
+// RefusalNone.
 func targetsMissing(r *medlargw.AdmissionRequest) medlargw.RefusalReason {
 	switch {
 	case r.Evacuated:
 		return medlargw.RefusalEvacuated
+	case r.TooLarge:
+		return medlargw.RefusalTooLarge
 	case !r.Unreported || r.Learning:
 		return medlargw.RefusalNone
 	}
@@ -236,5 +239,5 @@
 	if capacity == 0 {
 		return 0, false
 	}
-	return time.Duration(float64(work) / (float64(capacity) * packingEfficiency) * float64(time.Millisecond)), true
+	return medlargw.Milliseconds(float64(work) / (float64(capacity) * packingEfficiency)), true
 }
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -27,11 +28,38 @@
 		Pool: m.Pool, Rank: m.Rank, Tasks: len(j.tasks), Owed: j.owed, Resources: m.Resources, Estimate: j.estimate,
 		Arrived: m.Arrived, LatestStart: j.latestStart(), Deadline: m.Deadline,
 		Learning: c.isLearning(now, m.Pool), Starting: now.Sub(c.firstGroupAt) < startTime,
-		Evacuated: c.evacuated[m.Pool], Unreported: c.unreported, LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
+		Evacuated: c.evacuated[m.Pool], TooLarge: c.isTooLarge(m), Unreported: c.unreported, LinkWait: c.linkWait(now, j), Holders: holders, Waiting: waiting,
 	}
 	return &c.request
 }
 
+// isTooLarge reports whether no target of the host list has the resources for a task of the
+// job, as they were stated last.
+func (c *Coordinator) isTooLarge(m *medlargw.Job) bool {
+	sizes := c.sizes[m.Pool]
+	return len(sizes) > 0 && !slices.ContainsFunc(sizes, func(r medlargw.Resources) bool { return r.Covers(m.Resources) })
+}
+
+// targetSizes returns the distinct resources of the targets of each pool. Pools with targets
+// that state no resources are left out, as nothing is known of their tasks.
+func targetSizes(targets []medlargw.Target) map[medlargw.PoolName][]medlargw.Resources {
+	sizes := map[medlargw.PoolName][]medlargw.Resources{}
+	unknown := map[medlargw.PoolName]bool{}
+	for i := range targets {
+		t := &targets[i]
+		switch {
+		case t.Resources == medlargw.Resources{}:
+			unknown[t.Pool] = true
+		case !slices.ContainsFunc(sizes[t.Pool], func(r medlargw.Resources) bool { return r.Covers(t.Resources) }):
+			sizes[t.Pool] = append(sizes[t.Pool], t.Resources)
+		}
+	}
+	for pool := range unknown {
+		delete(sizes, pool)
+	}
+	return sizes
+}
+
 const (
 	// learningTime is the longest time after the first group in which this entry has
 	// yet to learn of the holders' resources.
@@ -123,9 +151,7 @@
 }
 
 // work returns the work of all tasks, in thousandths of a core times milliseconds.
-func (j *job) work() int64 {
-	return int64(len(j.tasks)) * j.job.Resources.Cores * j.estimate.Milliseconds()
-}
+func (j *job) work() int64 { return j.job.Resources.Work(len(j.tasks), j.estimate) }
 
 // AddDemand adds the demand at this home to the report of this entry.
 func (c *Coordinator) AddDemand(now time.Time, r *medlargw.HolderResources) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -50,6 +50,8 @@
 
 	// Pools all of whose targets are in evacuated zones.
 	evacuated map[medlargw.PoolName]bool
+	// Distinct resources of the targets of each pool; none if some are not known.
+	sizes map[medlargw.PoolName][]medlargw.Resources
 	// The host list, and the positions of the targets in it.
 	targets      []medlargw.Target
 	targetIndex  map[medlargw.TargetName]int
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -162,6 +162,7 @@
 // setTargets replaces the host list.
 func (c *Coordinator) setTargets(targets []medlargw.Target) {
 	c.targets = targets
+	c.sizes = targetSizes(targets)
 	c.targetIndex = make(map[medlargw.TargetName]int, len(targets))
 	for i := range targets {
 		c.targetIndex[targets[i].Name] = i
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -135,8 +135,10 @@
 func (c *Coordinator) admit(now time.Time, j *job) {
 	m := j.job
 	c.taskCounts[taskIdle] += len(j.tasks)
-	c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work())
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
+	if adm.Refusal != medlargw.RefusalHopeless && adm.Refusal != medlargw.RefusalTooLarge {
+		c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work()) // The others bring no work to any target.
+	}
 	switch adm.Refusal {
 	case medlargw.RefusalNone:
 		j.owed, j.expectedStart = adm.Owed, adm.Wait
@@ -207,7 +209,9 @@
 // refuse ends a job none of whose tasks was started.
 func (c *Coordinator) refuse(now time.Time, j *job, adm *medlargw.Admission) {
 	after := minRetryAfter
-	if adm.Refusal != medlargw.RefusalEvacuated && adm.Refusal != medlargw.RefusalUnreported {
+	switch adm.Refusal {
+	case medlargw.RefusalEvacuated, medlargw.RefusalUnreported, medlargw.RefusalTooLarge:
+	default:
 		after = c.inviter.Invite(now, c.invitationRequest(now, j, adm))
 	}
 	c.log.Info("job refused", zap.String("job", j.job.RequestID), zap.String("service", string(j.job.Service)),
--- a/coordinator/place.go
+++ b/coordinator/place.go
@@ -147,7 +147,7 @@
 		if p == nil || p.TotalCores == 0 || !h.acceptsOffers() || c.mustWait(now, h) || !t.mayQueueAt(now, h) {
 			continue
 		}
-		wait := max(0, p.NextEnd-now.Sub(h.resourcesAt)) + time.Duration(p.WorkAhead(m.Rank)/p.TotalCores)*time.Millisecond
+		wait := max(0, p.NextEnd-now.Sub(h.resourcesAt)) + medlargw.Milliseconds(float64(p.WorkAhead(m.Rank)/p.TotalCores))
 		if h.peer.Zone != c.self.Zone {
 			wait += crossZonePenalty
 		}
--- a/holder/place.go
+++ b/holder/place.go
@@ -178,7 +178,7 @@
 	if len(h.minShares) > 0 {
 		h.account(w.offered.Pool).Charge(w.offered.Rank, 1)
 	}
-	a.Add(now, float64(w.offered.Resources.Cores*w.offered.Estimate.Milliseconds()))
+	a.Add(now, float64(w.offered.Resources.Work(1, w.offered.Estimate)))
 }
 
 // account returns the account of the minimum shares in a pool.
--- a/inviter/inviter.go
+++ b/inviter/inviter.go
@@ -127,9 +127,9 @@
 			continue
 		}
 		s.expire(now)
-		w := medlargw.RankWork{Rank: q.rank, Arriving: int64(max(0, s.arrived.Rate(now)-s.returned.Rate(now)))}
+		w := medlargw.RankWork{Rank: q.rank, Arriving: int64(min(max(0, s.arrived.Rate(now)-s.returned.Rate(now)), medlargw.MaxWork))}
 		for i := range s.booked {
-			w.Invited += s.booked[i].work
+			w.Invited = min(w.Invited+s.booked[i].work, medlargw.MaxWork)
 		}
 		all = append(all, w)
 	}
--- a/messenger/resources.go
+++ b/messenger/resources.go
@@ -63,7 +63,8 @@
 		}
 		for _, work := range p.GetWaiting() {
 			pool.Waiting = append(pool.Waiting, medlargw.RankWork{
-				Rank: int(work.GetRank()), Work: work.GetWork(), Arriving: work.GetArriving(), Invited: work.GetInvited(),
+				Rank: int(work.GetRank()), Work: validWork(work.GetWork()), Arriving: validWork(work.GetArriving()),
+				Invited: validWork(work.GetInvited()),
 			})
 		}
 		r.Pools = append(r.Pools, pool)
@@ -108,6 +109,15 @@
 	return cores
 }
 
+// validWork returns the work, or none if that is no such sum. Older builds state sums that
+// have wrapped.
+func validWork(work int64) int64 {
+	if work < 0 || work > medlargw.MaxWork {
+		return 0
+	}
+	return work
+}
+
 // maxSinceMs bounds the time since the last crash in a message.
 const maxSinceMs = int64(time.Hour / time.Millisecond)
 
--- a/resources.go
+++ b/resources.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// MaxWork bounds the work of one rank at one entry, in thousandths of a core times
+// milliseconds: that of 50,000 cores for some minutes. The sum of half a million of them
+// doesn't wrap.
+const MaxWork = 1 << 44
+
+// Work returns the work of n tasks that take the resources for the duration, in thousandths
+// of a core times milliseconds, at most MaxWork.
+func (r Resources) Work(n int, d time.Duration) int64 {
+	work := float64(n) * float64(r.Cores) * float64(d.Milliseconds())
+	return int64(min(max(work, 0), MaxWork))
+}
+
 // PoolName names a set of targets that run the tasks of the same services.
 type PoolName string
 
@@ -73,10 +85,10 @@
 // AddWaiting adds the work of a waiting task, which takes the resources for the
 // duration.
 func (p *PoolResources) AddWaiting(rank int, resources Resources, d time.Duration) {
-	work := resources.Cores * d.Milliseconds()
+	work := resources.Work(1, d)
 	for i := range p.Waiting {
 		if p.Waiting[i].Rank == rank {
-			p.Waiting[i].Work += work
+			p.Waiting[i].Work = min(p.Waiting[i].Work+work, MaxWork)
 			return
 		}
 	}
@@ -91,8 +103,8 @@
 			p.Waiting = append(p.Waiting, d)
 			continue
 		}
-		p.Waiting[i].Arriving += d.Arriving
-		p.Waiting[i].Invited += d.Invited
+		p.Waiting[i].Arriving = min(p.Waiting[i].Arriving+d.Arriving, MaxWork)
+		p.Waiting[i].Invited = min(p.Waiting[i].Invited+d.Invited, MaxWork)
 	}
 }
 
--- a/valid.go
+++ b/valid.go
@@ -24,6 +24,18 @@
 // lastTime is the last time that can be counted in nanoseconds since 1970.
 var lastTime = time.Unix(0, math.MaxInt64)
 
+// Duration returns a time of that many nanoseconds, at most MaxTimeLeft either way. What a
+// machine makes of a number that is too large for a time.Duration depends on its kind.
+func Duration(ns float64) time.Duration {
+	if math.IsNaN(ns) {
+		return 0
+	}
+	return time.Duration(min(max(ns, -float64(MaxTimeLeft)), float64(MaxTimeLeft)))
+}
+
+// Milliseconds returns a time of that many milliseconds, bounded as that of Duration.
+func Milliseconds(ms float64) time.Duration { return Duration(ms * float64(time.Millisecond)) }
+
 // IsPossible reports whether a machine can have the resources.
 func (r Resources) IsPossible() bool {
 	return r.Cores >= 0 && r.Cores <= 1000*MaxTargetCores && r.Memory >= 0 && r.Memory <= MaxMemory &&
