Labeler: metrics by rank and class are bounded and end with the configuration

Each priority that jobs have had kept counters and two histograms for the life of the process, so that configurations with many or with changing priorities took memory for good.

Cause: names of metrics made of a number that operators choose, never removed. Package labeler keeps those of the 32 most urgent classes in force, as many as the ranks of declarations, counts all others as other, and removes the metrics of classes that are gone.

TestMetricsOfManyPriorities failed before (6,022 metrics after 2,000 priorities, want at most 150) and passes; TestNumberOfMetrics and TestMetricsOfConfiguration are new with the package.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -240,10 +240,11 @@
 }
 
 // Configure applies the minimum shares of the classes in the configuration that
-// has come into force.
+// has come into force, and keeps metrics of these classes only.
 func (c *Conductor) Configure(cfg *medlargw.Config) {
 	c.log.Info("configuration in force", zap.Uint64("generation", cfg.Generation),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
+	c.counters.configure(cfg)
 	shares := c.minShares(cfg)
 	c.post(func(time.Time) {
 		c.holder.SetMinShares(shares)
--- a/conductor/counters.go
+++ b/conductor/counters.go
@@ -1,12 +1,14 @@
 package conductor
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/labeler"
 )
 
 // Size and decay factor of the samples of the histograms. Both are the values
@@ -19,6 +21,8 @@
 // counters count the messages sent and their results.
 type counters struct {
 	registry metrics.Registry
+	ranks    *labeler.Labeler
+	classes  *labeler.Labeler
 	starts   metrics.Counter
 	stops    metrics.Counter
 
@@ -49,6 +53,8 @@
 func newCounters(r metrics.Registry) counters {
 	return counters{
 		registry: r,
+		ranks:    labeler.New(r),
+		classes:  labeler.New(r),
 		starts:   metrics.GetOrRegisterCounter("orders.start", r),
 		stops:    metrics.GetOrRegisterCounter("orders.stop", r),
 
@@ -92,13 +98,24 @@
 	c.capacity.Update(s.Capacity)
 }
 
+// configure keeps the metrics of the classes in the configuration, the most urgent first.
+func (c *counters) configure(cfg *medlargw.Config) {
+	var ranks, classes []string
+	for i := range cfg.Classes {
+		ranks = append(ranks, strconv.Itoa(cfg.Classes[i].Rank))
+		classes = append(classes, string(cfg.Classes[i].Name))
+	}
+	c.ranks.SetLabels(slices.Compact(ranks))
+	c.classes.SetLabels(classes)
+}
+
 // countJob records the end of a job and its response time.
 func (c *counters) countJob(f *medlargw.FinishedJob, response time.Duration) {
 	o := &f.Outcome
-	c.updateHistogram("response_milliseconds."+string(f.Job.Class), response)
+	update(c.classes.GetOrRegister("response_milliseconds.", string(f.Job.Class), newHistogram), response)
 	if f.FirstStart > 0 {
-		c.updateHistogram("start_milliseconds.expected", f.ExpectedStart)
-		c.updateHistogram("start_milliseconds.actual", f.FirstStart)
+		update(c.registry.GetOrRegister("start_milliseconds.expected", newHistogram), f.ExpectedStart)
+		update(c.registry.GetOrRegister("start_milliseconds.actual", newHistogram), f.FirstStart)
 	}
 	name := "complete"
 	if !o.Complete {
@@ -106,16 +123,20 @@
 	}
 	metrics.GetOrRegisterCounter("jobs."+name, c.registry).Inc(1)
 	if f.Refusal != medlargw.RefusalNone {
-		metrics.GetOrRegisterCounter("refused."+string(f.Refusal)+"-rank-"+strconv.Itoa(f.Job.Rank), c.registry).Inc(1)
-		c.updateHistogram("retry_milliseconds."+strconv.Itoa(f.Job.Rank), o.RetryAfter)
+		rank := strconv.Itoa(f.Job.Rank)
+		if refused, ok := c.ranks.GetOrRegister("refused."+string(f.Refusal)+"-rank-", rank, metrics.NewCounter).(metrics.Counter); ok {
+			refused.Inc(1)
+		}
+		update(c.ranks.GetOrRegister("retry_milliseconds.", rank, newHistogram), o.RetryAfter)
 	}
 }
 
-// updateHistogram adds a time to a histogram.
-func (c *counters) updateHistogram(name string, d time.Duration) {
-	histogram := c.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
-	})
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+}
+
+// update adds a time to a histogram.
+func update(histogram any, d time.Duration) {
 	if h, ok := histogram.(metrics.Histogram); ok {
 		h.Update(d.Milliseconds())
 	}
