Inviter, admitter: ranks without jobs are forgotten

Each rank that had ever sent a job stayed in the reports of its home to all entries, several times a second: 12.0 KB in each for 2,000 former ranks (trial, size of the message). The times of refusals were kept too, and looked at for each job under overload.

Cause: a state for each pool and rank that nothing removed. Ruled out: an element for each number up to the rank.

A rank without invitations and arrivals is forgotten, and a refusal once it holds no job back; no sum changes by that.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -169,10 +169,13 @@
 }
 
 // urgentRefused reports whether a more urgent job was refused within
-// precedenceTime.
+// precedenceTime. It forgets the refusals of before.
 func (a *Admitter) urgentRefused(now time.Time, r *medlargw.AdmissionRequest) bool {
 	for q, at := range a.refusedAt {
-		if q.pool == r.Pool && q.rank < r.Rank && now.Sub(at) < precedenceTime {
+		switch {
+		case now.Sub(at) >= precedenceTime:
+			delete(a.refusedAt, q)
+		case q.pool == r.Pool && q.rank < r.Rank:
 			return true
 		}
 	}
--- a/inviter/inviter.go
+++ b/inviter/inviter.go
@@ -119,7 +119,8 @@
 	}
 }
 
-// demand returns the invitations and the new jobs of this home in a pool, by rank.
+// demand returns the invitations and the new jobs of this home in a pool, by rank, and
+// forgets the ranks without any.
 func (v *Inviter) demand(now time.Time, pool medlargw.PoolName) []medlargw.RankWork {
 	var all []medlargw.RankWork
 	for q, s := range v.queues {
@@ -127,6 +128,10 @@
 			continue
 		}
 		s.expire(now)
+		if s.isIdle(now) {
+			delete(v.queues, q)
+			continue
+		}
 		w := medlargw.RankWork{Rank: q.rank, Arriving: int64(min(max(0, s.arrived.Rate(now)-s.returned.Rate(now)), medlargw.MaxWork))}
 		for i := range s.booked {
 			w.Invited = min(w.Invited+s.booked[i].work, medlargw.MaxWork)
@@ -146,6 +151,11 @@
 	return s
 }
 
+// isIdle reports whether nothing that counts is known of the queue.
+func (s *state) isIdle(now time.Time) bool {
+	return len(s.booked) == 0 && s.arrived.Rate(now) < 1 && s.returned.Rate(now) < 1
+}
+
 // book keeps an invitation.
 func (s *state) book(at time.Time, work int64) {
 	if n := len(s.booked); n > 0 && at.Sub(s.booked[n-1].at) < slot {
--- a/inviter/inviter_test.go
+++ b/inviter/inviter_test.go
@@ -105,3 +105,24 @@
 		}
 	}
 }
+
+// TestReportOfFormerRanks has each of many ranks send one job. It guards against ranks that
+// are kept for as long as the process lives, and are part of each report to all entries.
+func TestReportOfFormerRanks(t *testing.T) {
+	v := inviter.New()
+	ranks := func(now time.Time) int {
+		var report medlargw.HolderResources
+		v.AddDemand(now, &report)
+		return len(report.Pool("pool").Waiting)
+	}
+	for rank := range 2000 {
+		v.RecordArrival(start, "pool", rank, 1e6)
+	}
+	v.Invite(start, refused(0, 200*time.Millisecond))
+	if got, want := ranks(start), 2000; got != want {
+		t.Errorf("ranks in the report at once: got %d, want %d", got, want)
+	}
+	if got, want := ranks(start.Add(2*time.Minute)), 0; got != want {
+		t.Errorf("ranks in the report two minutes later: got %d, want %d", got, want)
+	}
+}
