--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -121,7 +121,7 @@
 	c.logResubmission(now, m)
 	c.nextJob++
 	j := &job{job: m, number: c.nextJob, estimate: c.estimator.Estimate(m)}
-	j.due = m.Arrived.Add(time.Duration(m.SlackFactor*float64(j.estimate)) + m.Grace)
+	j.due = m.Arrived.Add(medlargw.Duration(m.SlackFactor*float64(j.estimate)) + m.Grace)
 	for i := range m.Tasks {
 		j.tasks = append(j.tasks, &task{job: j, index: i, attempt: 1})
 	}
--- a/coordinator/large_test.go
+++ b/coordinator/large_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -72,3 +73,20 @@
 		t.Errorf("admitted jobs: got %d, want 1", got)
 	}
 }
+
+// TestLargeSlackFactor submits a job whose queue allows it any time. It guards against an
+// objective that wraps: the job is refused as late on some kinds of machines.
+func TestLargeSlackFactor(t *testing.T) {
+	for _, slack := range []float64{1.6, 1e10, 1e300, math.MaxFloat64} {
+		h := newFixture(t)
+		busy := freeResources(2, 0)
+		busy.Pools[0].Waiting = []medlargw.RankWork{{Rank: 0, Work: 64000 * 100}}
+		h.c.SetFreeResources(h.now, holder.Incarnation, busy)
+		j := job(2)
+		j.SlackFactor = slack
+		h.c.Submit(h.now, j)
+		if got := h.c.JobCount(); got != 1 {
+			t.Errorf("jobs with slack factor %v: got %d, want 1 admitted", slack, got)
+		}
+	}
+}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -85,7 +85,7 @@
 	return seconds(declared.Seconds() * math.Exp(r.logBias.value))
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func seconds(s float64) time.Duration { return medlargw.Duration(s * float64(time.Second)) }
 
 // Observe records the measured run time of one task of the job.
 func (e *Estimator) Observe(job *medlargw.Job, elapsed time.Duration) {
