Scheduler, dispatcher: memory doesn't grow with the number of a rank

A configuration in the store with a class of rank 10,000,000 took 2.8 GB in the scheduler and 0.5 GB in the dispatcher.

Cause: slices with an index for each number up to the rank. The scheduler keeps a sorted slice of the classes of the configuration and those with jobs, the dispatcher a map; a class without jobs ends with its configuration. Waiting tasks are listed by class as before, without classes that nobody has declared.

--- a/decider/demand.go
+++ b/decider/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"medlargw.example/medlargw"
 )
@@ -42,8 +43,11 @@
 		return
 	}
 	for _, q := range d.scheduler.Queues() {
-		if d.pauses[medlargw.LimitScope{Team: q.Team}] != nil {
-			classes[q.Rank].Tasks -= q.Tasks
+		if d.pauses[medlargw.LimitScope{Team: q.Team}] == nil {
+			continue
+		}
+		if i := slices.IndexFunc(classes, func(c medlargw.ClassDemand) bool { return c.Rank == q.Rank }); i >= 0 {
+			classes[i].Tasks -= q.Tasks
 		}
 	}
 }
--- a/dispatcher/lending.go
+++ b/dispatcher/lending.go
@@ -31,7 +31,7 @@
 	term          time.Duration
 	rankByClass   map[medlargw.ClassName]int
 	rankByAttempt map[medlargw.AttemptID]int // Of the attempts that have not ended.
-	runningByRank []int                      // Number of those attempts.
+	runningByRank map[int]int                // Number of those attempts.
 	waiters       map[medlargw.HostName][]borrowWaiter
 	group         medlargw.Group      // As last received.
 	evacuated     []medlargw.ZoneName // Zones that the configuration evacuates.
@@ -84,6 +84,7 @@
 		term:          s.Group.Term,
 		rankByClass:   map[medlargw.ClassName]int{},
 		rankByAttempt: map[medlargw.AttemptID]int{},
+		runningByRank: map[int]int{},
 		waiters:       map[medlargw.HostName][]borrowWaiter{},
 	}
 }
@@ -178,10 +179,9 @@
 // updateDemand passes the entry's current use and demand to the lender.
 func (d *Dispatcher) updateDemand(now time.Time) {
 	demand := d.decider.Demand()
-	for rank, n := range d.lending.runningByRank {
-		if rank < len(demand.Classes) {
-			demand.Classes[rank].Running = n
-		}
+	for i := range demand.Classes {
+		c := &demand.Classes[i]
+		c.Running = d.lending.runningByRank[c.Rank]
 	}
 	d.lending.lender.SetDemand(now, &demand)
 }
@@ -329,9 +329,6 @@
 		return
 	}
 	rank := l.rankByClass[a.Job.Class]
-	for len(l.runningByRank) <= rank {
-		l.runningByRank = append(l.runningByRank, 0)
-	}
 	l.runningByRank[rank]++
 	l.rankByAttempt[a.ID] = rank
 }
@@ -340,8 +337,11 @@
 	if l == nil {
 		return
 	}
-	l.runningByRank[l.rankByAttempt[id]]--
+	rank := l.rankByAttempt[id]
 	delete(l.rankByAttempt, id)
+	if l.runningByRank[rank]--; l.runningByRank[rank] <= 0 {
+		delete(l.runningByRank, rank)
+	}
 }
 
 // configure passes a configuration to the lender and keeps the ranks of the
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -13,11 +13,13 @@
 func (s *Scheduler) Backlog(name medlargw.ClassName, team medlargw.TeamName) medlargw.Backlog {
 	c := s.class(s.ranks[name])
 	b := medlargw.Backlog{Rank: c.rank, ClassWork: c.work}
-	for _, higher := range s.classes[:c.rank] {
-		b.HigherWork += higher.work
-	}
-	for _, lower := range s.classes[c.rank+1:] {
-		b.LowerTasks += lower.tasks
+	for _, other := range s.classes {
+		switch {
+		case other.rank < c.rank:
+			b.HigherWork += other.work
+		case other.rank > c.rank:
+			b.LowerTasks += other.tasks
+		}
 	}
 	weight := max(1, s.weights[team])
 	others := c.weight
@@ -35,7 +37,7 @@
 // each class the newest job first. The scheduler must not change meanwhile.
 func (s *Scheduler) EvictionCandidates(below medlargw.ClassName) iter.Seq[*medlargw.Job] {
 	return func(yield func(*medlargw.Job) bool) {
-		for i := len(s.classes) - 1; i > s.ranks[below]; i-- {
+		for i := len(s.classes) - 1; i >= 0 && s.classes[i].rank > s.ranks[below]; i-- {
 			for j := s.classes[i].newestUnstarted; j != nil; j = j.older {
 				if !yield(j.job) {
 					return
@@ -45,7 +47,7 @@
 	}
 }
 
-// Waiting returns the number of waiting tasks by class.
+// Waiting returns the number of waiting tasks by class, the most urgent first.
 func (s *Scheduler) Waiting() []medlargw.ClassDemand {
 	all := make([]medlargw.ClassDemand, 0, len(s.classes))
 	for _, c := range s.classes {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,7 +28,7 @@
 	weights       map[medlargw.TeamName]int
 	tierSizes     []int64 // Upper bounds of the tiers; one more tier has the tasks that fit nowhere.
 	blocked       map[medlargw.LimitScope]bool
-	classes       []*class
+	classes       []*class // Those of the configuration and those with jobs, by rank.
 	withMinShare  []*class // The classes with a minimum share.
 	teamQueues    map[medlargw.TeamName][]*teamQueue
 	serviceQueues map[medlargw.LimitScope][]*serviceQueue
@@ -76,16 +76,23 @@
 	s.rebuild()
 }
 
-// class returns the class of the rank, and creates missing ones.
+// class returns the class of the rank, and creates it if it is missing.
 func (s *Scheduler) class(rank int) *class {
-	for len(s.classes) <= rank {
-		s.classes = append(s.classes, &class{
-			rank:      len(s.classes),
+	i, ok := s.findClass(rank)
+	if !ok {
+		s.classes = slices.Insert(s.classes, i, &class{
+			rank:      rank,
 			teams:     map[medlargw.TeamName]*teamQueue{},
 			tierHeaps: make([]ranker.Ranker[*tierQueue], len(s.tierSizes)+1),
 		})
 	}
-	return s.classes[rank]
+	return s.classes[i]
+}
+
+// findClass returns the position of the first class of the rank or a less urgent one, and
+// whether it is that of the rank.
+func (s *Scheduler) findClass(rank int) (int, bool) {
+	return slices.BinarySearchFunc(s.classes, rank, func(c *class, rank int) int { return cmp.Compare(c.rank, rank) })
 }
 
 // SetTaskSizes sets the distinct task sizes that targets can hold, in rising
@@ -99,8 +106,8 @@
 	s.rebuild()
 }
 
-// rebuild builds the heaps again, and removes the teams without jobs. Teams
-// with jobs keep their virtual time.
+// rebuild builds the heaps again, and removes the teams without jobs, and the classes
+// without jobs that the configuration doesn't have. Teams with jobs keep their virtual time.
 func (s *Scheduler) rebuild() {
 	jobs := make([]*queuedJob, 0, len(s.jobs))
 	for _, j := range s.jobs {
@@ -121,9 +128,14 @@
 		s.attach(j)
 		s.insert(j)
 	}
-	for _, c := range s.classes {
-		c.pruneTeams(s)
+	declared := map[int]bool{}
+	for _, rank := range s.ranks {
+		declared[rank] = true
 	}
+	s.classes = slices.DeleteFunc(s.classes, func(c *class) bool {
+		c.pruneTeams(s)
+		return len(c.teams) == 0 && !declared[c.rank]
+	})
 }
 
 // pruneTeams removes the teams that have no job left in the class.
