--- a/admission.go
+++ b/admission.go
@@ -67,7 +67,7 @@
 	Learning    bool             // Whether the home has just started, and knows few of the holders' resources.
 	Starting    bool             // Whether the home has started in the last seconds.
 	Evacuated   bool             // Whether all targets of the pool are in evacuated zones.
-	TooLarge    bool             // Whether no target of the pool has the resources for one task.
+	TooLarge    bool             // Whether no target of the host list has the resources for one task.
 	Unreported  bool             // Whether targets of this entry have not reported their resources recently.
 	LinkWait    time.Duration    // Time until the home's network link can take its tasks.
 	Holders     []*PoolResources // The latest reports of the holders that accept offers.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -18,6 +18,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -148,7 +149,7 @@
 	switch {
 	case r.Evacuated:
 		return medlargw.RefusalEvacuated
-	case r.TooLarge:
+	case r.TooLarge && !fitsNow(r): // A holder may know of a larger target before the host list does.
 		return medlargw.RefusalTooLarge
 	case !r.Unreported || r.Learning:
 		return medlargw.RefusalNone
@@ -226,16 +227,20 @@
 	return adm, known
 }
 
+// fitsNow reports whether a holder has free resources for one task.
+func fitsNow(r *medlargw.AdmissionRequest) bool {
+	covers := func(free medlargw.Resources) bool { return free.Covers(r.Resources) }
+	return slices.ContainsFunc(r.Holders, func(p *medlargw.PoolResources) bool { return slices.ContainsFunc(p.Free, covers) })
+}
+
 // resourceWait returns how long a job is expected to wait for resources, over all
 // holders; it is zero while one task fits. It returns false if no target is known.
 func resourceWait(r *medlargw.AdmissionRequest) (time.Duration, bool) {
+	if fitsNow(r) {
+		return 0, true
+	}
 	var work, capacity int64
 	for _, p := range r.Holders {
-		for _, free := range p.Free {
-			if free.Covers(r.Resources) {
-				return 0, true
-			}
-		}
 		work += p.WorkAhead(r.Rank)
 		capacity += p.TotalCores
 	}
--- a/coordinator/admit.go
+++ b/coordinator/admit.go
@@ -40,8 +40,9 @@
 	return len(sizes) > 0 && !slices.ContainsFunc(sizes, func(r medlargw.Resources) bool { return r.Covers(m.Resources) })
 }
 
-// targetSizes returns the distinct resources of the targets of each pool. Pools with targets
-// that state no resources are left out, as nothing is known of their tasks.
+// targetSizes returns the resources of the largest targets of each pool: those that no other
+// target covers. Pools with targets that state no resources are left out, as such a target
+// may have any.
 func targetSizes(targets []medlargw.Target) map[medlargw.PoolName][]medlargw.Resources {
 	sizes := map[medlargw.PoolName][]medlargw.Resources{}
 	unknown := map[medlargw.PoolName]bool{}
@@ -51,7 +52,8 @@
 		case t.Resources == medlargw.Resources{}:
 			unknown[t.Pool] = true
 		case !slices.ContainsFunc(sizes[t.Pool], func(r medlargw.Resources) bool { return r.Covers(t.Resources) }):
-			sizes[t.Pool] = append(sizes[t.Pool], t.Resources)
+			larger := slices.DeleteFunc(sizes[t.Pool], func(r medlargw.Resources) bool { return t.Resources.Covers(r) })
+			sizes[t.Pool] = append(larger, t.Resources)
 		}
 	}
 	for pool := range unknown {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -50,7 +50,7 @@
 
 	// Pools all of whose targets are in evacuated zones.
 	evacuated map[medlargw.PoolName]bool
-	// Distinct resources of the targets of each pool; none if some are not known.
+	// Resources of the largest targets of each pool; none if those of a target are not known.
 	sizes map[medlargw.PoolName][]medlargw.Resources
 	// The host list, and the positions of the targets in it.
 	targets      []medlargw.Target
--- a/coordinator/large_test.go
+++ b/coordinator/large_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// TestJobForGrownTarget checks that a job is not refused for its size while a holder has
+// free resources for it, which the host list doesn't show yet.
+func TestJobForGrownTarget(t *testing.T) {
+	h := newFixture(t)
+	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}, Targets: []medlargw.Target{
+		{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 8000}},
+	}})
+	h.c.Submit(h.now, job(1))
+	if got := len(h.offers()); got != 1 {
+		t.Errorf("offers: got %d, want 1", got)
+	}
+}
+
 // TestLargeSlackFactor submits a job whose queue allows it any time. It guards against an
 // objective that wraps: the job is refused as late on some kinds of machines.
 func TestLargeSlackFactor(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,10 +132,10 @@
 	for _, rank := range s.ranks {
 		declared[rank] = true
 	}
-	s.classes = slices.DeleteFunc(s.classes, func(c *class) bool {
+	for _, c := range s.classes {
 		c.pruneTeams(s)
-		return len(c.teams) == 0 && !declared[c.rank]
-	})
+	}
+	s.classes = slices.DeleteFunc(s.classes, func(c *class) bool { return len(c.teams) == 0 && !declared[c.rank] })
 }
 
 // pruneTeams removes the teams that have no job left in the class.
