--- a/conductor/counters_test.go
+++ b/conductor/counters_test.go
@@ -31,3 +31,27 @@
 		t.Errorf("metrics after %d priorities: got %d, want at most %d", priorities, got, want)
 	}
 }
+
+// TestMetricsOfFormerPriority guards against metrics of a priority that outlast the
+// configuration which had it.
+func TestMetricsOfFormerPriority(t *testing.T) {
+	registry := metrics.NewRegistry()
+	c := newCounters(registry)
+	metricsOf3 := []string{"response_milliseconds.priority-3", "refused.wait-rank-3", "retry_milliseconds.3"}
+	priority := func(rank int) *medlargw.Config {
+		return &medlargw.Config{Classes: []medlargw.Class{{Name: medlargw.ClassName(fmt.Sprintf("priority-%d", rank)), Rank: rank}}}
+	}
+	c.configure(priority(3))
+	c.countJob(&medlargw.FinishedJob{Job: &medlargw.Job{Rank: 3, Class: "priority-3"}, Refusal: medlargw.RefusalWait}, time.Second)
+	for _, name := range metricsOf3 {
+		if registry.Get(name) == nil {
+			t.Errorf("metric %s of a priority in force: got none", name)
+		}
+	}
+	c.configure(priority(5))
+	for _, name := range metricsOf3 {
+		if registry.Get(name) != nil {
+			t.Errorf("metric %s of a former priority: got one, want none", name)
+		}
+	}
+}
--- a/coordinator/cancel_test.go
+++ b/coordinator/cancel_test.go
@@ -102,3 +102,72 @@
 	}
 	t.Error("messages to the new holder: got none that asks for the run, want one")
 }
+
+// TestCancelIsSentAgain checks that the cancel of a task whose job has ended is
+// resent until a message to its holder is answered, also if messages were lost
+// earlier.
+func TestCancelIsSentAgain(t *testing.T) {
+	h := newFixture(t)
+	lose := func(o *medlargw.OfferCommand) { h.c.HandleOfferReply(h.now, h.now, o, &medlargw.OfferReply{}, errLost) }
+	cancel := func() medlargw.TaskID {
+		first := h.submitStarted(1)
+		id := first.Offer.Tasks[0].ID
+		h.c.HandleReport(h.now, &medlargw.Report{
+			From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
+			Tasks: []medlargw.TaskReport{{Home: home, ID: id, Event: medlargw.TaskUnknown}},
+		})
+		return id
+	}
+	sent := func() []medlargw.TaskID {
+		h.now = h.now.Add(120 * time.Millisecond) // The longest pause after a lost message.
+		for _, o := range h.offers() {
+			if len(o.Offer.Cancels) > 0 {
+				lose(&o)
+				return o.Offer.Cancels
+			}
+		}
+		return nil
+	}
+	cancel()
+	if got := sent(); len(got) != 1 {
+		t.Fatalf("cancels: got %v, want one", got)
+	}
+	// The next message is answered and lists no task.
+	h.now = h.now.Add(120 * time.Millisecond)
+	for _, o := range h.offers() {
+		h.answer(&o, medlargw.OfferStarted)
+	}
+	h.now = h.now.Add(3 * time.Second)
+	id := cancel()
+	for range 3 {
+		if got := sent(); len(got) != 1 || got[0] != id {
+			t.Fatalf("cancels after a lost message: got %v, want %d again", got, id)
+		}
+	}
+}
+
+// TestRecoveredHolderGetsCancels checks that a lost holder that answers again
+// is told to stop the tasks of jobs that were aborted in the meantime.
+func TestRecoveredHolderGetsCancels(t *testing.T) {
+	h := newFixture(t)
+	first := h.submitStarted(1)
+	var last medlargw.OfferCommand
+	h.advance(700*time.Millisecond, func() {
+		for _, o := range h.offers() {
+			last = o
+		}
+	})
+	h.c.HandleReport(h.now, &medlargw.Report{ // A late report aborts the job.
+		From:  medlargw.Member{Host: "h", Incarnation: holder.Incarnation},
+		Tasks: []medlargw.TaskReport{{Home: home, ID: first.Offer.Tasks[0].ID, Event: medlargw.TaskUnknown}},
+	})
+	h.answer(&last, medlargw.OfferStarted)
+	for _, o := range h.offers() {
+		for _, id := range o.Offer.Cancels {
+			if id == first.Offer.Tasks[0].ID {
+				return
+			}
+		}
+	}
+	t.Error("cancels to a holder that answers again: got none, want one of the task whose job was aborted")
+}
--- a/coordinator/congestion_test.go
+++ b/coordinator/congestion_test.go
@@ -196,3 +196,51 @@
 		})
 	}
 }
+
+// TestCongestedRankIsRefused submits jobs of one rank while there is no
+// capacity. The first one waits. Once it has waited for a tenth of its
+// objective, further jobs of the same rank are refused at once, and more urgent
+// ones are not.
+func TestCongestedRankIsRefused(t *testing.T) {
+	h := newFixture(t)
+	busy := freeResources(2, 0)
+	busy.Pools[0].Waiting = []medlargw.RankWork{{Rank: 0, Arriving: 64000 * 1000}} // As much as the holder can serve.
+	h.c.SetFreeResources(h.now, holder.Incarnation, busy)
+	refused := func() int {
+		n := 0
+		a := h.c.TakeActions(h.now)
+		for _, f := range a.Finished {
+			if got, want := f.Outcome.Code, medlargw.CodeOverloaded; got != want {
+				t.Errorf("code: got %s, want %s", got, want)
+			}
+			if f.Outcome.RetryAfter <= 0 || !f.Outcome.NotRun() {
+				t.Errorf("refusal: got %+v, want a retry delay and no task run", f.Outcome)
+			}
+			n++
+		}
+		for _, o := range a.Offers {
+			h.answer(&o, medlargw.OfferQueued)
+		}
+		return n
+	}
+	arriving := func() *medlargw.Job {
+		j := job(2)
+		j.Arrived, j.Deadline = h.now, h.now.Add(5*time.Second)
+		return j
+	}
+	h.c.Submit(h.now, arriving())
+	if got := refused(); got != 0 {
+		t.Errorf("refusals of the first job: got %d, want 0", got)
+	}
+	h.now = h.now.Add(200 * time.Millisecond) // A tenth of the objective of 1.5 s has passed.
+	h.c.Submit(h.now, arriving())
+	if got := refused(); got != 1 {
+		t.Errorf("refusals while a job of the rank waits: got %d, want 1 at once", got)
+	}
+	urgent := arriving()
+	urgent.Rank = -1
+	h.c.Submit(h.now, urgent)
+	if got := refused(); got != 0 {
+		t.Errorf("refusals of a more urgent job: got %d, want 0", got)
+	}
+}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -136,8 +136,10 @@
 	m := j.job
 	c.taskCounts[taskIdle] += len(j.tasks)
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
-	if adm.Refusal != medlargw.RefusalHopeless && adm.Refusal != medlargw.RefusalTooLarge {
-		c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work()) // The others bring no work to any target.
+	switch adm.Refusal {
+	case medlargw.RefusalHopeless, medlargw.RefusalTooLarge: // Jobs that no target can run are no demand.
+	default:
+		c.inviter.RecordArrival(now, m.Pool, m.Rank, j.work())
 	}
 	switch adm.Refusal {
 	case medlargw.RefusalNone:
--- a/coordinator/large_test.go
+++ b/coordinator/large_test.go
@@ -59,31 +59,36 @@
 	}
 }
 
-// TestJobsOfUnknownTargets checks that a job is not refused for its size while a target has
-// not stated its resources, or has none for now.
-func TestJobsOfUnknownTargets(t *testing.T) {
-	h := newFixture(t)
-	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}, Targets: []medlargw.Target{
-		{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 32000}}, {Name: "u", Zone: "z", Pool: "pool"},
-	}})
-	large := job(1)
-	large.Resources.Cores = 64000
-	h.c.Submit(h.now, large)
-	if got := h.c.JobCount(); got != 1 {
-		t.Errorf("admitted jobs: got %d, want 1", got)
+// TestJobsThatATargetMayRun checks that a job is offered, and not refused for its size, while
+// the host list doesn't prove that no target has the resources for it.
+func TestJobsThatATargetMayRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed []int64 // Cores of the listed targets; zero if one has not stated its resources, or has none for now.
+		cores  int64   // Of the task; the holder has 32,000 free.
+	}{
+		{"a target is unknown", []int64{32000, 0}, 64000},
+		{"a target has grown and is not listed so yet", []int64{8000}, 14000},
 	}
-}
-
-// TestJobForGrownTarget checks that a job is not refused for its size while a holder has
-// free resources for it, which the host list doesn't show yet.
-func TestJobForGrownTarget(t *testing.T) {
-	h := newFixture(t)
-	h.c.SetGroup(h.now, medlargw.Group{Entries: []medlargw.Peer{holder}, Targets: []medlargw.Target{
-		{Name: "t", Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: 8000}},
-	}})
-	h.c.Submit(h.now, job(1))
-	if got := len(h.offers()); got != 1 {
-		t.Errorf("offers: got %d, want 1", got)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newFixture(t)
+			g := medlargw.Group{Entries: []medlargw.Peer{holder}}
+			for i, cores := range test.listed {
+				name := medlargw.TargetName(rune('t' + i))
+				g.Targets = append(g.Targets, medlargw.Target{Name: name, Zone: "z", Pool: "pool", Resources: medlargw.Resources{Cores: cores}})
+			}
+			h.c.SetGroup(h.now, g)
+			j := job(1)
+			j.Resources.Cores = test.cores
+			h.c.Submit(h.now, j)
+			if got := h.c.JobCount(); got != 1 {
+				t.Errorf("admitted jobs: got %d, want 1", got)
+			}
+			if got := len(h.offers()); got != 1 {
+				t.Errorf("offers: got %d, want 1", got)
+			}
+		})
 	}
 }
 
--- a/inviter/inviter.go
+++ b/inviter/inviter.go
@@ -128,11 +128,12 @@
 			continue
 		}
 		s.expire(now)
-		if s.isIdle(now) {
+		arrived, returned := s.arrived.Rate(now), s.returned.Rate(now)
+		if len(s.booked) == 0 && arrived < 1 && returned < 1 {
 			delete(v.queues, q)
 			continue
 		}
-		w := medlargw.RankWork{Rank: q.rank, Arriving: int64(min(max(0, s.arrived.Rate(now)-s.returned.Rate(now)), medlargw.MaxWork))}
+		w := medlargw.RankWork{Rank: q.rank, Arriving: int64(min(max(0, arrived-returned), medlargw.MaxWork))}
 		for i := range s.booked {
 			w.Invited = min(w.Invited+s.booked[i].work, medlargw.MaxWork)
 		}
@@ -151,11 +152,6 @@
 	return s
 }
 
-// isIdle reports whether nothing that counts is known of the queue.
-func (s *state) isIdle(now time.Time) bool {
-	return len(s.booked) == 0 && s.arrived.Rate(now) < 1 && s.returned.Rate(now) < 1
-}
-
 // book keeps an invitation.
 func (s *state) book(at time.Time, work int64) {
 	if n := len(s.booked); n > 0 && at.Sub(s.booked[n-1].at) < slot {
--- a/messenger/resources_test.go
+++ b/messenger/resources_test.go
@@ -77,18 +77,18 @@
 // TestInvalidWorkIsIgnored guards against an entry of an older build, whose sums of work have
 // wrapped: the jobs of all other entries would be ordered by them.
 func TestInvalidWorkIsIgnored(t *testing.T) {
-	tests := []struct{ got, want int64 }{
+	tests := []struct{ sent, want int64 }{
 		{0, 0},
 		{medlargw.MaxWork, medlargw.MaxWork},
 		{medlargw.MaxWork + 1, 0},
 		{math.MinInt64, 0},
 	}
 	for _, test := range tests {
-		work := &wire.RankWork{Rank: 1, Work: test.got, Arriving: test.got, Invited: test.got}
+		work := &wire.RankWork{Rank: 1, Work: test.sent, Arriving: test.sent, Invited: test.sent}
 		r := decodeHolderResources(&wire.HolderRoom{Number: 1, Pools: []*wire.PoolRoom{{Pool: "pool", Waiting: []*wire.RankWork{work}}}})
 		want := medlargw.RankWork{Rank: 1, Work: test.want, Arriving: test.want, Invited: test.want}
 		if got := r.Pools[0].Waiting[0]; got != want {
-			t.Errorf("work of %d: got %+v, want %+v", test.got, got, want)
+			t.Errorf("work of %d: got %+v, want %+v", test.sent, got, want)
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -78,7 +78,7 @@
 
 // class returns the class of the rank, and creates it if it is missing.
 func (s *Scheduler) class(rank int) *class {
-	i, ok := s.findClass(rank)
+	i, ok := slices.BinarySearchFunc(s.classes, rank, func(c *class, rank int) int { return cmp.Compare(c.rank, rank) })
 	if !ok {
 		s.classes = slices.Insert(s.classes, i, &class{
 			rank:      rank,
@@ -89,12 +89,6 @@
 	return s.classes[i]
 }
 
-// findClass returns the position of the first class of the rank or a less urgent one, and
-// whether it is that of the rank.
-func (s *Scheduler) findClass(rank int) (int, bool) {
-	return slices.BinarySearchFunc(s.classes, rank, func(c *class, rank int) int { return cmp.Compare(c.rank, rank) })
-}
-
 // SetTaskSizes sets the distinct task sizes that targets can hold, in rising
 // order. A change moves all waiting jobs to their new tiers, in linear time; it
 // is rare because only a new kind of target causes it.
