--- /dev/null
+++ b/cmd/medlargw/process_test.go
@@ -0,0 +1,391 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"medlargw.example/medlargw"
+	"medlargw.example/medlargw/executor"
+	"medlargw.example/medlargw/platform/standin"
+	"medlargw.example/medlargw/publisher"
+	"medlargw.example/medlargw/storer"
+)
+
+// program is the path of the program under test, built without the race detector.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "medlargw-crowd-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "medlargw")
+	if output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is an entry that runs as a process of its own.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	log     string
+	callers netip.AddrPort
+	ready   netip.AddrPort
+	peers   netip.AddrPort
+
+	sampling    conc.WaitGroup
+	stopped     chan struct{}
+	exited      chan error
+	mostSockets atomic.Int64
+}
+
+// freeAddrs returns addresses with different free ports of a loopback address of the test.
+func freeAddrs(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var all []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.79.%d.1:0", os.Getpid()%250))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }() // Open until all ports are chosen, so that none is chosen twice.
+		all = append(all, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return all
+}
+
+// start starts the program, which stops with the test.
+func start(t *testing.T, addrs []netip.AddrPort, env []string, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t: t, callers: addrs[0], ready: addrs[1], peers: addrs[2],
+		log: filepath.Join(t.TempDir(), "log"), stopped: make(chan struct{}), exited: make(chan error, 1),
+	}
+	output, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = output.Close()
+	p.sampling.Go(func() { p.exited <- p.cmd.Wait() })
+	p.sampling.Go(p.sample)
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *process) stop() {
+	close(p.stopped)
+	_ = p.cmd.Process.Kill() // Fails if the process has exited.
+	p.sampling.Wait()
+	if p.t.Failed() {
+		output, _ := os.ReadFile(p.log)
+		p.t.Logf("log of the process, last KiB:\n%s", output[max(0, len(output)-1024):])
+	}
+}
+
+// sample counts the sockets of the process until the test ends.
+func (p *process) sample() {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-p.stopped:
+			return
+		}
+		p.mostSockets.Store(max(p.mostSockets.Load(), p.sockets()))
+	}
+}
+
+func (p *process) sockets() int64 {
+	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	entries, _ := os.ReadDir(dir) // Fails if the process has exited.
+	n := int64(0)
+	for _, entry := range entries {
+		if link, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && strings.HasPrefix(link, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
+// peakMemory returns the most memory that the process has had resident, in MiB.
+func (p *process) peakMemory() int {
+	p.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatalf("status of the process: got %v, want one", err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")))
+			if err != nil {
+				p.t.Fatalf("status of the process: %v", err)
+			}
+			return kib >> 10
+		}
+	}
+	p.t.Fatal("status of the process: no peak memory")
+	return 0
+}
+
+// pause waits between two tries, and reports whether the process runs.
+func (p *process) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case err := <-p.exited:
+		p.exited <- err
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// awaitSettled waits until the number of the process's sockets stays the same, at most for
+// a bounded number of looks.
+func (p *process) awaitSettled() {
+	p.t.Helper()
+	last, same := int64(-1), 0
+	for range 200 {
+		n := p.sockets()
+		if same++; n != last {
+			last, same = n, 0
+		}
+		if same == 15 || !p.pause(20*time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (p *process) awaitReady(url string) {
+	p.t.Helper()
+	for range 200 {
+		resp, err := http.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode < http.StatusMultipleChoices {
+				return
+			}
+		}
+		if !p.pause(50 * time.Millisecond) {
+			break
+		}
+	}
+	p.t.Fatal("the process is not ready")
+}
+
+// maxTries bounds the submissions of an ordinary caller.
+const maxTries = 60
+
+// await submits a request anew until it gets the answer 200, as an ordinary caller does.
+func (p *process) await(what string, request func() (*http.Request, error)) {
+	p.t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var last error
+	for range maxTries {
+		r, err := request()
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		resp, err := client.Do(r)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+			err = errors.New(resp.Status)
+		}
+		last = err
+		if !p.pause(250 * time.Millisecond) {
+			p.t.Fatalf("ordinary request %s: the process has ended", what)
+		}
+	}
+	p.t.Errorf("ordinary request %s: got %v, want an answer", what, last)
+}
+
+// checkBounds checks that the process lives and has stayed within its memory, in MiB, and
+// its sockets.
+func (p *process) checkBounds(memory int, sockets int64) {
+	p.t.Helper()
+	select {
+	case err := <-p.exited:
+		p.exited <- err
+		p.t.Fatalf("process: got exit with %v, want it to run", err)
+	default:
+	}
+	got := p.peakMemory()
+	p.t.Logf("peak: %d MiB, %d sockets", got, p.mostSockets.Load())
+	if got > memory {
+		p.t.Errorf("peak memory: got %d MiB, want at most %d", got, memory)
+	}
+	if got := p.mostSockets.Load(); got > sockets {
+		p.t.Errorf("sockets: got %d, want at most %d", got, sockets)
+	}
+}
+
+const platformConfig = `{"Version":1,"Routes":[
+{"Name":"usual","Host":"desk.example","Prefix":"/usual/","TimeoutMs":1500,"TargetCompletionMs":60,"Priority":1,"Service":"pool","MaxAttempts":3,"SlackFactor":1.6}],
+"Services":[{"Name":"pool"}]}`
+
+const platformSettings = `NodeName = "frontend-1"
+Zone = "z"
+Ip = "%s"
+InternalPorts = [%d,%d]
+[ListenAddrs]
+Frontend = "%s"
+Ready = "%s"
+[Bounds]
+HoldMaxMs = 1000
+StopMs = 50
+GraceS = 6
+[platform]
+Address = "%s"
+[Limits]
+CpuShare = 1.0
+Cores = 1
+LinkMbps = 1000.0
+MemoryMb = %d
+MaxFds = %d
+`
+
+// startPlatformEntry starts an entry on a stand-in of the operators' platform with four
+// targets.
+func startPlatformEntry(t *testing.T, memory, files int) *process {
+	t.Helper()
+	s := standin.New(time.Now)
+	t.Cleanup(func() { _ = s.Stop() })
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	store, err := s.ServeStore(anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		target := medlargw.Target{
+			Name: medlargw.TargetName(fmt.Sprintf("i-%d", i)), Zone: "z", Pool: "pool",
+			Resources: medlargw.Resources{Cores: 32000, Memory: 1 << 17},
+		}
+		if _, err := s.ServeTarget(anyPort, target); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.WriteItem("op/config", []byte(platformConfig))
+	addrs := freeAddrs(t, 3) // For callers, readiness and peers.
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	text := fmt.Sprintf(platformSettings, addrs[2].Addr(), addrs[2].Port(), addrs[2].Port(), addrs[0], addrs[1], store, memory, files)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := start(t, addrs, []string{"MEDLARGW_CONFIG=" + path}, "serve", "--platform")
+	p.awaitReady("http://" + addrs[1].String() + "/readyz")
+	return p
+}
+
+const ownSettings = `{
+	"host": "detroit-0", "zone": "detroit", "store": "%s",
+	"listen": {"callers": "%s", "admin": "%s", "peers": "%s"},
+	"key": "deployment-key-of-the-test", "admin": "administration-key-of-the-test",
+	"capacity": {"cores": 1, "memory": %d},
+}`
+
+const ownToken = "desk-token"
+
+// startOwnEntry starts an entry with the interfaces of this project, with a store and a
+// target of the tests. The address of its administration stands for that of readiness.
+func startOwnEntry(t *testing.T, memory int) *process {
+	t.Helper()
+	store := storer.New()
+	storeServer, target := httptest.NewServer(store.Handler()), httptest.NewServer(executor.New(8).Handler())
+	t.Cleanup(storeServer.Close)
+	t.Cleanup(target.Close)
+	_, err := publisher.New(store).Publish(t.Context(), []medlargw.TeamConfig{
+		{Team: medlargw.Team{Name: "classes", Weight: 1}, Classes: []medlargw.Class{{Name: "urgent"}}},
+		{
+			Team:     medlargw.Team{Name: "desk", Weight: 1, Keys: [][32]byte{sha256.Sum256([]byte(ownToken))}},
+			Services: []medlargw.Service{{Name: "slip", Team: "desk", Class: "urgent"}},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addrs := freeAddrs(t, 3)
+	store.SetHosts(medlargw.HostList{
+		Targets: []medlargw.Target{{Name: "target-0", Zone: "detroit", Addr: addrOf(target), Slots: 8}},
+		Entries: []medlargw.EntryHost{{Name: "detroit-0", Zone: "detroit", Addr: addrs[2], AdminAddr: addrs[1]}},
+	})
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := fmt.Sprintf(ownSettings, addrOf(storeServer), addrs[0], addrs[1], addrs[2], memory)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := start(t, addrs, nil, "serve", "--settings", path)
+	p.awaitReady("http://" + addrs[0].String() + "/readyz")
+	return p
+}
+
+func addrOf(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// awaitSubmission has an ordinary caller submit a small job until it is answered.
+func (p *process) awaitSubmission(when string) {
+	p.t.Helper()
+	body := fmt.Sprintf(`{"service":"slip","tasks":[{"id":"a","payload":{"number":%d,"run":1000}}]}`, nextID.Add(1))
+	p.await(when, func() (*http.Request, error) {
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+p.callers.String()+"/v1/jobs", strings.NewReader(body))
+		if err == nil {
+			r.Header.Set("Authorization", "Bearer "+ownToken)
+		}
+		return r, err
+	})
+}
+
+// nextID is the last job ID that was used.
+var nextID atomic.Uint64
+
+// jobPath returns the path of a new job on the platform.
+func jobPath() string { return fmt.Sprintf("/usual/%016x", nextID.Add(1)) }
+
+// awaitJob has an ordinary caller submit a small job until it is answered.
+func (p *process) awaitJob(when string) {
+	p.t.Helper()
+	const body = `{"BestEffort":true,"Spec":"{\"Ms\":5,\"Cores\":1000}","JobSteps":[{"Count":2,"Cpu":1000,"EstimatedMs":5}]}`
+	path := jobPath()
+	p.await(when, func() (*http.Request, error) {
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+p.callers.String()+path, bytes.NewReader([]byte(body)))
+		if err == nil {
+			r.Host = "desk.example"
+			r.Header.Set("Deadline-Ms", "1500")
+		}
+		return r, err
+	})
+}
