Shedder: bound the memory of unfinished requests of the platform's callers

Cause: net/http bounds the bytes of a header and not what its lines become, the receiver bounds each body, and nothing bounds their sum; deadlines of 3 s are renewed by a crowd. Ruled out: single requests (TestSingleRequests, 33 MiB), the encoding of chunks, the collector (what is held is alive).

Change: package shedder counts what the connections of a listener hold of requests that aren't whole (3 bytes for each byte, 120 for each line of a header), and above a quarter of MemoryMb it closes those with the highest product of memory and time. Drainer keeps a server's ConnState, peeker looks through wrapped connections.

Why it works: the sum is bounded whatever the requests look like, ordinary requests hold little for a short time, and newcomers are accepted.

--- /dev/null
+++ b/connections.go
@@ -0,0 +1,59 @@
+package medlargw
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrConnectionShed is the error of a read from a connection that was closed to keep the
+// process within its limits.
+var ErrConnectionShed = errors.New("connection shed: too much memory or too many connections for requests that have not arrived whole")
+
+// What a request takes of the memory, in bytes. A line of a header becomes an entry of a
+// map, and a body is copied when its buffer grows.
+const (
+	RequestLineCost       = 120
+	RequestHeaderByteCost = 3
+	RequestBodyByteCost   = 3
+)
+
+// ConnectionLimits bound what the connections of a listener take from the process.
+type ConnectionLimits struct {
+	Conns int           // Most connections; zero is unlimited.
+	Bytes int64         // Most memory for requests that have not arrived whole, in bytes; zero is unlimited.
+	Write time.Duration // Longest time for which the peer reads nothing of an answer; zero is unlimited.
+}
+
+// Listener is a kind of listener.
+type Listener int
+
+// The kinds of listeners.
+const (
+	ListenerCallers   Listener = iota
+	ListenerPeers              // The other entries.
+	ListenerOperators          // Administration, metrics and readiness checks.
+)
+
+// listenerShares are the shares of the kinds of listeners in the memory of the process.
+var listenerShares = [...]float64{
+	ListenerCallers:   1. / 4,
+	ListenerPeers:     1. / 8,
+	ListenerOperators: 1. / 32,
+}
+
+const (
+	// unstatedMemory is the memory of which the listeners have shares if none is stated.
+	unstatedMemory = 1 << 30
+	// maxHeaderCost bounds the memory of the longest header, of 20 KiB in lines of 4 bytes.
+	maxHeaderCost = 20 << 10 * (RequestHeaderByteCost + RequestLineCost/4)
+)
+
+// ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
+// of up to maxBody bytes. Two of the largest requests are always within them.
+func (c *CapacitySettings) ConnectionLimits(l Listener, maxBody int64) ConnectionLimits {
+	memory := c.Memory << 20
+	if memory == 0 {
+		memory = unstatedMemory
+	}
+	return ConnectionLimits{Bytes: max(int64(listenerShares[l]*float64(memory)), 2*(maxHeaderCost+RequestBodyByteCost*maxBody))}
+}
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -56,12 +56,17 @@
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
-// New returns the Drainer of a server that has not started and is to serve on it. It takes
-// the server's ConnState, and wraps its Handler and ConnContext.
+// New returns the Drainer of a server that has not started and is to serve on it. It wraps
+// the server's Handler, ConnContext and ConnState.
 func New(server *http.Server, listener net.Listener) *Drainer {
 	d := &Drainer{Listener: listener, server: server, conns: map[net.Conn]connState{}, accepting: true, empty: make(chan struct{})}
-	server.ConnState = d.setState
-	connContext, handler := server.ConnContext, server.Handler
+	connState, connContext, handler := server.ConnState, server.ConnContext, server.Handler
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(conn, state)
+		}
+		d.setState(conn, state)
+	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if connContext != nil {
 			ctx = connContext(ctx, conn)
--- a/peeker/peeker.go
+++ b/peeker/peeker.go
@@ -15,9 +15,16 @@
 // is safe for concurrent use, also while others read from the connection.
 type Peeker struct{ raw syscall.RawConn }
 
-// New returns a peeker for the connection, which knows nothing if that is no TCP
-// connection.
+// New returns a peeker for the connection, or for the one that it wraps and returns from
+// NetConn. It knows nothing if that is no TCP connection.
 func New(conn net.Conn) Peeker {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return Peeker{}
