Shedder: what ended requests have held is collected before more is read

Callers saw: nothing yet; with the sum of unfinished requests bounded, TestCrowds/short_header_lines still took 106 and 111 MiB (want at most 100).

Cause: the bound was on what is alive. A header of short lines allocates 0.40 MB that is garbage once its connection is shed, and a crowd makes hundreds of them within one collection. gctrace of a run with 108 MiB beside six busy loops: the heap grows from 32 to 85 MB in a collection of 60 ms, as its end waits for a processor. Ruled out: the count (0.25 MB alive, 0.37 counted), the runtime's soft limit alone (75 MiB: 91 to 93 MiB; 66 MiB: 85, 89, 116), connections that were shed and have not run alone (79 to 83 MiB in nine runs, 118 in the tenth).

Before more of an unfinished request is read, what shed connections still hold and what has been released since the last collection must be under a quarter of the limit; the reader that finds more collects.

--- a/connections.go
+++ b/connections.go
@@ -48,6 +48,13 @@
 	maxHeaderCost = 20 << 10 * (RequestHeaderByteCost + RequestLineCost/4)
 )
 
+// CollectorLimit returns the memory above which the Go runtime has to collect garbage
+// rather than grow, in bytes, and whether there is a limit. It leaves the rest for the
+// program itself, and for what is allocated during a collection.
+func (c *CapacitySettings) CollectorLimit() (int64, bool) {
+	return c.Memory << 20 / 3 * 2, c.Memory > 0
+}
+
 // ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
 // of up to maxBody bytes. Two of the largest requests are always within them.
 func (c *CapacitySettings) ConnectionLimits(l Listener, maxBody int64) ConnectionLimits {
--- a/shedder/conn.go
+++ b/shedder/conn.go
@@ -52,6 +52,10 @@
 // Read reads from the connection. It returns an error that wraps
 // medlargw.ErrConnectionShed once the connection was shed.
 func (c *conn) Read(b []byte) (int, error) {
+	s := c.shedder
+	s.mu.Lock()
+	s.awaitFreed(c)
+	s.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.received(b[:n])
@@ -117,7 +121,7 @@
 		s.open--
 		s.charge(c, -c.cost)
 		delete(s.conns, c)
-		s.closed.Signal()
+		s.freed.Broadcast()
 	}
 	s.mu.Unlock()
 	return c.Conn.Close()
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -26,6 +26,9 @@
 	// slack is the part of a limit by which connections are closed beyond it, so that not
 	// each further one has to search all of them.
 	slack = 16
+	// freeingShare is the part of the memory that may be held by connections that were shed,
+	// or wait for its collection, while others read on.
+	freeingShare = 4
 	// minWait is the time that a connection must have waited to be closed for the slack.
 	minWait = time.Second
 	// logInterval is the time between two log records.
@@ -43,12 +46,14 @@
 	forSize metrics.Counter // Connections closed for memory.
 	forRoom metrics.Counter // Connections closed for others.
 
-	mu     sync.Mutex
-	closed sync.Cond
-	open   int // Connections, with those that were shed and not closed so far.
-	conns  map[*conn]struct{}
-	bytes  int64
-	logged time.Time
+	mu      sync.Mutex
+	freed   sync.Cond // Signals that a connection was shed or closed, or that a shed one holds less.
+	open    int       // Connections, with those that were shed and not closed so far.
+	conns   map[*conn]struct{}
+	bytes   int64 // Held by the connections.
+	freeing int64 // Held by those that were shed and not closed so far.
+	garbage garbage
+	logged  time.Time
 }
 
 // New returns a Shedder without connections. The name tells its counters from those of
@@ -61,7 +66,7 @@
 		forRoom: metrics.GetOrRegisterCounter("shed."+name+"-connections", counts),
 		conns:   map[*conn]struct{}{},
 	}
-	s.closed.L = &s.mu
+	s.freed.L = &s.mu
 	return s
 }
 
@@ -159,7 +164,7 @@
 	l.shedder.mu.Lock()
 	l.ended = true
 	l.shedder.mu.Unlock()
-	l.shedder.closed.Broadcast()
+	l.shedder.freed.Broadcast()
 	return l.Listener.Close()
 }
 
@@ -168,7 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.limits.Conns > 0 && s.open > s.limits.Conns+s.limits.Conns/slack && !l.ended {
-		s.closed.Wait()
+		s.freed.Wait()
 	}
 }
 
@@ -255,8 +260,10 @@
 // shed has the goroutine of a connection close it. The lock must be held.
 func (s *Shedder) shed(c *conn) {
 	delete(s.conns, c)
-	s.charge(c, -c.cost)
+	s.bytes -= c.cost
+	s.freeing += c.cost
 	c.isShed = true
+	s.freed.Broadcast()
 	// Fails for a connection that is being closed.
 	if c.phase == phaseAnswer {
 		_ = c.SetDeadline(past)
@@ -270,11 +277,37 @@
 
 // charge adds to the memory that a connection holds. The lock must be held.
 func (s *Shedder) charge(c *conn, cost int64) {
-	if c.isShed {
+	c.cost += cost
+	if cost < 0 {
+		s.garbage.bytes -= cost
+	}
+	if !c.isShed {
+		s.bytes += cost
 		return
 	}
-	c.cost += cost
-	s.bytes += cost
+	s.freeing += cost
+	if cost < 0 {
+		s.freed.Broadcast()
+	}
+}
+
+// awaitFreed waits, before the connection reads on, while much of what was held is not free:
+// connections that were shed hold it, as their goroutines have not run, or it is not
+// collected. It doesn't wait for a connection that was shed or whose request is whole. The
+// lock must be held.
+func (s *Shedder) awaitFreed(c *conn) {
+	most := s.limits.Bytes / freeingShare
+	for s.limits.Bytes > 0 && !c.isShed && !c.closed && !c.trusted && c.phase <= phaseRequest {
+		switch {
+		case s.freeing > most, s.garbage.collecting:
+			s.freed.Wait()
+		case s.garbage.bytes > most:
+			s.garbage.collect(&s.mu)
+			s.freed.Broadcast()
+		default:
+			return
+		}
+	}
 }
 
 // report counts connections that were shed, and logs them at intervals.
