--- a/connections.go
+++ b/connections.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math"
+	"syscall"
 	"time"
 )
 
@@ -34,18 +36,22 @@
 	ListenerOperators          // Administration, metrics and readiness checks.
 )
 
-// listenerShares are the shares of the kinds of listeners in the memory of the process.
-var listenerShares = [...]float64{
-	ListenerCallers:   1. / 4,
-	ListenerPeers:     1. / 8,
-	ListenerOperators: 1. / 32,
+// listenerShares are the shares of the kinds of listeners in the sockets and in the memory
+// of the process. The other sockets are those of its own calls.
+var listenerShares = [...]struct{ conns, memory float64 }{
+	ListenerCallers:   {1. / 2, 1. / 4},
+	ListenerPeers:     {1. / 4, 1. / 8},
+	ListenerOperators: {1. / 32, 1. / 32},
 }
 
 const (
+	reservedFiles   = 200      // Descriptors that are not for sockets.
+	connectionBytes = 24 << 10 // Memory of a connection without that of its request.
 	// unstatedMemory is the memory of which the listeners have shares if none is stated.
 	unstatedMemory = 1 << 30
 	// maxHeaderCost bounds the memory of the longest header, of 20 KiB in lines of 4 bytes.
 	maxHeaderCost = 20 << 10 * (RequestHeaderByteCost + RequestLineCost/4)
+	answerTimeout = 3 * time.Second
 )
 
 // CollectorLimit returns the memory above which the Go runtime has to collect garbage
@@ -58,9 +64,31 @@
 // ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
 // of up to maxBody bytes. Two of the largest requests are always within them.
 func (c *CapacitySettings) ConnectionLimits(l Listener, maxBody int64) ConnectionLimits {
+	share := listenerShares[l]
 	memory := c.Memory << 20
 	if memory == 0 {
 		memory = unstatedMemory
 	}
-	return ConnectionLimits{Bytes: max(int64(listenerShares[l]*float64(memory)), 2*(maxHeaderCost+RequestBodyByteCost*maxBody))}
+	files := c.Files
+	if files == 0 {
+		files = processFiles()
+	}
+	limits := ConnectionLimits{
+		Conns: max(1, int(share.conns*float64(files-min(reservedFiles, files/2)))),
+		Bytes: max(int64(share.memory*float64(memory)), 2*(maxHeaderCost+RequestBodyByteCost*maxBody)),
+		Write: answerTimeout,
+	}
+	if c.Memory > 0 {
+		limits.Conns = max(1, min(limits.Conns, int(share.memory*float64(memory)/connectionBytes)))
+	}
+	return limits
+}
+
+// processFiles returns the most descriptors that the operating system allows the process.
+func processFiles() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32
+	}
+	return int(min(limit.Cur, math.MaxInt32))
 }
--- a/connections_test.go
+++ b/connections_test.go
@@ -12,26 +12,31 @@
 	const minBytes = 2 * (20<<10*33 + 3*body)
 	tests := []struct {
 		memory   int64
+		files    int
 		listener Listener
+		conns    int
 		bytes    int64
 	}{
-		{284, ListenerCallers, 71 << 20},
-		{284, ListenerPeers, 284 << 20 / 8},
-		{284, ListenerOperators, 284 << 20 / 32},
-		{144, ListenerCallers, 36 << 20},
-		{100, ListenerCallers, 25 << 20},
-		{0, ListenerCallers, 256 << 20},
-		{64, ListenerCallers, 16 << 20},
-		{1, ListenerCallers, minBytes},
-		{1, ListenerOperators, minBytes},
+		{284, 4100, ListenerCallers, 1950, 71 << 20},
+		{284, 4100, ListenerPeers, 975, 284 << 20 / 8},
+		{284, 4100, ListenerOperators, 121, 284 << 20 / 32},
+		{144, 3075, ListenerCallers, 1437, 36 << 20},
+		{100, 600, ListenerCallers, 200, 25 << 20},
+		{0, 4100, ListenerCallers, 1950, 256 << 20},
+		{64, 100_000, ListenerCallers, 64 << 20 / 4 / (24 << 10), 16 << 20},
+		{1, 10, ListenerCallers, 2, minBytes},
+		{1, 1, ListenerOperators, 1, minBytes},
 	}
 	for _, test := range tests {
-		t.Run(fmt.Sprintf("%d MiB, listener %d", test.memory, test.listener), func(t *testing.T) {
-			c := CapacitySettings{Memory: test.memory}
+		t.Run(fmt.Sprintf("%d MiB, %d files, listener %d", test.memory, test.files, test.listener), func(t *testing.T) {
+			c := CapacitySettings{Memory: test.memory, Files: test.files}
 			got := c.ConnectionLimits(test.listener, body)
-			if want := (ConnectionLimits{Bytes: test.bytes}); got != want {
+			if want := (ConnectionLimits{Conns: test.conns, Bytes: test.bytes, Write: answerTimeout}); got != want {
 				t.Errorf("got %+v, want %+v", got, want)
 			}
 		})
 	}
+	if got := (&CapacitySettings{}).ConnectionLimits(ListenerCallers, body).Conns; got < 1 {
+		t.Errorf("connections by the limit of the operating system: got %d, want some", got)
+	}
 }
--- a/settings.go
+++ b/settings.go
@@ -83,6 +83,7 @@
 	Shares Shares
 	Cores  float64 // Processor of the host, in cores of one speed for all hosts; zero is not stated.
 	Memory int64   // Memory of the process, in MiB; zero is unlimited.
+	Files  int     // Descriptors of the process; zero is the limit of the operating system.
 	// Relay is the lag of the control loop from which jobs are handed to peers of the
 	// zone; zero hands none over and takes none.
 	Relay time.Duration
@@ -94,6 +95,9 @@
 	MaxMemory = 1 << 30
 )
 
+// MaxFiles is the most descriptors that settings may give.
+const MaxFiles = 1 << 30
+
 // MaxCapacity is the highest capacity of an entry, in thousandths of a core.
 const MaxCapacity = 1000 * MaxCores
 
