Encoder: decode no more tasks than any settings allow

Callers saw: an entry that is killed. TestCrowdsOfOwnInterface/many_tasks on: 1001 to 2275 MiB for 200 bodies of 1 MiB with a memory of 100 MB. TestNumbersOfTasks before this change: "bytes to decode a body of 1050025: got, want at most 9448776".

Cause: all tasks were decoded before their number was checked; an empty one has 3 bytes in the body. Ruled out: the bodies alone.

Change: tasks are decoded up to 1,001, one more than settings allow; a longer list is answered 413 with "1001 or more".

Why it works: what is decoded beside the body is bounded by the settings.

--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"medlargw.example/medlargw"
@@ -26,13 +27,42 @@
 func New(intake medlargw.IntakeSettings) *Encoder { return &Encoder{intake: intake} }
 
 type submissionWire struct {
-	Service    string     `json:"service"`
-	Ticket     string     `json:"ticket"`
-	Idempotent bool       `json:"idempotent"`
-	Deadline   string     `json:"deadline"`
-	Runtime    string     `json:"runtime"`
-	Size       int64      `json:"size"`
-	Tasks      []taskWire `json:"tasks"`
+	Service    string    `json:"service"`
+	Ticket     string    `json:"ticket"`
+	Idempotent bool      `json:"idempotent"`
+	Deadline   string    `json:"deadline"`
+	Runtime    string    `json:"runtime"`
+	Size       int64     `json:"size"`
+	Tasks      tasksWire `json:"tasks"`
+}
+
+// maxDecodedTasks is the number of tasks from which a submission isn't decoded further. No
+// settings allow as many.
+const maxDecodedTasks = 1001
+
+// tasksWire are the tasks of a submission, up to maxDecodedTasks: a task in the body is much
+// shorter than a taskWire.
+type tasksWire []taskWire
+
+// UnmarshalJSON decodes a list of tasks. Unknown fields are errors.
+func (w *tasksWire) UnmarshalJSON(raw []byte) error {
+	*w = nil
+	if string(raw) == "null" {
+		return nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if token, err := dec.Token(); err != nil || token != json.Delim('[') {
+		return fmt.Errorf("tasks: got %.20q, want a list", raw)
+	}
+	for dec.More() && len(*w) < maxDecodedTasks {
+		var task taskWire
+		if err := dec.Decode(&task); err != nil {
+			return err
+		}
+		*w = append(*w, task)
+	}
+	return nil
 }
 
 type taskWire struct {
@@ -103,12 +133,12 @@
 	return nil
 }
 
-func (e *Encoder) decodeTasks(wire []taskWire) ([]medlargw.Task, *medlargw.RefusedError) {
+func (e *Encoder) decodeTasks(wire tasksWire) ([]medlargw.Task, *medlargw.RefusedError) {
 	if len(wire) == 0 {
 		return nil, newRefused(medlargw.CodeBadRequest, "tasks: got none, want at least one")
 	}
 	if len(wire) > e.intake.Tasks {
-		return nil, newRefused(medlargw.CodeTooManyTasks, "tasks: got %d, want at most %d", len(wire), e.intake.Tasks)
+		return nil, newRefused(medlargw.CodeTooManyTasks, "tasks: got %s, want at most %d", countOf(wire), e.intake.Tasks)
 	}
 	seen := make(map[string]bool, len(wire))
 	tasks := make([]medlargw.Task, len(wire))
@@ -125,6 +155,14 @@
 	return tasks, nil
 }
 
+// countOf returns the number of tasks, as far as they were decoded.
+func countOf(wire tasksWire) string {
+	if len(wire) < maxDecodedTasks {
+		return strconv.Itoa(len(wire))
+	}
+	return fmt.Sprintf("%d or more", maxDecodedTasks)
+}
+
 func parseDuration(name, text string) (time.Duration, *medlargw.RefusedError) {
 	if text == "" {
 		return 0, nil
