Own interface: memory and connections of callers and operators within those of the process

Callers saw: an entry that runs out of memory, also by requests without a key. TestCrowdsOfOwnInterface on, capacity.memory 100: unfinished headers 171 MiB, unfinished bodies of 1 MiB 653, in chunks of one byte 273, operators' listener 165 (want at most 100), 507 sockets.

Cause: the one of the platform's receiver: a limit for each request and none for the sum, nothing that depends on the memory of the process, no bound on connections. intake.bytes counts what is decoded, with 256 MiB whatever capacity.memory says. Beside that, several bodies were decoded at a time, each to several times its size (101 and 107 MiB in two of 20 runs beside eight busy loops).

Plain HTTP at a TLS listener is answered 400 as before (TestTLS).

Why it works: every part of a request's memory has a share of that of the process.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -28,6 +28,7 @@
 	"medlargw.example/medlargw/drainer"
 	"medlargw.example/medlargw/exporter"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/shedder"
 )
 
 // Limits of the HTTP server.
@@ -127,14 +128,15 @@
 	}
 	a.server = &http.Server{
 		Handler:           a.authenticate(a.routes()),
-		TLSConfig:         a.tls,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(a.log),
 	}
-	a.drainer = drainer.New(a.server, a.listener)
+	guard := shedder.New(a.log, "operators", a.settings.Capacity.ConnectionLimits(medlargw.ListenerOperators, maxBodyBytes), a.metrics)
+	guard.Protect(a.server)
+	a.drainer = drainer.New(a.server, guard.ListenTLS(a.listener, a.tls))
 	follow, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.serving.Go(a.serve)
@@ -160,13 +162,7 @@
 }
 
 func (a *Administrator) serve() {
-	var err error
-	if a.tls != nil {
-		err = a.server.ServeTLS(a.drainer, "", "")
-	} else {
-		err = a.server.Serve(a.drainer)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(a.drainer); !errors.Is(err, http.ErrServerClosed) {
 		a.log.Error("HTTP server failed", zap.Error(err))
 	}
 }
--- a/builder/builder.go
+++ b/builder/builder.go
@@ -72,7 +72,7 @@
 	reg := b.core(func(reg *registrar.Registrar, registry metrics.Registry) medlargw.Component {
 		return administrator.New(b.Log, reg, b.Settings, tlsConfig, registry, b.level(), b.Version)
 	})
-	reg.Add(receiver.New(b.Log, reg, b.Settings, tlsConfig))
+	reg.Add(receiver.New(b.Log, reg, b.Settings, tlsConfig, b.Metrics))
 	return reg, nil
 }
 
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	return runUntilSignal(ctx, log.Logger, entry, settings.Group, nil)
+	return runUntilSignal(ctx, log.Logger, entry, &settings, nil)
 }
 
 // servePlatform runs an entry on the operators' platform until a signal requests
@@ -75,21 +76,24 @@
 	if err != nil {
 		return err
 	}
-	return runUntilSignal(ctx, log.Logger, entry, settings.Group, b.Reload)
+	return runUntilSignal(ctx, log.Logger, entry, &settings, b.Reload)
 }
 
-// runUntilSignal starts the components and stops them at the first SIGTERM or
+// runUntilSignal sets the limit of the collector, starts the components and stops them at the first SIGTERM or
 // interrupt. SIGHUP calls reload, if it is not nil.
 func runUntilSignal(
 	ctx context.Context,
 	log *zap.Logger,
 	entry *registrar.Registrar,
-	group medlargw.GroupSettings,
+	settings *medlargw.Settings,
 	reload func(),
 ) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	if limit, ok := settings.Capacity.CollectorLimit(); ok {
+		debug.SetMemoryLimit(limit)
+	}
 	if err := entry.Start(ctx); err != nil {
 		return err
 	}
@@ -105,7 +109,7 @@
 		})
 	}
 	<-signals
-	return plannedStop(ctx, log, entry, group, signals)
+	return plannedStop(ctx, log, entry, settings.Group, signals)
 }
 
 // plannedStop performs the planned stop. It reports the entry as not ready and
--- a/connections.go
+++ b/connections.go
@@ -12,11 +12,11 @@
 var ErrConnectionShed = errors.New("connection shed: too much memory or too many connections for requests that have not arrived whole")
 
 // What a request takes of the memory, in bytes. A line of a header becomes an entry of a
-// map, and a body is copied when its buffer grows.
+// map, and the parts of a body are copied when it is whole.
 const (
 	RequestLineCost       = 120
 	RequestHeaderByteCost = 3
-	RequestBodyByteCost   = 3
+	RequestBodyByteCost   = 2
 )
 
 // ConnectionLimits bound what the connections of a listener take from the process.
@@ -61,8 +61,18 @@
 	return c.Memory << 20 / 3 * 2, c.Memory > 0
 }
 
+// DecodeLimit returns the bytes of bodies that may be decoded at a time: to decode one takes
+// several times its size.
+func (c *CapacitySettings) DecodeLimit() int64 {
+	if c.Memory == 0 {
+		return unstatedMemory / 32
+	}
+	return c.Memory << 20 / 32
+}
+
 // ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
-// of up to maxBody bytes. Two of the largest requests are always within them.
+// of up to maxBody bytes. The largest request is always within them, with a quarter of it to
+// spare for others.
 func (c *CapacitySettings) ConnectionLimits(l Listener, maxBody int64) ConnectionLimits {
 	share := listenerShares[l]
 	memory := c.Memory << 20
@@ -75,7 +85,7 @@
 	}
 	limits := ConnectionLimits{
 		Conns: max(1, int(share.conns*float64(files-min(reservedFiles, files/2)))),
-		Bytes: max(int64(share.memory*float64(memory)), 2*(maxHeaderCost+RequestBodyByteCost*maxBody)),
+		Bytes: max(int64(share.memory*float64(memory)), (maxHeaderCost+RequestBodyByteCost*maxBody)/4*5),
 		Write: answerTimeout,
 	}
 	if c.Memory > 0 {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -18,6 +18,7 @@
 	defaultTasksPerJob = 290
 	maxDuration        = 24 * time.Hour
 	minKeyBytes        = 16
+	minBodyBytes       = 1 << 10
 )
 
 // Loader reads settings and collects the errors in them.
@@ -38,6 +39,7 @@
 // Parse returns the settings in the text. The path is used in the findings.
 func (l *Loader) Parse(path string, text []byte) (medlargw.Settings, error) {
 	p := parser.Parse(path, text, &l.findings)
+	capacity := parseCapacity(p.Object("capacity"))
 	s := medlargw.Settings{
 		Host:     medlargw.HostName(p.Required("host")),
 		Zone:     medlargw.ZoneName(p.Required("zone")),
@@ -47,11 +49,11 @@
 		Key:      parseSecret(p, "key"),
 		Admin:    parseSecret(p, "admin"),
 		Favour:   parseFavour(p),
-		Intake:   parseIntake(p.Object("intake")),
+		Intake:   parseIntake(p.Object("intake"), int(capacity.Memory)*mebibyte),
 		Task:     parseTask(p.Object("task")),
 		Group:    parseGroup(p.Object("group")),
 		Lease:    parseLease(p.Object("lease")),
-		Capacity: parseCapacity(p.Object("capacity")),
+		Capacity: capacity,
 		TLS:      parseTLS(p.Object("tls")),
 	}
 	if minDrain := s.Group.Notice + s.Intake.Deadline; s.Group.Drain < minDrain {
@@ -109,14 +111,21 @@
 	return netip.MustParseAddrPort(defaultAddr)
 }
 
-func parseIntake(p *parser.Parser) medlargw.IntakeSettings {
+// parseIntake returns the limits of admission. Those of bytes depend on the memory of the
+// process, in bytes, unless that is zero: to decode the largest body takes several times as
+// much.
+func parseIntake(p *parser.Parser, memory int) medlargw.IntakeSettings {
 	defer p.Close()
+	maxBody, maxBytes := 256*mebibyte, 16<<10*mebibyte
+	if memory > 0 {
+		maxBody, maxBytes = min(maxBody, max(memory/8, minBodyBytes)), min(maxBytes, max(memory/4, mebibyte))
+	}
 	return medlargw.IntakeSettings{
 		Tasks:    p.Int("tasks", defaultTasksPerJob, 1, maxTasksPerJob),
-		Body:     int64(p.Int("body", 16*mebibyte, 1<<10, 256*mebibyte)),
+		Body:     int64(p.Int("body", min(16*mebibyte, maxBody), minBodyBytes, maxBody)),
 		Waiting:  p.Int("waiting", 50_000, 1, 1_000_000),
 		Team:     p.Int("team", 10_000, 1, 1_000_000),
-		Bytes:    int64(p.Int("bytes", 256*mebibyte, mebibyte, 16<<30)),
+		Bytes:    int64(p.Int("bytes", min(256*mebibyte, maxBytes), mebibyte, maxBytes)),
 		Read:     p.Duration("read", 10*time.Second, 100*time.Millisecond, time.Minute),
 		Deadline: p.Duration("deadline", time.Minute, time.Second, maxDuration),
 		Kept:     p.Duration("kept", time.Minute, 0, maxDuration),
@@ -194,6 +203,7 @@
 		Shares: medlargw.Shares(p.String("shares", string(medlargw.SharesByCapacity))),
 		Cores:  p.Number("cores", 0, 0, medlargw.MaxCores),
 		Memory: int64(p.Int("memory", 0, 0, medlargw.MaxMemory)),
+		Files:  p.Int("files", 0, 0, medlargw.MaxFiles),
 		Relay:  p.Duration("relay", 0, 0, time.Minute),
 	}
 	if c.Shares != medlargw.SharesByCapacity && c.Shares != medlargw.SharesEqual {
--- a/receiver/jobs.go
+++ b/receiver/jobs.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -17,7 +18,7 @@
 		rc.refuse(w, refused)
 		return
 	}
-	s, refused := rc.encoder.DecodeSubmission(body)
+	s, refused := rc.decode(r.Context(), body)
 	if refused != nil {
 		rc.refuse(w, refused)
 		return
@@ -37,11 +38,22 @@
 		})
 		return
 	}
+	rc.shedder.Release(r)
 	outcome := rc.submitter.Submit(r.Context(), job)
 	status, answer := rc.encoder.EncodeOutcome(&outcome)
 	rc.write(w, status, answer, outcome.RetryAfter)
 }
 
+// decode decodes a submission when few other bytes are being decoded.
+func (rc *Receiver) decode(ctx context.Context, body []byte) (*medlargw.Submission, *medlargw.RefusedError) {
+	weight := min(int64(len(body)), rc.settings.Capacity.DecodeLimit())
+	if err := rc.decoding.Acquire(ctx, weight); err != nil {
+		return nil, &medlargw.RefusedError{Code: medlargw.CodeCancelled, Message: "the caller has left"}
+	}
+	defer rc.decoding.Release(weight)
+	return rc.encoder.DecodeSubmission(body)
+}
+
 // authenticateCaller returns the current configuration and the team of the
 // request. It does not wait for the body of a request that it refuses.
 func (rc *Receiver) authenticateCaller(w http.ResponseWriter, r *http.Request) (*medlargw.Config, medlargw.TeamName, *medlargw.RefusedError) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,13 +16,16 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/drainer"
 	"medlargw.example/medlargw/encoder"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/shedder"
 )
 
 // Limits of the HTTP server.
@@ -44,6 +46,8 @@
 	redeemer     medlargw.Redeemer
 	configSource medlargw.ConfigSource
 	listener     net.Listener
+	shedder      *shedder.Shedder
+	decoding     *semaphore.Weighted // In bytes of bodies.
 	server       *http.Server
 	drainer      *drainer.Drainer
 	serving      conc.WaitGroup
@@ -59,13 +63,15 @@
 
 // New returns a receiver that has not started. It serves plain HTTP if the TLS
 // configuration is nil.
-func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, tlsConfig *tls.Config) *Receiver {
+func New(log *zap.Logger, reg *registrar.Registrar, settings medlargw.Settings, tlsConfig *tls.Config, counts metrics.Registry) *Receiver {
 	return &Receiver{
 		log:      log.Named("receiver"),
 		registry: reg,
 		settings: settings,
 		tls:      tlsConfig,
 		encoder:  encoder.New(settings.Intake),
+		shedder:  shedder.New(log, "callers", settings.Capacity.ConnectionLimits(medlargw.ListenerCallers, settings.Intake.Body), counts),
+		decoding: semaphore.NewWeighted(settings.Capacity.DecodeLimit()),
 		stopping: make(chan struct{}),
 		done:     make(chan struct{}),
 	}
@@ -98,26 +104,20 @@
 		return err
 	}
 	rc.server = &http.Server{
-		Handler:           rc.closeWhenStopping(rc.routes()),
-		TLSConfig:         rc.tls,
+		Handler:           rc.limitUnread(rc.closeWhenStopping(rc.routes())),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: rc.settings.Intake.Read,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(rc.log),
 	}
-	rc.drainer = drainer.New(rc.server, rc.listener)
+	rc.shedder.Protect(rc.server)
+	rc.drainer = drainer.New(rc.server, rc.shedder.ListenTLS(rc.listener, rc.tls))
 	rc.serving.Go(rc.serve)
 	return nil
 }
 
 func (rc *Receiver) serve() {
-	var err error
-	if rc.tls != nil {
-		err = rc.server.ServeTLS(rc.drainer, "", "")
-	} else {
-		err = rc.server.Serve(rc.drainer)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := rc.server.Serve(rc.drainer); !errors.Is(err, http.ErrServerClosed) {
 		rc.log.Error("HTTP server failed", zap.Error(err))
 	}
 }
@@ -143,6 +143,17 @@
 	})
 }
 
+// limitUnread bounds the time for which the server waits for the rest of the body of a
+// request that is answered before. The server reads that before it sends an answer.
+func (rc *Receiver) limitUnread(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rc.settings.Intake.Read))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop makes the readiness check fail, closes the listener and waits for the
 // running requests. If the context ends before, it cuts off what is left.
 func (rc *Receiver) Stop(ctx context.Context) error {
@@ -208,7 +219,7 @@
 func (rc *Receiver) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *medlargw.RefusedError) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(rc.settings.Intake.Read))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rc.settings.Intake.Body))
+	body, err := rc.shedder.ReadAll(http.MaxBytesReader(w, r.Body, rc.settings.Intake.Body))
 	if err != nil {
 		// The rest of the body is not read. The read deadline stays, so that the
 		// server does not wait for the rest either.
@@ -226,6 +237,10 @@
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
+	case errors.Is(err, medlargw.ErrConnectionShed):
+		return &medlargw.RefusedError{
+			Code: medlargw.CodeOverloaded, Message: "the entry holds too much of unfinished requests", RetryAfter: time.Second,
+		}
 	case errors.As(err, &tooLarge):
 		message := "the body has more than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
 		return &medlargw.RefusedError{Code: medlargw.CodeTooLarge, Message: message}
--- a/shedder/conn.go
+++ b/shedder/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -60,6 +61,7 @@
 	if n > 0 {
 		c.received(b[:n])
 	}
+	c.answerPlainHTTP(err)
 	if err != nil && c.wasShed() {
 		// The server closes the connection without an answer after an error of this type.
 		err = &net.OpError{Op: "read", Net: "tcp", Err: medlargw.ErrConnectionShed}
@@ -67,6 +69,20 @@
 	return n, err
 }
 
+// answerPlainHTTP answers a client that speaks HTTP without TLS where TLS is spoken, as the
+// server does that knows of TLS.
+func (*conn) answerPlainHTTP(err error) {
+	var record tls.RecordHeaderError
+	if !errors.As(err, &record) || record.Conn == nil {
+		return
+	}
+	switch string(record.RecordHeader[:]) {
+	case "GET /", "HEAD ", "POST ", "PUT /", "OPTIO", "DELET":
+		_ = record.Conn.SetWriteDeadline(time.Now().Add(time.Second)) // The connection ends in any case.
+		_, _ = io.WriteString(record.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nThe server speaks HTTP over TLS alone.\n")
+	}
+}
+
 // received counts what was read of a header.
 func (c *conn) received(b []byte) {
 	lines := int64(bytes.Count(b, []byte{'\n'}))
@@ -85,8 +101,23 @@
 	s.report(s.forSize, shed)
 }
 
+// pieceBytes is the part of an answer for which the peer has the time that the limits give
+// it to read.
+const pieceBytes = 16 << 10
+
 // Write writes to the connection, within the time that the limits give the peer to read.
 func (c *conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		piece := b[written:min(len(b), written+pieceBytes)]
+		n, err := c.writePiece(piece)
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) writePiece(b []byte) (int, error) {
 	s := c.shedder
 	s.mu.Lock()
 	former, since := c.phase, c.since
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -142,6 +143,18 @@
 // Listen returns a listener whose connections the Shedder watches.
 func (s *Shedder) Listen(l net.Listener) net.Listener { return &listener{Listener: l, shedder: s} }
 
+// ListenTLS returns a listener as Listen does, whose connections speak TLS and HTTP/1.1
+// unless the configuration is nil. The Shedder sees what is decrypted. Handshakes take place
+// with the first read, within its deadline.
+func (s *Shedder) ListenTLS(l net.Listener, cfg *tls.Config) net.Listener {
+	if cfg == nil {
+		return s.Listen(l)
+	}
+	cfg = cfg.Clone()
+	cfg.NextProtos = []string{"http/1.1"}
+	return s.Listen(tls.NewListener(l, cfg))
+}
+
 type listener struct {
 	net.Listener
 	shedder *Shedder
