Messenger: a sender shows that it is a peer before a long message is read

Callers saw: nothing, as nobody outside should reach the port.

Cause: the signature covers the body, so that up to 260 MiB were read before it could be checked, without a deadline and without a bound on connections. Ruled out: unsigned messages that are accepted (401), a smaller bound for all (forwarded submissions have up to 256 MiB).

Change: messages from 64 KiB on carry an HMAC of path, length and signature, which is verified before the body is read; without one 2 MiB are read at most, within 5 s. Shedder watches connections until they have sent a valid message, and no longer. TestMessagesOfStrangers, TestLongMessageIsProven.

Why it works: nothing is held for a sender that isn't known beyond the share of strangers. Messages of calm are sent as before, byte for byte.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -3,7 +3,8 @@
 //
 // Each request carries an HMAC of its path and body under a key derived from
 // the deployment's key, so that only requests of entries of the same deployment
-// are accepted. The package converts between the domain messages and the
+// are accepted. A long one carries a second HMAC, of its length and the first one, which is
+// verified before it is read. The package converts between the domain messages and the
 // generated types of package wire.
 package messenger
 
@@ -25,6 +26,7 @@
 	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/messenger/wire"
 	"medlargw.example/medlargw/registrar"
+	"medlargw.example/medlargw/shedder"
 )
 
 // Limits of the HTTP server and client.
@@ -46,6 +48,7 @@
 	settings medlargw.Settings
 	signer   signer
 	counters counters
+	shedder  *shedder.Shedder
 	client   *http.Client
 	handlers handlers
 	listener net.Listener
@@ -90,6 +93,7 @@
 		settings: settings,
 		signer:   newSigner(settings.Key),
 		counters: count,
+		shedder:  shedder.New(log, "peers", settings.Capacity.ConnectionLimits(medlargw.ListenerPeers, maxUnprovenBytes), registry),
 		client:   &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		done:     make(chan struct{}),
 		clients:  map[netip.AddrPort]wire.Entry{},
@@ -133,20 +137,21 @@
 		return err
 	}
 	m.server = &http.Server{
-		Handler:           m.signer.verify(m.counters, wire.NewEntryServer(&server{handlers: m.handlers})),
+		Handler:           m.signer.verify(m.counters, m.shedder, wire.NewEntryServer(&server{handlers: m.handlers})),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 		Protocols:         protocols(1, 2),
 		ErrorLog:          zap.NewStdLog(m.log),
 	}
+	m.shedder.AddContext(m.server)
 	m.serving.Go(m.serve)
 	return nil
 }
 
 func (m *Messenger) serve() {
 	counted := &countingListener{Listener: m.listener, counters: m.counters}
-	if err := m.server.Serve(counted); !errors.Is(err, http.ErrServerClosed) {
+	if err := m.server.Serve(m.shedder.Listen(counted)); !errors.Is(err, http.ErrServerClosed) {
 		m.log.Error("HTTP server failed", zap.Error(err))
 	}
 }
--- a/shedder/conn.go
+++ b/shedder/conn.go
@@ -33,9 +33,9 @@
 	request *http.Request // Of the server, while its handler runs.
 	handled bool          // The handler of the request has begun.
 	cost    int64         // Memory that the request holds, in bytes.
-	trusted bool
 	isShed  bool
-	closed  bool
+
+	unwatched bool // It is trusted or closed.
 }
 
 // NetConn returns the connection that this one wraps.
@@ -93,7 +93,7 @@
 		c.phase, c.since = phaseRequest, now
 	}
 	shed := 0
-	if c.phase == phaseRequest && !c.handled && !c.trusted {
+	if c.phase == phaseRequest && !c.handled && !c.unwatched {
 		s.charge(c, medlargw.RequestHeaderByteCost*int64(len(b))+medlargw.RequestLineCost*lines)
 		shed = s.shedForSize(now)
 	}
@@ -147,17 +147,24 @@
 func (c *conn) Close() error {
 	s := c.shedder
 	s.mu.Lock()
-	if !c.closed {
-		c.closed = true
-		s.open--
-		s.charge(c, -c.cost)
-		delete(s.conns, c)
-		s.freed.Broadcast()
-	}
+	c.unwatch()
 	s.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// unwatch ends the watch of the connection. The lock must be held.
+func (c *conn) unwatch() {
+	if c.unwatched {
+		return
+	}
+	c.unwatched = true
+	s := c.shedder
+	s.open--
+	s.charge(c, -c.cost)
+	delete(s.conns, c)
+	s.freed.Broadcast()
+}
+
 func (c *conn) wasShed() bool {
 	c.shedder.mu.Lock()
 	defer c.shedder.mu.Unlock()
@@ -228,8 +235,9 @@
 	s := c.shedder
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.trusted = true
-	s.charge(c, -c.cost)
+	if !c.isShed {
+		c.unwatch()
+	}
 }
 
 // body is the body of a request. It tells its connection what was read of it.
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -132,9 +132,9 @@
 	}
 }
 
-// Trust has the connection of a context closed only when no others are left to close, and
-// its memory not counted: its peer has shown that it belongs to the deployment.
-func (s *Shedder) Trust(ctx context.Context) {
+// Trust ends the watch of the connection of a context, whose peer has shown that it belongs
+// to the deployment. It is not counted any more, nor closed.
+func (*Shedder) Trust(ctx context.Context) {
 	if c := connOf(ctx); c != nil {
 		c.trust()
 	}
@@ -211,15 +211,10 @@
 		return 0
 	}
 	all := s.candidates()
-	slices.SortFunc(all, func(a, b *conn) int {
-		if a.trusted != b.trusted {
-			return compareBool(a.trusted, b.trusted)
-		}
-		return a.since.Compare(b.since)
-	})
+	slices.SortFunc(all, func(a, b *conn) int { return a.since.Compare(b.since) })
 	shed := 0
 	for _, c := range all {
-		if shed >= excess && (c.trusted || shed >= excess+s.limits.Conns/slack || now.Sub(c.since) < minWait) {
+		if shed >= excess && (shed >= excess+s.limits.Conns/slack || now.Sub(c.since) < minWait) {
 			break
 		}
 		s.shed(c)
@@ -228,17 +223,6 @@
 	return shed
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // shedForSize sheds the connections that hold most for longest while all hold too much,
 // and returns their number. The lock must be held.
 func (s *Shedder) shedForSize(now time.Time) int {
@@ -310,7 +294,7 @@
 // lock must be held.
 func (s *Shedder) awaitFreed(c *conn) {
 	most := s.limits.Bytes / freeingShare
-	for s.limits.Bytes > 0 && !c.isShed && !c.closed && !c.trusted && c.phase <= phaseRequest {
+	for s.limits.Bytes > 0 && !c.isShed && !c.unwatched && c.phase <= phaseRequest {
 		switch {
 		case s.freeing > most, s.garbage.collecting:
 			s.freed.Wait()
