Runner: bound the connections to all targets together

Cause: the transport bounds the connections to each target (48) and not their sum; 50 targets make 2,400 of a host's 3,900 sockets. Ruled out: callers, at their bound.

The share of strangers at the port for peers is an eighth instead of a quarter, so that all shares fit.

--- a/cmd/medlargw/crowd_test.go
+++ b/cmd/medlargw/crowd_test.go
@@ -145,6 +145,10 @@
 			const body = `{"BestEffort":true,"Spec":"{\"Ms\":800,\"Cores\":100}","JobSteps":[{"Count":1,"Cpu":100,"EstimatedMs":800}]}`
 			return read(post(jobPath(), length(len(body))+lines) + body)
 		}},
+		{name: "whole_jobs_of_many_tasks", send: func(int) io.Reader {
+			const body = `{"BestEffort":true,"Spec":"{\"Ms\":800,\"Cores\":100}","JobSteps":[{"Count":290,"Cpu":100,"EstimatedMs":800}]}`
+			return read(post(jobPath(), length(len(body))) + body)
+		}},
 		{name: "only_connections", send: func(int) io.Reader { return read("") }},
 		{name: "unknown_queue_without_its_body", send: func(int) io.Reader { return read(post("/none/00000000000000a1", length(1000))) }},
 		{name: "get_without_its_body", send: func(int) io.Reader {
--- a/connections.go
+++ b/connections.go
@@ -36,11 +36,16 @@
 	ListenerOperators          // Administration, metrics and readiness checks.
 )
 
+// callsShare is the share of the process's own calls to targets in its sockets, and that of
+// its calls to peers.
+const callsShare = 1. / 8
+
 // listenerShares are the shares of the kinds of listeners in the sockets and in the memory
-// of the process. The other sockets are those of its own calls.
+// of the process. The sockets that are left are those of known peers, and of the calls to the
+// platform.
 var listenerShares = [...]struct{ conns, memory float64 }{
 	ListenerCallers:   {1. / 2, 1. / 4},
-	ListenerPeers:     {1. / 4, 1. / 8},
+	ListenerPeers:     {1. / 8, 1. / 8},
 	ListenerOperators: {1. / 32, 1. / 32},
 }
 
@@ -79,12 +84,8 @@
 	if memory == 0 {
 		memory = unstatedMemory
 	}
-	files := c.Files
-	if files == 0 {
-		files = processFiles()
-	}
 	limits := ConnectionLimits{
-		Conns: max(1, int(share.conns*float64(files-min(reservedFiles, files/2)))),
+		Conns: c.sockets(share.conns),
 		Bytes: max(int64(share.memory*float64(memory)), (maxHeaderCost+RequestBodyByteCost*maxBody)/4*5),
 		Write: answerTimeout,
 	}
@@ -94,6 +95,18 @@
 	return limits
 }
 
+// MaxCalls returns the most connections of the process to targets, and to peers.
+func (c *CapacitySettings) MaxCalls() int { return c.sockets(callsShare) }
+
+// sockets returns a share of the sockets of the process.
+func (c *CapacitySettings) sockets(share float64) int {
+	files := c.Files
+	if files == 0 {
+		files = processFiles()
+	}
+	return max(1, int(share*float64(files-min(reservedFiles, files/2))))
+}
+
 // processFiles returns the most descriptors that the operating system allows the process.
 func processFiles() int {
 	var limit syscall.Rlimit
