Coordinator: bound the tasks that a home holds by its memory

Cause: admission bounds work by the prospects of jobs; thousands of small tasks fit the targets at once, each with 8 KiB at its home.

Change: a fifth of the memory at 8 KiB for each task, at least 2,000 tasks: 7,270 with 284 MB. Above it, less urgent jobs that have not started are withdrawn, the least urgent and latest first, so that a class keeps its precedence beside a crowd of another; if that is not enough, the new job is refused. Rule "memory" in the log, the metrics and explain; lease.tasks.

Why it works: what waits and runs has a share of the memory as what is read.

--- a/admission.go
+++ b/admission.go
@@ -34,6 +34,7 @@
 	RefusalUnreported RefusalReason = "unreported" // None of its targets has reported its resources recently.
 	RefusalTooLarge   RefusalReason = "too-large"  // No target of its pool has the resources for one task.
 	RefusalUnread     RefusalReason = "unread"     // Its request may have waited unread for too long.
+	RefusalMemory     RefusalReason = "memory"     // Its home holds as many tasks as its memory allows.
 )
 
 // Message returns the message for the caller.
@@ -47,6 +48,8 @@
 		return "no target has the resources for a task"
 	case RefusalUnread:
 		return "the request was read late"
+	case RefusalMemory:
+		return "the entry holds too many tasks"
 	default:
 		return "no room in time"
 	}
--- a/connections.go
+++ b/connections.go
@@ -57,6 +57,8 @@
 	// maxHeaderCost bounds the memory of the longest header, of 20 KiB in lines of 4 bytes.
 	maxHeaderCost = 20 << 10 * (RequestHeaderByteCost + RequestLineCost/4)
 	answerTimeout = 3 * time.Second
+	taskBytes     = 8 << 10 // Memory of a task at its home, with its run and an order that waits.
+	minTasks      = 2000
 )
 
 // CollectorLimit returns the memory above which the Go runtime has to collect garbage
@@ -75,6 +77,15 @@
 	return c.Memory << 20 / 32
 }
 
+// MaxTasks returns the most tasks of unfinished jobs that the process holds as a home, or
+// zero if its memory is unlimited. A few of the largest jobs are always within it.
+func (c *CapacitySettings) MaxTasks() int {
+	if c.Memory == 0 {
+		return 0
+	}
+	return max(minTasks, int(c.Memory<<20/5/taskBytes))
+}
+
 // ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
 // of up to maxBody bytes. The largest request is always within them, with a quarter of it to
 // spare for others.
--- a/connections_test.go
+++ b/connections_test.go
@@ -36,6 +36,14 @@
 			}
 		})
 	}
+	for _, test := range []struct {
+		memory int64
+		tasks  int
+	}{{0, 0}, {1, 2000}, {100, 2560}, {284, 7270}} {
+		if got := (&CapacitySettings{Memory: test.memory}).MaxTasks(); got != test.tasks {
+			t.Errorf("tasks in %d MiB: got %d, want %d", test.memory, got, test.tasks)
+		}
+	}
 	if got := (&CapacitySettings{}).ConnectionLimits(ListenerCallers, body).Conns; got < 1 {
 		t.Errorf("connections by the limit of the operating system: got %d, want some", got)
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -31,9 +31,14 @@
 func newFixture(t *testing.T) *fixture { return newLoggedFixture(t, zap.NewNop()) }
 
 func newLoggedFixture(t *testing.T, log *zap.Logger) *fixture {
+	return newLimitedFixture(t, log, 0)
+}
+
+// newLimitedFixture returns a fixture whose coordinator holds a number of tasks at most.
+func newLimitedFixture(t *testing.T, log *zap.Logger, tasks int) *fixture {
 	settings := medlargw.LeaseSettings{
 		Lease: 800 * time.Millisecond, Stop: 50 * time.Millisecond, Keep: 120 * time.Millisecond, Silence: 500 * time.Millisecond,
-		Lag: time.Second,
+		Lag: time.Second, Tasks: tasks,
 	}
 	self := medlargw.Member{Host: "self", Zone: "z", Incarnation: 1}
 	h := &fixture{t: t, now: start, c: coordinator.New(log, settings, self, estimator.New(), pacer.New(0))}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -136,6 +136,9 @@
 	m := j.job
 	c.taskCounts[taskIdle] += len(j.tasks)
 	adm := c.admitter.Admit(now, c.admissionRequest(now, j))
+	if adm.Refusal == medlargw.RefusalNone && !c.makeRoom(now, j) {
+		adm.Refusal = medlargw.RefusalMemory
+	}
 	switch adm.Refusal {
 	case medlargw.RefusalHopeless, medlargw.RefusalTooLarge: // Jobs that no target can run are no demand.
 	default:
--- a/lease.go
+++ b/lease.go
@@ -22,6 +22,7 @@
 	Quiet    time.Duration // Time without a crash after which a service that crashes targets is no longer confined; zero confines none.
 	Refused  time.Duration // Pause before a target is claimed again that was lost to a higher fencing token.
 	Reported time.Duration // How long the resources that a target has reported are relied on; zero is without limit.
+	Tasks    int           // Most tasks of unfinished jobs that a home holds; zero is unlimited.
 	Resubmit time.Duration // Time after which a caller without an outcome may submit its job again, at any entry.
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -183,6 +183,7 @@
 		Quiet:    p.Duration("quiet", defaults.Quiet, 0, maximum),
 		Refused:  p.Duration("refused", defaults.Refused, minimum, maximum),
 		Reported: p.Duration("reported", defaults.Reported, 0, maximum),
+		Tasks:    p.Int("tasks", 0, 0, 1_000_000_000),
 		Resubmit: p.Duration("resubmit", defaults.Resubmit, minimum, maximum),
 	}
 	if l.Lease > l.Longest {
