--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # The package whose tests send crowds of clients to processes. They run one at a time,
 # apart from all others.
-CROWD = medlargw.example/medlargw/cmd/medlargw
+CROWD = medlargw.example/medlargw/platform/crowd
 
 # Runs all tests except those of crowds and those listed in KNOWN-RED.txt. A busy machine takes more than
 # the usual ten minutes for package conductor with the race detector.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"medlargw.example/medlargw"
 	"medlargw.example/medlargw/explainer"
 )
 
@@ -15,6 +16,7 @@
 		complete     = `{"level":"info","ts":100.9,"logger":"coordinator","msg":"job complete","job":"00000000000000b5","age":0.8,"left":-0.2}`
 		inTime       = `{"level":"info","ts":100.9,"logger":"coordinator","msg":"job complete","job":"00000000000000b5","age":0.4,"left":0.2}`
 		givenUp      = `{"level":"info","ts":100.9,"logger":"coordinator","msg":"job given up","job":"00000000000000b5","age":0.4,"code":"attempt-lost","reason":"the holder of its targets is lost"}`
+		shed         = `{"level":"info","ts":100.9,"logger":"receiver","msg":"job request body could not be read","job":"00000000000000b5","error":"connection shed: too much memory or too many connections for requests that have not arrived whole"}`
 		lost         = `{"level":"info","ts":100.8,"logger":"coordinator","msg":"holder lost","holder":"h2","silent":0.6}`
 		unanswered   = `{"level":"info","ts":100.1,"logger":"holder","msg":"target does not answer","target":"t1"}`
 		otherTarget  = `{"level":"info","ts":100.1,"logger":"holder","msg":"target does not answer","target":"t7"}`
@@ -34,6 +36,7 @@
 		{"late after a failure", []string{complete, ended, unanswered, otherTarget}, "complete after 800ms, 200ms later than its objective; 1 attempts did not succeed: failed on t1 (failed); meanwhile h1: target does not answer (t1)", 2, 1},
 		{"in time", []string{inTime, unanswered}, "complete after 400ms, in time", 1, 0},
 		{"end not logged", []string{ended}, "no log line states the outcome of the request: its entry was lost, or the line was dropped under load", 1, 0},
+		{"connection shed", []string{otherJob, shed}, "job request body could not be read: " + medlargw.ErrConnectionShed.Error(), 1, 0},
 		{"holder lost", []string{givenUp, `{"ts":100.85,"msg":"x","task":"00000000000000b5.0.0.0","holder":"h2"}`, lost}, `given up after 400ms with "attempt-lost": the holder of its targets is lost; meanwhile h1: holder lost (h2)`, 2, 1},
 	}
 	for _, test := range tests {
