Shedder: an answer that is being written is not cut off for a newcomer

Callers saw: nothing so far; read in the code. TestAnswersAreNotCutOffForOthers before this change: "newcomer: got status 200, want 0", "answer that is being written: got error unexpected EOF, want an answer".

Cause: a connection whose answer is being written counted as one that waits for its peer. Where all others had whole requests, it was older than the newcomer and was closed for it. Ruled out: connections whose jobs run, which are never closed.

Change: such a connection may be closed once its peer has read nothing for 250 ms.

Why it works: the newcomer is the one that is closed then; its caller comes back, and the answer arrives.

--- a/connections.go
+++ b/connections.go
@@ -36,13 +36,12 @@
 	ListenerOperators          // Administration, metrics and readiness checks.
 )
 
-// callsShare is the share of the process's own calls to targets in its sockets, and that of
-// its calls to peers.
+// callsShare is the share of the process's own calls to targets in its sockets.
 const callsShare = 1. / 8
 
 // listenerShares are the shares of the kinds of listeners in the sockets and in the memory
-// of the process. The sockets that are left are those of known peers, and of the calls to the
-// platform.
+// of the process. The sockets that are left are those of known peers, and of the calls to
+// peers and to the platform.
 var listenerShares = [...]struct{ conns, memory float64 }{
 	ListenerCallers:   {1. / 2, 1. / 4},
 	ListenerPeers:     {1. / 8, 1. / 8},
@@ -106,7 +105,7 @@
 	return limits
 }
 
-// MaxCalls returns the most connections of the process to targets, and to peers.
+// MaxCalls returns the most connections of the process to targets.
 func (c *CapacitySettings) MaxCalls() int { return c.sockets(callsShare) }
 
 // sockets returns a share of the sockets of the process.
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -32,6 +32,9 @@
 	freeingShare = 4
 	// minWait is the time that a connection must have waited to be closed for the slack.
 	minWait = time.Second
+	// minAnswerWait is the time for which a peer must have read nothing of an answer that is
+	// cut off for others.
+	minAnswerWait = 250 * time.Millisecond
 	// logInterval is the time between two log records.
 	logInterval = 10 * time.Second
 )
@@ -210,7 +213,7 @@
 	if s.limits.Conns == 0 || excess <= 0 {
 		return 0
 	}
-	all := s.candidates()
+	all := s.candidates(now)
 	slices.SortFunc(all, func(a, b *conn) int { return a.since.Compare(b.since) })
 	shed := 0
 	for _, c := range all {
@@ -229,7 +232,7 @@
 	if s.limits.Bytes == 0 || s.bytes <= s.limits.Bytes {
 		return 0
 	}
-	all := s.candidates()
+	all := s.candidates(now)
 	held := func(c *conn) float64 { return float64(c.cost) * (now.Sub(c.since) + time.Millisecond).Seconds() }
 	slices.SortFunc(all, func(a, b *conn) int { return cmp.Compare(held(b), held(a)) })
 	shed := 0
@@ -244,10 +247,12 @@
 }
 
 // candidates returns the connections that may be shed. The lock must be held.
-func (s *Shedder) candidates() []*conn {
+func (s *Shedder) candidates(now time.Time) []*conn {
 	all := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
-		if c.phase != phaseWhole {
+		switch {
+		case c.phase == phaseWhole, c.phase == phaseAnswer && now.Sub(c.since) < minAnswerWait:
+		default:
 			all = append(all, c)
 		}
 	}
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -245,6 +245,43 @@
 	})
 }
 
+// TestAnswersAreNotCutOffForOthers guards against a newcomer for which an answer is cut off
+// that is being written, and against peers that keep others out by not reading.
+func TestAnswersAreNotCutOffForOthers(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration // From the beginning of the answer.
+		want  int           // Status for the newcomer; 0 is the end of its connection.
+	}{
+		{"just written", minAnswerWait / 2, 0},
+		{"not read", minAnswerWait, http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestServer(t, medlargw.ConnectionLimits{Conns: 1})
+				ours, theirs := net.Pipe()
+				defer func() { _ = ours.Close() }()
+				s.listener.conns <- theirs
+				_, _ = io.WriteString(ours, request("d", 1))
+				time.Sleep(test.after)
+				newcomer := s.dial(request("d", 1))
+				if got := newcomer.status(); got != test.want {
+					t.Errorf("newcomer: got status %d, want %d", got, test.want)
+				}
+				_ = ours.SetReadDeadline(time.Now().Add(time.Second))
+				resp, err := http.ReadResponse(bufio.NewReader(ours), nil)
+				if got, want := err == nil, test.want != http.StatusOK; got != want {
+					t.Errorf("answer that is being written: got error %v, want an answer: %v", err, want)
+				}
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+			})
+		})
+	}
+}
+
 func (s *testServer) open() int {
 	synctest.Wait()
 	s.shedder.mu.Lock()
