--- a/exporter/help.go
+++ b/exporter/help.go
@@ -29,6 +29,7 @@
 	"relays":                "Jobs handed to peers for lack of processor time (sent, refused, unknown) and jobs of peers (received, rejected, silent).",
 	"reports":               "Targets of this entry that get no new runs since their last reports to the platform are too old (missing).",
 	"refused":               "Jobs on targets under lease that were refused before a start, by reason and rank.",
+	"shed":                  "Connections that were closed for the memory of unfinished requests or for other connections, by listener.",
 	"response_milliseconds": "Response time of complete jobs in milliseconds, by class; the sample favours the last minutes.",
 	"share":                 "Share of this entry in the targets of its zone: owned, due by its capacity, and the capacity in thousandths of a core; zero is not stated.",
 	"retry_milliseconds":    "Time in milliseconds after which refused callers were told to come back, by rank.",
