Root package: limits by the capacity of a host lie in one file; a clearer name for kinds of listeners

Read as a newcomer: medlargw.Listener reads as a listener, and connections.go had the bounds on tasks and bodies too. No change of behaviour.

--- a/connections.go
+++ b/capacity.go
@@ -26,14 +26,14 @@
 	Write time.Duration // Longest time for which the peer reads nothing of an answer; zero is unlimited.
 }
 
-// Listener is a kind of listener.
-type Listener int
+// ListenerKind tells whom a listener serves.
+type ListenerKind int
 
 // The kinds of listeners.
 const (
-	ListenerCallers   Listener = iota
-	ListenerPeers              // The other entries.
-	ListenerOperators          // Administration, metrics and readiness checks.
+	ListenerCallers   ListenerKind = iota
+	ListenerPeers                  // The other entries.
+	ListenerOperators              // Administration, metrics and readiness checks.
 )
 
 // callsShare is the share of the process's own calls to targets in its sockets.
@@ -88,7 +88,7 @@
 // ConnectionLimits returns the limits of the listeners of a kind whose requests have bodies
 // of up to maxBody bytes. The largest request is always within them, with a quarter of it to
 // spare for others.
-func (c *CapacitySettings) ConnectionLimits(l Listener, maxBody int64) ConnectionLimits {
+func (c *CapacitySettings) ConnectionLimits(l ListenerKind, maxBody int64) ConnectionLimits {
 	share := listenerShares[l]
 	memory := c.Memory << 20
 	if memory == 0 {
--- a/connections_test.go
+++ b/capacity_test.go
@@ -13,7 +13,7 @@
 	tests := []struct {
 		memory   int64
 		files    int
-		listener Listener
+		listener ListenerKind
 		conns    int
 		bytes    int64
 	}{
