--- a/review/yard/worker.go
+++ b/review/yard/worker.go
@@ -210,11 +210,15 @@
 	}
 	var wait, late time.Duration
 	w.y.mu.Lock()
-	cut := w.Cut
 	if w.Order != nil {
 		wait, late = w.Order(w, r.URL.Path)
-		w.y.log("order", "worker", w.ID, "path", r.URL.Path, "task", o.Task, "attempt", o.Attempt, "fence", o.FencingToken, "until", o.UntilMs,
-			"clock", w.clock().Milliseconds(), "answered", wait >= 0, "late", late)
+	}
+	cut := w.Cut
+	if w.Order != nil {
+		if r.URL.Path != "/hold" || w.isWatched() {
+			w.y.log("order", "worker", w.ID, "path", r.URL.Path, "task", o.Task, "attempt", o.Attempt, "fence", o.FencingToken, "until", o.UntilMs,
+				"clock", w.clock().Milliseconds(), "answered", wait >= 0 && !cut, "late", late)
+		}
 	}
 	w.y.mu.Unlock()
 	if cut {
@@ -222,7 +226,7 @@
 		return
 	}
 	if wait < 0 {
-		if w.LateGrants && o.UntilMs > 0 && r.URL.Path == "/hold" {
+		if w.LateGrants && o.UntilMs > 0 {
 			o.UntilMs += late.Milliseconds()
 		}
 		time.AfterFunc(late, func() { w.do(r, &o, life) })
@@ -303,13 +307,16 @@
 	return http.StatusConflict, map[string]any{"ClockMs": w.clock().Milliseconds(), "Reason": reason}
 }
 
+// isWatched reports whether the worker's holds are recorded.
+func (w *Worker) isWatched() bool { return w.Order != nil && (w.Cut || len(w.runs) > 0) }
+
 // extend extends the lease, by HoldMaxMs at most.
 func (w *Worker) extend(until time.Duration) {
 	until = min(until, w.clock()+time.Second)
 	if until <= w.lease {
 		return
 	}
-	if w.Order != nil {
+	if w.isWatched() {
 		w.y.log("lease", "worker", w.ID, "until", until.Milliseconds(), "clock", w.clock().Milliseconds())
 	}
 	w.lease = until
@@ -390,6 +397,9 @@
 		percent := min(99, int(float64(time.Since(a.began).Milliseconds())*100/max(a.spec.Ms, 1)))
 		active = append(active, []any{a.task, a.attempt, "", percent, a.spec.Cores})
 	}
+	if w.isWatched() {
+		y.log("listed", "worker", w.ID, "fence", o.FencingToken, "active", active)
+	}
 	for _, e := range w.list {
 		finished = append(finished, []any{e.n, e.task, e.attempt, e.how, ""})
 	}
