--- a/review/yard/worker.go
+++ b/review/yard/worker.go
@@ -15,6 +15,8 @@
 	Fail  int `json:",omitempty"` // Attempts that fail.
 }
 
+const heartbeat = 1500 * time.Millisecond // HeartbeatMs of the settings.
+
 type run struct {
 	task    string
 	attempt int
@@ -68,6 +70,10 @@
 
 func (w *Worker) clock() time.Duration { return w.ClockAt + time.Since(w.born) }
 
+// startedAt returns the start of the worker's life, which may be long before that of its
+// stand-in.
+func (w *Worker) startedAt() time.Time { return w.born.Add(-w.ClockAt) }
+
 // Up starts a life of the worker at its address.
 func (w *Worker) Up() {
 	l, err := listen(w.addr)
@@ -80,6 +86,7 @@
 	w.addr = l.Addr().String()
 	w.up, w.life, w.born = true, w.life+1, time.Now()
 	w.fence, w.lease, w.next = 0, 0, 0
+	w.sequence = int(w.ClockAt / heartbeat)
 	w.runs, w.highest, w.list = map[string]*run{}, map[string]int{}, nil
 	w.changed = make(chan struct{})
 	w.conns = map[net.Conn]struct{}{}
@@ -116,7 +123,7 @@
 		w.write()
 	}
 	w.y.mu.Unlock()
-	time.AfterFunc(1500*time.Millisecond, func() { w.beat(life) })
+	time.AfterFunc(heartbeat, func() { w.beat(life) })
 }
 
 func (w *Worker) write() { w.y.Store.Put("servers/"+w.ID, w.item()) }
@@ -137,7 +144,7 @@
 	item := map[string]any{
 		"Service": w.Service, "Address": w.addr, "Zone": w.Zone, "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
 		"Capacity": map[string]int64{"Cpu": w.Cpu, "MemMb": 131072, "Gpu": 0}, "Labels": []string{"a", "r1"},
-		"ClockMs": w.clock().Milliseconds(), "Sequence": w.sequence, "born": w.born.UnixMilli(),
+		"ClockMs": w.clock().Milliseconds(), "Sequence": w.sequence, "born": w.startedAt().UnixMilli(),
 	}
 	if w.draining {
 		item["RemainingMs"] = 8000
@@ -198,6 +205,18 @@
 	WaitMs       int64
 }
 
+// count counts an order, and records it. The lock must be held.
+func (w *Worker) count(path string, o *order, cut bool, wait, late time.Duration) {
+	w.y.orders++
+	if wait < 0 && !cut {
+		w.y.late++
+	}
+	if w.Order != nil && (path != "/hold" || w.isWatched()) {
+		w.y.log("order", "worker", w.ID, "path", path, "task", o.Task, "attempt", o.Attempt, "fence", o.FencingToken, "until", o.UntilMs,
+			"clock", w.clock().Milliseconds(), "answered", wait >= 0 && !cut, "late", late)
+	}
+}
+
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request, life int) {
 	if id := r.Header.Get("Expected-Instance"); id != "" && id != w.ID {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -214,12 +233,7 @@
 		wait, late = w.Order(w, r.URL.Path)
 	}
 	cut := w.Cut
-	if w.Order != nil {
-		if r.URL.Path != "/hold" || w.isWatched() {
-			w.y.log("order", "worker", w.ID, "path", r.URL.Path, "task", o.Task, "attempt", o.Attempt, "fence", o.FencingToken, "until", o.UntilMs,
-				"clock", w.clock().Milliseconds(), "answered", wait >= 0 && !cut, "late", late)
-		}
-	}
+	w.count(r.URL.Path, &o, cut, wait, late)
 	w.y.mu.Unlock()
 	if cut {
 		<-r.Context().Done()
@@ -403,7 +417,7 @@
 	for _, e := range w.list {
 		finished = append(finished, []any{e.n, e.task, e.attempt, e.how, ""})
 	}
-	return http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "Active": active, "Finished": finished}
+	return http.StatusOK, map[string]any{"ClockMs": w.clock().Milliseconds(), "born": w.startedAt().UnixMilli(), "Active": active, "Finished": finished}
 }
 
 func taskOf(id string, index int) string { return fmt.Sprintf("%s.0.0.%d", id, index) }
--- a/review/yard/yard.go
+++ b/review/yard/yard.go
@@ -54,6 +54,8 @@
 	Starts   int
 	Finished int
 	quiet    bool
+	orders   int // Of all workers.
+	late     int // Those that got no answer and were carried out late.
 }
 
 type start struct {
@@ -548,7 +550,7 @@
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	y.log("total", "starts", y.Starts, "ends", y.Finished, "jobs", len(y.jobs), "broken", len(y.broken))
+	y.log("total", "orders", y.orders, "late", y.late, "starts", y.Starts, "ends", y.Finished, "jobs", len(y.jobs), "broken", len(y.broken))
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(y.dir)
 	} else {
